--- a/cmake/vanillahallConfig.cmake
+++ b/cmake/vanillahallConfig.cmake
@@ -1,10 +1,10 @@
-# Loads the asked components; `core` when none is named. Prerequisites of `net` and `platform` are found here.
+# Loads the asked components; `core` when none is named. Prerequisites of `net` and `adapters` are found here.
 include(CMakeFindDependencyMacro)
 set(components ${vanillahall_FIND_COMPONENTS})
 if(NOT components)
     set(components core)
 endif()
-if("platform" IN_LIST components OR "net" IN_LIST components)
+if("adapters" IN_LIST components OR "net" IN_LIST components)
     find_dependency(Threads)
     find_dependency(OpenSSL)
     find_dependency(PkgConfig)
--- a/packages/platform/include/vanillahall/platform/vm_list_client_base.h
+++ b/packages/adapters/include/vanillahall/adapters/vm_list_client_base.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "vanillahall/net/http_client_base.h"
-#include "vanillahall/platform/port_type.h"
+#include "vanillahall/adapters/port_type.h"
 
 #include <memory>
 
--- a/packages/platform/src/engine_client.cpp
+++ b/packages/adapters/src/engine_client.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/engine_client_base.h"
+#include "vanillahall/adapters/engine_client_base.h"
 
 #include "vanillahall/core/id_func.h"
 
--- a/packages/platform/src/engine_client_state.h
+++ b/packages/adapters/src/engine_client_state.h
@@ -1,7 +1,7 @@
 /** Inside of the engine adapter. */
 #pragma once
 
-#include "vanillahall/platform/engine_client_base.h"
+#include "vanillahall/adapters/engine_client_base.h"
 
 #include "engine_memory_base.h"
 #include "engine_stream_base.h"
--- a/packages/platform/src/engine_stream_base.h
+++ b/packages/adapters/src/engine_stream_base.h
@@ -1,7 +1,7 @@
 /** Reads one answer stream of an engine. */
 #pragma once
 
-#include "vanillahall/platform/sse_reader_base.h"
+#include "vanillahall/adapters/sse_reader_base.h"
 
 #include "stream_chunk_func.h"
 
--- a/packages/platform/src/service_client.cpp
+++ b/packages/adapters/src/service_client.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/service_client_base.h"
+#include "vanillahall/adapters/service_client_base.h"
 
 #include "vanillahall/core/id_func.h"
 
--- a/packages/platform/src/sse_reader.cpp
+++ b/packages/adapters/src/sse_reader.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/sse_reader_base.h"
+#include "vanillahall/adapters/sse_reader_base.h"
 
 #include <utility>
 
--- a/packages/platform/src/store_client.cpp
+++ b/packages/adapters/src/store_client.cpp
@@ -1,6 +1,6 @@
-#include "vanillahall/platform/store_client_base.h"
+#include "vanillahall/adapters/store_client_base.h"
 
-#include "vanillahall/platform/row_codec_func.h"
+#include "vanillahall/adapters/row_codec_func.h"
 
 #include "row_json_func.h"
 #include "whole_request_base.h"
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/adapters/src/vm_list_client.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/vm_list_client_base.h"
+#include "vanillahall/adapters/vm_list_client_base.h"
 
 #include "table/enum_name.h"
 #include "whole_request_base.h"
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -15,7 +15,11 @@
     StopBegun = 1002,          ///< A planned stop has begun.
     StopDone = 1003,           ///< A planned stop has finished.
     SettingsFault = 1004,      ///< A setting is wrong; nothing starts.
+    SettingsReloaded = 1005,   ///< A changed settings file is in force.
+    LinesLeftOut = 1006,       ///< Log lines were left out because nobody read the log fast enough.
     RequestRefused = 1101,     ///< A caller's request was refused.
+    RequestEnded = 1102,       ///< A forwarded request has ended.
+    AttemptFailed = 1103,      ///< An attempt of a forwarded request at one server failed.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
@@ -27,6 +31,8 @@
     LeaseExtended = 1403,      ///< A lease lives on promises while the store is away.
     ShardLoaded = 1404,        ///< A shard was loaded after a takeover.
     ShardHandedOver = 1405,    ///< A shard was handed over.
+    ServerChanged = 1503,      ///< The list of backend servers has a new, draining or vanished one.
+    DependencyLost = 1504,     ///< Something the process depends on failed.
     StoreAway = 1501,          ///< The platform's store doesn't answer.
     StoreBack = 1502,          ///< The platform's store answers again.
     OrderRefused = 1601,       ///< A gate refused an order.
--- /dev/null
+++ b/packages/core/include/vanillahall/core/route_table_base.h
@@ -0,0 +1,50 @@
+/** The routes in force. */
+#pragma once
+
+#include "vanillahall/core/forward_type.h"
+
+#include <string_view>
+
+namespace Vanillahall::Forward {
+
+/** Finds the route of a request. Versions never go backwards. */
+class RouteTable
+{
+public:
+    // Commands.
+
+    /**
+     * Puts a version in force.
+     * @return False if it isn't newer than the one in force; nothing changes then.
+     */
+    bool apply(Config config);
+
+    // Queries.
+
+    /** @return True if a configuration is in force. */
+    [[nodiscard]] bool isLoaded() const;
+    /** @return The configuration in force. */
+    [[nodiscard]] const Config &config() const;
+    /**
+     * Finds the route with the longest prefix.
+     * @param host Value of the Host header; case and port don't matter.
+     * @param path Path of the request, without query.
+     * @return The route, or null. Valid until the next apply().
+     */
+    [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
+
+private:
+    Config m_config;
+    bool m_isLoaded = false;
+    std::map<std::string, std::vector<std::size_t>, std::less<>> m_byHost; ///< Positions of routes, longest prefix first.
+};
+
+/**
+ * Splits requests by the weights of a route's targets.
+ * @param route The route.
+ * @param key Requests with the same key go to the same service while the weights stay.
+ * @return Name of the service, or nothing if no target has weight.
+ */
+std::optional<std::string> pickService(const Route &route, std::string_view key);
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -0,0 +1,132 @@
+/**
+ * Backend servers, what is known of their load and prompt memory, and the choice among them.
+ * Load pattern: many entries send to the same servers with late knowledge of each other. Each entry counts its own requests exactly, adds
+ * what servers tell with their answers, and weighs waiting, prompt reading and distance in one currency, the expected time.
+ */
+#pragma once
+
+#include "vanillahall/core/forward_type.h"
+
+#include <list>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace Vanillahall::Forward {
+
+/** Figures of the choice. */
+struct ChoiceSettings
+{
+    double promptTokensPerMs = 60.0; ///< Prompt tokens that an engine reads in a millisecond.
+    double otherZoneMs = 4.0;        ///< Price of a server in another availability zone, in milliseconds.
+    double fullMs = 12.0;            ///< Wait for each request beyond a server's slots, in milliseconds.
+    double busyMs = 2.0;             ///< Wait for each request that a server has already, in milliseconds.
+    double doubtMs = 400.0;          ///< Price of a server that failed a moment ago, in milliseconds.
+    std::uint32_t entries = 12;      ///< Entries that share each server's connections.
+};
+
+/** A request that needs a server. */
+struct ChoiceRequest
+{
+    std::string service;                  ///< Service.
+    const RequestFacts *facts = nullptr;  ///< Facts of the request.
+    std::uint32_t maxConnections = 16;    ///< Connections that one server takes from all callers together.
+    const std::set<std::string> *avoided; ///< Servers that refused or failed this request.
+};
+
+/** The chosen server. */
+struct Choice
+{
+    Server server;                  ///< The server.
+    std::uint32_t unreadTokens = 0; ///< Prompt tokens that it has to read, as far as known.
+    double expectedMs = 0;          ///< Weight of the choice, in milliseconds.
+};
+
+/** Servers, load, and choice. */
+class ServerBook
+{
+public:
+    ServerBook(std::string zone, ChoiceSettings settings);
+
+    // Commands.
+
+    /**
+     * Takes a complete list of servers.
+     * @param list Servers; one that is missing is gone.
+     * @param wasAway True if the list couldn't be read for a while: entries that lapsed meanwhile are given LapseGrace to come back.
+     * @return Ids of the servers that are new, gone or draining now.
+     */
+    std::vector<std::string> update(const std::vector<Server> &list, bool wasAway, TimePoint now);
+    /** A request was sent to a server. */
+    void began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts, TimePoint now);
+    /** The first event of a stream came. */
+    void firstEvent(const std::string &id, std::uint32_t unreadTokens);
+    /** A request has ended at a server. @param hadFirstEvent True if firstEvent() was called for it. */
+    void ended(const std::string &id, std::uint32_t unreadTokens, bool hadFirstEvent);
+    /** A server told its load. */
+    void told(const std::string &id, const ServerLoad &load, TimePoint now);
+    /** A server couldn't be reached or broke a connection. */
+    void failed(const std::string &id, TimePoint now);
+    /** A server answered properly. */
+    void worked(const std::string &id);
+    /** A server refused a request because it is full. */
+    void refused(const std::string &id, TimePoint now);
+    /** Another incarnation has the server's address. */
+    void misdirected(const std::string &id);
+
+    // Queries.
+
+    /** @return The server with the least expected time, or nothing if none can take the request. */
+    [[nodiscard]] std::optional<Choice> choose(const ChoiceRequest &request, TimePoint now) const;
+    /** @return True if a service has a server that may be used. */
+    [[nodiscard]] bool hasServer(const std::string &service) const;
+    /** @return Number of servers known. */
+    [[nodiscard]] std::size_t size() const;
+    /** @return Connections to one server that this entry may hold. */
+    [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
+
+private:
+    /** One server. */
+    struct Place
+    {
+        Server server;                       ///< As listed.
+        std::uint32_t running = 0;           ///< Requests of this entry there.
+        std::uint64_t unread = 0;            ///< Prompt tokens of this entry's requests that have no first event yet.
+        std::uint32_t others = 0;            ///< Requests of other entries, as last told.
+        std::uint32_t failures = 0;          ///< Failures in a row.
+        TimePoint doubtUntil{};              ///< Avoided until then because it failed.
+        TimePoint fullUntil{};               ///< Avoided until then because it was full.
+        TimePoint othersAt{};                ///< Age of `others`.
+        std::optional<TimePoint> lapseAt;    ///< Given up then if it is still missing in the list.
+        bool isUsable = true;                ///< False once it drains, is gone or has lost its address.
+    };
+
+    /** Where a part of a prompt was read last, and how much of it. */
+    struct PartPlace
+    {
+        std::string server;       ///< Server.
+        std::uint32_t tokens = 0; ///< Tokens of the part there.
+    };
+    /** One part of prompts. */
+    struct Part
+    {
+        std::vector<PartPlace> places;              ///< Servers that have read it, the latest last.
+        std::list<std::uint64_t>::iterator lastUse; ///< Place in the order of use.
+    };
+
+    void remember(const std::string &id, const RequestFacts &facts);
+    [[nodiscard]] std::uint32_t readTokens(const Place &place, const RequestFacts &facts) const;
+    [[nodiscard]] double expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const;
+
+    std::string m_zone;
+    ChoiceSettings m_settings;
+    std::unordered_map<std::string, Place> m_places;
+    std::unordered_map<std::uint64_t, Part> m_parts;
+    std::list<std::uint64_t> m_partUse; ///< Least recently used first.
+};
+
+inline constexpr Duration LapseGrace = std::chrono::milliseconds(1900); ///< Servers that live are listed again within 2 s.
+inline constexpr std::size_t MaxParts = 20000;                          ///< Parts remembered; about 3 MB.
+inline constexpr std::size_t MaxPartPlaces = 16;                        ///< Servers remembered for one part.
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -0,0 +1,179 @@
+#include "vanillahall/core/server_book_base.h"
+
+#include <algorithm>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration FirstDoubt = std::chrono::milliseconds(300); ///< After one failure; a restart takes longer, a lost answer doesn't.
+constexpr std::uint32_t MaxDoublings = 3;                       ///< Of the time after further failures.
+constexpr Duration FullTime = std::chrono::milliseconds(60);    ///< A slot comes free within this time at a busy server.
+
+bool isSameRun(const Server &a, const Server &b)
+{
+    return a.address == b.address && a.port == b.port && a.startedMs == b.startedMs && a.service == b.service;
+}
+
+} // namespace
+
+ServerBook::ServerBook(std::string zone, ChoiceSettings settings)
+    : m_zone(std::move(zone))
+    , m_settings(settings)
+{
+}
+
+std::vector<std::string> ServerBook::update(const std::vector<Server> &list, bool wasAway, TimePoint now)
+{
+    std::vector<std::string> changed;
+    std::set<std::string> listed;
+    for (const auto &it : list) {
+        listed.insert(it.id);
+        const auto known = m_places.find(it.id);
+        if (known == m_places.end() || !isSameRun(known->second.server, it)) {
+            Place place;
+            place.running = known == m_places.end() ? 0 : known->second.running;
+            place.server = it;
+            place.isUsable = !it.isDraining;
+            m_places[it.id] = std::move(place);
+            changed.push_back(it.id);
+            continue;
+        }
+        auto &place = known->second;
+        if (it.isDraining != place.server.isDraining) {
+            changed.push_back(it.id);
+            place.isUsable = !it.isDraining;
+        }
+        place.server = it;
+        place.lapseAt.reset();
+    }
+    for (auto it = m_places.begin(); it != m_places.end();) {
+        auto &place = it->second;
+        if (listed.count(it->first) != 0) {
+            ++it;
+            continue;
+        }
+        if (wasAway && !place.lapseAt) {
+            place.lapseAt = now + LapseGrace;
+        }
+        if (place.lapseAt && now < *place.lapseAt) {
+            ++it;
+            continue;
+        }
+        if (place.isUsable) {
+            changed.push_back(it->first);
+        }
+        place.isUsable = false;
+        it = place.running == 0 ? m_places.erase(it) : std::next(it);
+    }
+    return changed;
+}
+
+void ServerBook::began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts, TimePoint now)
+{
+    (void)now;
+    const auto it = m_places.find(id);
+    if (it == m_places.end()) {
+        return;
+    }
+    it->second.running++;
+    it->second.unread += unreadTokens;
+    remember(id, facts);
+}
+
+void ServerBook::firstEvent(const std::string &id, std::uint32_t unreadTokens)
+{
+    const auto it = m_places.find(id);
+    if (it != m_places.end()) {
+        it->second.unread -= std::min<std::uint64_t>(it->second.unread, unreadTokens);
+    }
+}
+
+void ServerBook::ended(const std::string &id, std::uint32_t unreadTokens, bool hadFirstEvent)
+{
+    const auto it = m_places.find(id);
+    if (it == m_places.end()) {
+        return;
+    }
+    it->second.running -= std::min(it->second.running, 1U);
+    if (!hadFirstEvent) {
+        firstEvent(id, unreadTokens);
+    }
+}
+
+void ServerBook::told(const std::string &id, const ServerLoad &load, TimePoint now)
+{
+    const auto it = m_places.find(id);
+    if (it == m_places.end()) {
+        return;
+    }
+    const std::uint32_t all = load.running + load.waiting;
+    it->second.others = all - std::min(all, it->second.running);
+    it->second.othersAt = now;
+    if (load.slots != 0) {
+        it->second.server.slots = load.slots;
+    }
+}
+
+void ServerBook::failed(const std::string &id, TimePoint now)
+{
+    const auto it = m_places.find(id);
+    if (it != m_places.end()) {
+        it->second.doubtUntil = now + FirstDoubt * (1U << std::min(it->second.failures, MaxDoublings));
+        it->second.failures++;
+    }
+}
+
+void ServerBook::worked(const std::string &id)
+{
+    const auto it = m_places.find(id);
+    if (it != m_places.end()) {
+        it->second.failures = 0;
+        it->second.doubtUntil = {};
+    }
+}
+
+void ServerBook::refused(const std::string &id, TimePoint now)
+{
+    const auto it = m_places.find(id);
+    if (it != m_places.end()) {
+        it->second.fullUntil = now + FullTime;
+    }
+}
+
+void ServerBook::misdirected(const std::string &id)
+{
+    const auto it = m_places.find(id);
+    if (it != m_places.end()) {
+        it->second.isUsable = false;
+    }
+}
+
+void ServerBook::remember(const std::string &id, const RequestFacts &facts)
+{
+    for (const auto &it : facts.promptParts) {
+        auto found = m_parts.find(it.id);
+        if (found == m_parts.end()) {
+            m_partUse.push_back(it.id);
+            found = m_parts.emplace(it.id, Part{{}, std::prev(m_partUse.end())}).first;
+        }
+        auto &part = found->second;
+        m_partUse.splice(m_partUse.end(), m_partUse, part.lastUse);
+        auto &places = part.places;
+        const auto old = std::find_if(places.begin(), places.end(), [&id](const PartPlace &place) {
+            return place.server == id;
+        });
+        if (old != places.end()) {
+            places.erase(old);
+        } else if (places.size() >= MaxPartPlaces) {
+            places.erase(places.begin());
+        }
+        places.push_back({id, it.tokens});
+    }
+    while (m_parts.size() > MaxParts) {
+        m_parts.erase(m_partUse.front());
+        m_partUse.pop_front();
+    }
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -0,0 +1,113 @@
+#include "vanillahall/core/token_ledger_base.h"
+
+#include <algorithm>
+
+namespace Vanillahall::Forward {
+
+TokenLedger::TokenLedger(std::string writer)
+    : m_writer(std::move(writer))
+{
+}
+
+TokenAnswer TokenLedger::ask(const TokenAsk &ask, TimePoint now)
+{
+    auto &account = m_accounts[ask.program];
+    account.lastUse = std::max(account.lastUse, now);
+    if (account.here >= ask.most) {
+        account.here -= ask.most;
+        return TokenGranted{};
+    }
+    if (account.isWriting) {
+        return TokenBusy{};
+    }
+    if (account.openWrite) {
+        account.isWriting = true;
+        return TokenNeedsWrite{*account.openWrite};
+    }
+    const std::uint64_t missing = ask.most - account.here;
+    // One turn more than the budget is allowed for; it covers what other entries hold and don't use.
+    if (account.row.reserved + missing > ask.budget + ask.most) {
+        return TokenSpent{account.row.reserved};
+    }
+    std::uint64_t amount = missing + (TurnsAhead - 1) * ask.most;
+    if (account.row.reserved + amount > ask.budget / 2) {
+        amount = missing;
+    }
+    TokenWrite write{ask.program, account.row};
+    write.row.reserved += amount;
+    write.row.writer = m_writer + "/" + std::to_string(++m_writes);
+    account.asked = amount;
+    account.openWrite = write;
+    account.isWriting = true;
+    return TokenNeedsWrite{std::move(write)};
+}
+
+void TokenLedger::written(const std::string &program, std::uint64_t version)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end() || !it->second.openWrite) {
+        return;
+    }
+    auto &account = it->second;
+    account.row = account.openWrite->row;
+    account.row.version = version;
+    account.here += account.asked;
+    account.openWrite.reset();
+    account.isWriting = false;
+}
+
+void TokenLedger::changed(const std::string &program, const TokenRow &row)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end() || !it->second.openWrite) {
+        return;
+    }
+    // An earlier try of this write may have been done although its answer was lost.
+    if (row.writer == it->second.openWrite->row.writer) {
+        written(program, row.version);
+        return;
+    }
+    it->second.row = row;
+    it->second.openWrite.reset();
+    it->second.isWriting = false;
+}
+
+void TokenLedger::notWritten(const std::string &program)
+{
+    const auto it = m_accounts.find(program);
+    if (it != m_accounts.end()) {
+        it->second.isWriting = false;
+    }
+}
+
+void TokenLedger::settle(const std::string &program, std::uint64_t most, std::uint64_t used)
+{
+    const auto it = m_accounts.find(program);
+    if (it != m_accounts.end() && used < most) {
+        it->second.here += most - used;
+    }
+}
+
+std::vector<TokenWrite> TokenLedger::forget(TimePoint since)
+{
+    std::vector<TokenWrite> rows;
+    for (auto it = m_accounts.begin(); it != m_accounts.end();) {
+        const auto &account = it->second;
+        if (account.lastUse >= since || account.isWriting) {
+            ++it;
+            continue;
+        }
+        if (!account.openWrite && account.row.version != 0) {
+            rows.push_back({it->first, account.row});
+        }
+        it = m_accounts.erase(it);
+    }
+    return rows;
+}
+
+std::size_t TokenLedger::size() const
+{
+    return m_accounts.size();
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/core/src/metrics.cpp
@@ -1,4 +1,4 @@
-#include "metrics_base.h"
+#include "vanillahall/core/metrics_base.h"
 
 #include <sstream>
 
--- /dev/null
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -0,0 +1,115 @@
+#include "vanillahall/core/server_book_base.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration OthersTrusted = std::chrono::milliseconds(600); ///< Older reports of other entries' load count half.
+constexpr std::uint32_t MinConnections = 4;                        ///< Connections an entry may always hold to one server.
+
+/** @return Rank of a server for a key, the same at each entry, so that turns of a program meet again without any talk. */
+std::uint64_t homeRank(const std::string &key, const std::string &server)
+{
+    return XXH3_64bits_withSeed(server.data(), server.size(), XXH3_64bits(key.data(), key.size()));
+}
+
+bool hasModel(const Server &server, const std::string &model)
+{
+    return model.empty() || server.models.empty() || std::find(server.models.begin(), server.models.end(), model) != server.models.end();
+}
+
+} // namespace
+
+std::uint32_t ServerBook::readTokens(const Place &place, const RequestFacts &facts) const
+{
+    std::uint32_t sum = 0;
+    for (const auto &it : facts.promptParts) {
+        const auto part = m_parts.find(it.id);
+        if (part == m_parts.end()) {
+            break;
+        }
+        const auto &places = part->second.places;
+        const auto found = std::find_if(places.begin(), places.end(), [&place](const PartPlace &seen) {
+            return seen.server == place.server.id;
+        });
+        if (found == places.end()) {
+            break;
+        }
+        sum += std::min(found->tokens, it.tokens);
+        if (found->tokens < it.tokens) {
+            break;
+        }
+    }
+    return sum;
+}
+
+double ServerBook::expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const
+{
+    double ms = (static_cast<double>(place.unread) + unread) / m_settings.promptTokensPerMs;
+    const double others = now - place.othersAt < OthersTrusted ? place.others : place.others / 2.0;
+    const double load = others + place.running;
+    ms += load * m_settings.busyMs;
+    const double slots = std::max(1U, place.server.slots);
+    if (load >= slots) {
+        ms += (load - slots + 1) * m_settings.fullMs * (24.0 / slots);
+    }
+    if (place.server.zone != m_zone) {
+        ms += m_settings.otherZoneMs;
+    }
+    if (now < place.doubtUntil || now < place.fullUntil) {
+        ms += m_settings.doubtMs;
+    }
+    return ms;
+}
+
+std::uint32_t ServerBook::connectionShare(std::uint32_t maxConnections) const
+{
+    return std::max(MinConnections, maxConnections / std::max(1U, m_settings.entries));
+}
+
+std::optional<Choice> ServerBook::choose(const ChoiceRequest &request, TimePoint now) const
+{
+    const auto &facts = *request.facts;
+    const auto share = connectionShare(request.maxConnections);
+    const Place *best = nullptr;
+    double bestMs = 0;
+    std::uint64_t bestRank = 0;
+    std::uint32_t bestUnread = 0;
+    for (const auto &[id, place] : m_places) {
+        if (!place.isUsable || place.server.service != request.service || place.running >= share || request.avoided->count(id) != 0
+            || !hasModel(place.server, facts.model)) {
+            continue;
+        }
+        const std::uint32_t unread = facts.promptTokens - std::min(facts.promptTokens, readTokens(place, facts));
+        const double ms = expectedMs(place, unread, now);
+        const auto rank = homeRank(facts.program, id);
+        if (best == nullptr || ms < bestMs || (ms == bestMs && rank > bestRank)) {
+            best = &place;
+            bestMs = ms;
+            bestRank = rank;
+            bestUnread = unread;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return Choice{best->server, bestUnread, bestMs};
+}
+
+bool ServerBook::hasServer(const std::string &service) const
+{
+    return std::any_of(m_places.begin(), m_places.end(), [&service](const auto &it) {
+        return it.second.isUsable && it.second.server.service == service;
+    });
+}
+
+std::size_t ServerBook::size() const
+{
+    return m_places.size();
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/daemon/src/caller_desk_base.h
+++ b/packages/daemon/src/caller_desk_base.h
@@ -3,7 +3,7 @@
 
 #include "access_base.h"
 #include "api_func.h"
-#include "metrics_base.h"
+#include "vanillahall/core/metrics_base.h"
 #include "settings_type.h"
 
 #include "vanillahall/core/caller_type.h"
--- a/packages/daemon/src/entry_process.cpp
+++ b/packages/daemon/src/entry_process.cpp
@@ -10,8 +10,8 @@
 #include "vanillahall/core/entry_query.h"
 #include "vanillahall/core/error_func.h"
 #include "vanillahall/core/id_func.h"
-#include "vanillahall/platform/store_client_base.h"
-#include "vanillahall/platform/vm_list_client_base.h"
+#include "vanillahall/adapters/store_client_base.h"
+#include "vanillahall/adapters/vm_list_client_base.h"
 
 #include <algorithm>
 #include <iostream>
--- a/packages/daemon/src/gate_process.cpp
+++ b/packages/daemon/src/gate_process.cpp
@@ -2,8 +2,8 @@
 #include "process_func.h"
 
 #include "vanillahall/core/gate_base.h"
-#include "vanillahall/platform/engine_client_base.h"
-#include "vanillahall/platform/service_client_base.h"
+#include "vanillahall/adapters/engine_client_base.h"
+#include "vanillahall/adapters/service_client_base.h"
 
 #include <iostream>
 #include <variant>
--- a/packages/daemon/src/log.cpp
+++ b/packages/daemon/src/log.cpp
@@ -1,5 +1,7 @@
 #include "log_func.h"
 
+#include "line_buffer.h"
+
 #include "table/event_table.h"
 
 #include "vanillahall/core/id_func.h"
@@ -10,6 +12,8 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -22,6 +26,23 @@
 
 std::string processName; ///< Set once by beginLog().
 
+/** Puts lines into a bounded buffer before standard output. */
+class BufferBackend : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    // NOLINTNEXTLINE(readability-convert-member-functions-to-static): called by the library
+    void consume(const boost::log::record_view &, const string_type &line)
+    {
+        outputBuffer().add(line);
+    }
+
+    static LineBuffer &outputBuffer()
+    {
+        static LineBuffer buffer(1);
+        return buffer;
+    }
+};
+
 Trivial::severity_level severity(LogLevel level)
 {
     switch (level) {
@@ -51,12 +72,32 @@
 
 } // namespace
 
-void beginLog(const std::string &process, const std::string &level)
+void beginLog(const std::string &process, const std::string &level, LogTarget target)
 {
     processName = process;
-    boost::log::add_console_log(std::cerr,
-                                boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
-                                boost::log::keywords::auto_flush = true);
+    if (target == LogTarget::BoundedOutput) {
+        using Sink = boost::log::sinks::synchronous_sink<BufferBackend>;
+        const auto sink = boost::make_shared<Sink>(boost::make_shared<BufferBackend>());
+        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(sink);
+    } else {
+        boost::log::add_console_log(std::cerr,
+                                    boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
+                                    boost::log::keywords::auto_flush = true);
+    }
+    setLogLevel(level);
+}
+
+void flushLog()
+{
+    const auto leftOut = BufferBackend::outputBuffer().flush();
+    if (leftOut != 0) {
+        writeFields(LogLevel::Warning, EventNumber::LinesLeftOut, "lines=" + std::to_string(leftOut));
+    }
+}
+
+void setLogLevel(const std::string &level)
+{
     auto least = Trivial::info;
     if (level == "warning") {
         least = Trivial::warning;
@@ -96,6 +137,13 @@
     BOOST_LOG_STREAM_WITH_PARAMS((Trivial::logger::get()), (boost::log::keywords::severity = severity(line.level))) << text.str();
 }
 
+void writeFields(LogLevel level, EventNumber event, const std::string &fields)
+{
+    BOOST_LOG_STREAM_WITH_PARAMS((Trivial::logger::get()), (boost::log::keywords::severity = severity(level)))
+        << utcText() << " process=" << processName << " level=" << Trivial::to_string(severity(level))
+        << " event=" << static_cast<unsigned>(event) << " name=" << eventName(event) << ' ' << fields;
+}
+
 void writeLog(LogLevel level, EventNumber event, const std::string &peer, const std::string &text)
 {
     writeLog(WriteLog{level, event, std::nullopt, peer, text});
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -80,9 +80,24 @@
     return readSettings(command.config, lines, faults);
 }
 
+int runProxyProcess(const Settings &settings, const CommandLine &command)
+{
+    beginLog(settings.name, settings.logLevel, LogTarget::BoundedOutput);
+    Error reason;
+    const auto readAgain = [&command](std::vector<SettingsFault> &faults) -> std::optional<Settings> {
+        auto read = loadSettings(command, faults);
+        return faults.empty() ? std::optional(std::move(read)) : std::nullopt;
+    };
+    if (!runProxy(settings, command.config, readAgain, reason)) {
+        std::cerr << toText(reason) << '\n';
+        return ExitStart;
+    }
+    return ExitOk;
+}
+
 int runProcess(const Settings &settings)
 {
-    beginLog(settings.name, settings.logLevel);
+    beginLog(settings.name, settings.logLevel, LogTarget::StandardError);
     Error reason;
     const auto self = readIdentity(settings, Incarnation{freshRandom()}, reason);
     if (!self) {
@@ -112,7 +127,7 @@
         std::cout << command.config << ": ok\n";
         return ExitOk;
     }
-    return runProcess(settings);
+    return settings.role == Role::Proxy ? runProxyProcess(settings, command) : runProcess(settings);
 }
 
 int run(int argc, char **argv)
--- a/packages/daemon/src/process_func.h
+++ b/packages/daemon/src/process_func.h
@@ -7,8 +7,10 @@
 #include "vanillahall/net/link_base.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Vanillahall {
 
@@ -24,6 +26,16 @@
 /** Runs an entry until it has stopped. @return False if it could not start; then `reason` says why. */
 bool runEntry(Loop &loop, const Settings &settings, const LinkIdentity &self, Error &reason);
 
+/** Reads the settings again. @return Nothing if they are faulty or can't be read; then `faults` says why. */
+using ReadSettingsAgain = std::function<std::optional<Settings>(std::vector<SettingsFault> &faults)>;
+
+/**
+ * Runs a proxy until it has stopped.
+ * @param path Path of the settings file, which is watched.
+ * @return False if it could not start; then `reason` says why.
+ */
+bool runProxy(const Settings &settings, const std::string &path, const ReadSettingsAgain &readAgain, Error &reason);
+
 /** Runs a gate until it has stopped. @return False if it could not start; then `reason` says why. */
 bool runGate(Loop &loop, const Settings &settings, const LinkIdentity &self, Error &reason);
 
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -50,7 +50,9 @@
 
 bool isNeeded(const SettingsRow &row, Role role)
 {
-    return row.neededBy == NeededBy::Both || (row.neededBy == NeededBy::Entry && role == Role::Entry)
+    const bool isPair = role != Role::Proxy;
+    return row.neededBy == NeededBy::All || (row.neededBy == NeededBy::Both && isPair) || (row.neededBy == NeededBy::Proxy && !isPair)
+        || (row.neededBy == NeededBy::Entry && role == Role::Entry)
         || (row.neededBy == NeededBy::Gate && role == Role::Gate);
 }
 
@@ -69,7 +71,11 @@
     case NeededBy::Gate:
         return "gate";
     case NeededBy::Both:
-        return "both";
+        return "entry and gate";
+    case NeededBy::Proxy:
+        return "proxy";
+    case NeededBy::All:
+        return "all";
     }
     return "";
 }
@@ -85,6 +91,9 @@
     if (settings.renewInterval * 2 > settings.leaseTime) {
         faults.push_back({file, 0, "lease", "renew_interval_ms", "expected at most half of lease.time_ms"});
     }
+    if (settings.role == Role::Proxy && settings.store.address.empty()) {
+        faults.push_back({file, 0, "platform", "store", "expected an IP number and a port, because process.role is proxy"});
+    }
     if (settings.role == Role::Gate && settings.serverKind == "service" && settings.service.empty()) {
         faults.push_back({file, 0, "gate", "service", "expected a non-empty text, because gate.kind is service"});
     }
@@ -133,8 +142,8 @@
 
 bool setRole(Role &field, const std::string &value)
 {
-    field = value == "gate" ? Role::Gate : Role::Entry;
-    return value == "gate" || value == "entry";
+    field = value == "gate" ? Role::Gate : (value == "proxy" ? Role::Proxy : Role::Entry);
+    return value == "gate" || value == "entry" || value == "proxy";
 }
 
 bool setServerKind(std::string &field, const std::string &value)
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -14,6 +14,7 @@
 enum class Role : std::uint8_t {
     Entry, ///< Speaks to callers and operators; holds programs.
     Gate,  ///< Stands before one backend server.
+    Proxy, ///< Forwards single requests to backend servers.
 };
 
 /** An IP number and a port. */
@@ -58,6 +59,13 @@
     Duration streamSilence = std::chrono::seconds(3);            ///< gate.stream_silence_ms
     Duration stopLimit = std::chrono::minutes(2);                ///< process.stop_limit_ms
     std::uint64_t agreedMissesPerThousand = 10;                  ///< report.agreed_misses_per_thousand
+    Endpoint proxyListen{"127.0.0.1", 0};                        ///< proxy.listen
+    Endpoint proxyReadyListen{"127.0.0.1", 0};                   ///< proxy.ready_listen
+    Endpoint proxyMetricsListen;                                 ///< proxy.metrics_listen
+    std::uint64_t proxyMaxClients = 3000;                        ///< proxy.max_clients
+    std::uint64_t proxyMaxBufferedBytes = std::uint64_t{24} * 1024 * 1024; ///< proxy.max_buffered_bytes
+    Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
+    Duration proxyStopLimit = std::chrono::seconds(7);           ///< proxy.stop_limit_ms
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -14,7 +14,9 @@
     Nobody, ///< It has a default.
     Entry,  ///< An entry needs it.
     Gate,   ///< A gate needs it.
-    Both,   ///< Both need it.
+    Both,   ///< Entry and gate need it.
+    Proxy,  ///< A proxy needs it.
+    All,    ///< Every role needs it.
 };
 
 /** One row of the table. */
@@ -48,14 +50,14 @@
 inline constexpr std::string_view PathForm = "a path of a file";
 
 inline constexpr std::array SettingsTable = std::to_array<SettingsRow>({
-    {"process", "role", "entry or gate", NeededBy::Both, VH_SETTING(setRole, role), "What this process is."},
+    {"process", "role", "entry, gate or proxy", NeededBy::All, VH_SETTING(setRole, role), "What this process is."},
     {"process",
      "name",
      TextForm,
-     NeededBy::Both,
+     NeededBy::All,
      VH_SETTING(setText, name),
      "Name of this entry VM, or of the backend server behind this gate."},
-    {"process", "zone", TextForm, NeededBy::Both, VH_SETTING(setText, zone), "Availability zone of this VM."},
+    {"process", "zone", TextForm, NeededBy::All, VH_SETTING(setText, zone), "Availability zone of this VM."},
     {"process", "region", TextForm, NeededBy::Nobody, VH_SETTING(setText, region), "Region of this VM."},
     {"process", "stop_limit_ms", MillisecondsForm, NeededBy::Nobody, VH_SETTING(setMilliseconds, stopLimit), "Longest planned stop."},
     {"link", "listen", EndpointForm, NeededBy::Both, VH_SETTING(setEndpoint, linkListen), "Where other processes of the system connect."},
@@ -183,6 +185,38 @@
      NeededBy::Nobody,
      VH_SETTING(setNumber, agreedMissesPerThousand),
      "Programs of a thousand that may miss their target, for the burn report."},
+    {"proxy", "listen", EndpointForm, NeededBy::Proxy, VH_SETTING(setEndpoint, proxyListen), "Where a proxy takes clients' requests."},
+    {"proxy",
+     "ready_listen",
+     EndpointForm,
+     NeededBy::Proxy,
+     VH_SETTING(setEndpoint, proxyReadyListen),
+     "Where a proxy answers whether it takes new connections."},
+    {"proxy",
+     "metrics_listen",
+     EndpointForm,
+     NeededBy::Nobody,
+     VH_SETTING(setEndpoint, proxyMetricsListen),
+     "Where a proxy serves its metrics, besides proxy.ready_listen."},
+    {"proxy", "max_clients", NumberForm, NeededBy::Nobody, VH_SETTING(setNumber, proxyMaxClients), "Most connections of clients at once."},
+    {"proxy",
+     "max_buffered_bytes",
+     NumberForm,
+     NeededBy::Nobody,
+     VH_SETTING(setNumber, proxyMaxBufferedBytes),
+     "Most bytes of request bodies held at once."},
+    {"proxy",
+     "poll_interval_ms",
+     MillisecondsForm,
+     NeededBy::Nobody,
+     VH_SETTING(setMilliseconds, proxyPollInterval),
+     "Time between two reads of the configuration and of the list of servers."},
+    {"proxy",
+     "stop_limit_ms",
+     MillisecondsForm,
+     NeededBy::Nobody,
+     VH_SETTING(setMilliseconds, proxyStopLimit),
+     "Longest planned stop of a proxy."},
     {"log", "level", "info, warning or error", NeededBy::Nobody, VH_SETTING(setLogLevel, logLevel), "Least serious event that is logged."},
 });
 
--- /dev/null
+++ b/packages/proxy/src/answer_text_func.h
@@ -0,0 +1,32 @@
+/** Text of answers to clients. */
+#pragma once
+
+#include "vanillahall/core/time_type.h"
+
+#include <optional>
+#include <string>
+
+namespace Vanillahall::Forward {
+
+/** An answer of the proxy itself. */
+struct OwnAnswer
+{
+    unsigned status = 503;              ///< HTTP status.
+    std::string requestId;              ///< Request that it answers; empty if unknown.
+    std::optional<Duration> retryAfter; ///< When to come back.
+    bool keepsAlive = true;             ///< True if the connection stays open.
+};
+
+/** @return The whole answer. */
+std::string ownAnswer(const OwnAnswer &answer);
+
+/** @return The usual reason phrase of a status. */
+std::string reasonPhrase(unsigned status);
+
+/** @return One chunk of a body. */
+std::string chunk(std::string_view bytes);
+
+/** End of a body in chunks. */
+inline constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/client_session.cpp
@@ -0,0 +1,248 @@
+#include "client_session.h"
+
+#include "answer_text_func.h"
+#include "proxy_clock.h"
+#include "socket_option_func.h"
+
+#include <boost/asio/write.hpp>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr std::size_t MaxAhead = 64 * 1024;     ///< Bytes read while a request is answered; more stay in the system's buffer.
+constexpr std::size_t MaxUnsent = 128 * 1024;   ///< Bytes of answers held for a slow reader before the server is held up.
+constexpr std::chrono::seconds LingerLimit{1};  ///< Wait for the client's end of a connection that is closed after an answer.
+constexpr unsigned StatusTimeout = 408;         ///< The request didn't arrive in time; it has not run.
+constexpr unsigned StatusUnavailable = 503;
+
+} // namespace
+
+ClientSession::ClientSession(boost::asio::ip::tcp::socket socket, RequestHandler &handler, std::uint64_t number)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_handler(handler)
+    , m_number(number)
+{
+}
+
+std::uint64_t ClientSession::number() const
+{
+    return m_number;
+}
+
+bool ClientSession::isBusy() const
+{
+    return m_isAnswering || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
+}
+
+void ClientSession::start()
+{
+    setSocketOptions(m_socket);
+    setTimer();
+    read();
+}
+
+void ClientSession::read()
+{
+    if (m_isReading || m_isClosed || (m_isAnswering && m_in.size() >= MaxAhead)) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_buf), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+        self->m_isReading = false;
+        if (!self->m_isClosed) {
+            self->haveRead(ec, n);
+        }
+    });
+}
+
+void ClientSession::haveRead(const boost::system::error_code &ec, std::size_t n)
+{
+    if (ec) {
+        if (m_isAnswering) {
+            m_isAnswering = false;
+            m_handler.clientGone(shared_from_this());
+        }
+        close();
+        return;
+    }
+    if (!m_isClosing) {
+        m_in.append(m_buf.data(), n);
+        readRequest();
+    }
+    read();
+}
+
+void ClientSession::readRequest()
+{
+    if (m_isAnswering || m_isClosing || m_isClosed) {
+        return;
+    }
+    const bool hadBegun = m_reader.hasBegun();
+    const auto progress = m_reader.read(m_in, m_handler.limits(), now());
+    if (!m_handler.takesBody(m_bodyHeld, m_reader.bodySize())) {
+        refuse({StatusUnavailable, "too many bytes of bodies held"});
+        return;
+    }
+    m_bodyHeld = m_reader.bodySize();
+    switch (progress) {
+    case RequestReader::Progress::Faulty:
+        refuse(m_reader.fault());
+        return;
+    case RequestReader::Progress::NeedMore:
+        if (m_reader.takeContinue()) {
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (m_reader.hasHead() || (!hadBegun && m_reader.hasBegun())) {
+            setTimer();
+        }
+        return;
+    case RequestReader::Progress::Whole:
+        break;
+    }
+    m_isAnswering = true;
+    m_timer.cancel();
+    m_handler.requestCame(shared_from_this(), m_reader.take());
+}
+
+bool ClientSession::write(std::string_view bytes)
+{
+    if (m_isClosed) {
+        return true;
+    }
+    m_out.append(bytes);
+    send();
+    m_isFull = m_out.size() + m_sending.size() > MaxUnsent;
+    return !m_isFull;
+}
+
+void ClientSession::send()
+{
+    if (!m_sending.empty() || m_out.empty() || m_isClosed) {
+        return;
+    }
+    m_sending.swap(m_out);
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_sending), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+            self->m_sending.clear();
+            if (self->m_isClosed) {
+                return;
+            }
+            if (ec) {
+                self->haveRead(ec, 0);
+                return;
+            }
+            self->send();
+            if (self->m_isFull && self->m_out.size() + self->m_sending.size() <= MaxUnsent) {
+                self->m_isFull = false;
+                self->m_handler.sessionDrained(self);
+            }
+            if (self->m_isClosing && self->m_sending.empty()) {
+                self->closeGently();
+            }
+        });
+}
+
+void ClientSession::finish(bool keepsAlive)
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isAnswering = false;
+    m_handler.takesBody(m_bodyHeld, 0);
+    m_bodyHeld = 0;
+    if (!keepsAlive) {
+        m_isClosing = true;
+        if (m_sending.empty()) {
+            closeGently();
+        }
+        return;
+    }
+    setTimer();
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->readRequest();
+        self->read();
+    });
+}
+
+void ClientSession::breakOff()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isAnswering = false;
+    m_isClosing = true;
+    if (m_sending.empty()) {
+        closeGently();
+    }
+}
+
+void ClientSession::closeIdle()
+{
+    if (!isBusy()) {
+        close();
+    }
+}
+
+void ClientSession::refuse(const RequestFault &fault)
+{
+    m_handler.requestFaulty(fault);
+    write(ownAnswer({fault.status, {}, {}, false}));
+    finish(false);
+}
+
+void ClientSession::setTimer()
+{
+    const auto &limits = m_handler.limits();
+    m_timer.expires_after(m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->timeOut();
+        }
+    });
+}
+
+void ClientSession::timeOut()
+{
+    if (m_isAnswering || m_isClosed) {
+        return;
+    }
+    if (m_isClosing || !m_reader.hasBegun()) {
+        close();
+        return;
+    }
+    refuse({StatusTimeout, "request didn't arrive in time"});
+}
+
+void ClientSession::closeGently()
+{
+    // Unread bytes would turn the close into a reset, which may overtake the answer.
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    m_timer.expires_after(LingerLimit);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->close();
+        }
+    });
+    read();
+}
+
+void ClientSession::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    m_handler.takesBody(m_bodyHeld, 0);
+    m_bodyHeld = 0;
+    m_timer.cancel();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+    m_handler.sessionClosed(shared_from_this());
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/event_splitter.cpp
@@ -0,0 +1,66 @@
+#include "event_splitter.h"
+
+#include "vanillahall/platform/wire_header_func.h"
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+/** @return Length of the first event in the text, its empty line included, or nothing if it isn't whole. */
+std::optional<std::size_t> eventLength(std::string_view text)
+{
+    const auto lf = text.find("\n\n");
+    const auto crlf = text.find("\r\n\r\n");
+    if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        if (const auto id = Platform::readEventId(event.substr(0, end))) {
+            return id;
+        }
+        if (end == std::string_view::npos) {
+            break;
+        }
+        event.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+WholeEvents EventSplitter::take(std::string_view bytes, std::optional<std::uint64_t> after)
+{
+    m_rest.append(bytes);
+    WholeEvents events;
+    std::size_t begin = 0;
+    const std::string_view text = m_rest;
+    while (const auto length = eventLength(text.substr(begin))) {
+        const auto event = text.substr(begin, *length);
+        begin += *length;
+        const auto id = eventId(event);
+        if (id && after && *id <= *after) {
+            continue;
+        }
+        events.bytes.append(event);
+        if (id) {
+            events.count++;
+            events.first = events.first ? events.first : id;
+            events.last = id;
+        }
+    }
+    m_rest.erase(0, begin);
+    return events;
+}
+
+std::string EventSplitter::takeRest()
+{
+    return std::exchange(m_rest, {});
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/exchange.h
@@ -0,0 +1,98 @@
+/** One client's request on its way through the proxy. */
+#pragma once
+
+#include "client_session.h"
+#include "event_splitter.h"
+#include "server_link.h"
+
+#include "vanillahall/core/attempt_rule_func.h"
+#include "vanillahall/core/server_book_base.h"
+
+#include <set>
+
+namespace Vanillahall::Forward {
+
+class ProxyState;
+
+/** Finds a server for the request, sends it, and passes the answer back. */
+class Exchange : public LinkUser, public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(ProxyState &proxy, const std::shared_ptr<ClientSession> &session, ClientRequest request);
+
+    // Commands.
+
+    /** Begins. */
+    void start();
+    /** The tokens of the program may be available now. @param isStoreAway True if the store didn't do the last write. */
+    void tokensChanged(bool isStoreAway);
+    /** The client has left. */
+    void clientGone();
+    /** The client takes more bytes. */
+    void drained();
+
+    // Events of the connection to the server.
+
+    bool linkHead(const AnswerHead &head) override;
+    bool linkBody(std::string_view piece) override;
+    void linkDone() override;
+    void linkFailed(const LinkFailure &failure) override;
+
+private:
+    void askTokens();
+    void place();
+    void waitForPlace();
+    void send(const Choice &choice);
+    [[nodiscard]] std::string requestText(const Server &server) const;
+    void attemptFailed(AttemptFailure failure, const std::string &message);
+    void endAttempt();
+    void answer(unsigned status, std::optional<Duration> retryAfter, const char *outcome);
+    void answerNotRun(const char *outcome);
+    void beginAnswer();
+    void passOn(std::string_view bytes);
+    void passEvents(const WholeEvents &events);
+    void finishAnswer();
+    void timeOut();
+    void breakOff(const char *outcome);
+    void end(unsigned status, const char *outcome);
+    void settleTokens();
+    [[nodiscard]] Duration left() const;
+    [[nodiscard]] bool isLastTry() const;
+
+    ProxyState &m_proxy;
+    std::shared_ptr<ClientSession> m_session;
+    ClientRequest m_request;
+    Route m_route;
+    std::string m_service;
+    std::uint32_t m_maxConnections = 0;
+    std::uint32_t m_tokensPerEvent = 1;
+    boost::asio::steady_timer m_limitTimer;
+    boost::asio::steady_timer m_waitTimer;
+    TimePoint m_limitAt{};
+    std::optional<TimePoint> m_placedAt;
+    std::optional<TimePoint> m_firstByteAt;
+    std::uint64_t m_configVersion = 0;
+    std::uint64_t m_tokensHeld = 0;
+    std::uint64_t m_eventsOut = 0;
+    std::optional<std::uint64_t> m_lastEvent;
+    std::shared_ptr<ServerLink> m_link;
+    std::set<std::string> m_avoided;
+    Choice m_choice;
+    AttemptFailure m_failure = AttemptFailure::Broken;
+    std::string m_failureText;
+    std::uint32_t m_tries = 0;
+    std::uint32_t m_mayHaveRun = 0;
+    AnswerHead m_head;
+    std::string m_held;
+    EventSplitter m_events;
+    std::string m_servers;
+    bool m_isStreaming = false;
+    bool m_hasBegunAnswer = false;
+    bool m_hadFirstEvent = false;
+    bool m_isRefusal = false;
+    bool m_isEnded = false;
+    bool m_isClientGone = false;
+    bool m_waitsForTokens = false;
+};
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/proxy_clock.h
@@ -0,0 +1,19 @@
+/** The clock of the proxy. */
+#pragma once
+
+#include "vanillahall/core/time_type.h"
+
+#include <ctime>
+
+namespace Vanillahall::Forward {
+
+/** @return The present moment; it also passes while the VM is suspended, unlike the steady clock of the library. */
+inline TimePoint now()
+{
+    constexpr long NanosecondsPerMicrosecond = 1000;
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return TimePoint(std::chrono::seconds(ts.tv_sec) + Duration(ts.tv_nsec / NanosecondsPerMicrosecond));
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/proxy_state.h
@@ -0,0 +1,111 @@
+/** Everything that one proxy holds. */
+#pragma once
+
+#include "client_session.h"
+#include "exchange.h"
+#include "server_link.h"
+#include "store_caller.h"
+
+#include "vanillahall/core/route_table_base.h"
+#include "vanillahall/core/server_book_base.h"
+#include "vanillahall/core/token_ledger_base.h"
+#include "vanillahall/proxy/proxy_base.h"
+
+#include <map>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+
+namespace Vanillahall::Forward {
+
+/** State and the parts of a proxy that connect the others. */
+class ProxyState : public RequestHandler, public std::enable_shared_from_this<ProxyState>
+{
+public:
+    ProxyState(boost::asio::io_context &loop, ProxySettings settings, ProxyLog log);
+
+    // Commands of the owner.
+
+    bool start(Error &reason);
+    void stop(std::function<void()> stopped);
+    void shutDown();
+
+    // Events of sessions.
+
+    void requestCame(const std::shared_ptr<ClientSession> &session, ClientRequest request) override;
+    void clientGone(const std::shared_ptr<ClientSession> &session) override;
+    void sessionDrained(const std::shared_ptr<ClientSession> &session) override;
+    void requestFaulty(const RequestFault &fault) override;
+    void sessionClosed(const std::shared_ptr<ClientSession> &session) override;
+    [[nodiscard]] const ClientLimits &limits() const override;
+    bool takesBody(std::size_t oldSize, std::size_t newSize) override;
+    [[nodiscard]] bool isStopping() const override;
+
+    // For exchanges.
+
+    /** @return A connection to a server: an idle one that is fresh, or a new one. */
+    std::shared_ptr<ServerLink> takeLink(const Server &server);
+    /** Writes a token row and tells the exchanges that wait for the program. */
+    void writeTokens(const TokenWrite &write);
+    /** Puts an exchange among those that wait for a program's tokens. */
+    void waitForTokens(const std::string &program, const std::shared_ptr<Exchange> &exchange);
+    /** Forgets an exchange that has ended. */
+    void exchangeEnded(const ClientSession &session);
+    void log(LogLevel level, EventNumber event, const std::string &fields);
+
+
+    [[nodiscard]] bool isReady() const;
+    /** @return True if the store has answered a moment ago. */
+    [[nodiscard]] bool isStoreNear() const;
+
+    boost::asio::io_context &loop;
+    ProxySettings settings;
+    RouteTable routes;
+    ServerBook book;
+    TokenLedger ledger;
+    Metrics metrics;
+    StoreCaller store;
+    boost::asio::ip::tcp::acceptor clientAcceptor;
+    boost::asio::ip::tcp::acceptor readyAcceptor;
+    boost::asio::ip::tcp::acceptor metricsAcceptor;
+
+private:
+    bool listen(boost::asio::ip::tcp::acceptor &acceptor, const ProxyAddress &address, Error &reason);
+    void acceptClients();
+    void acceptStatus(boost::asio::ip::tcp::acceptor &acceptor);
+    void poll();
+    void pollAgain();
+    void configCame(const std::optional<StoreReply> &reply, const Error &reason);
+    void readServers(const std::string &after, std::vector<Server> list);
+    void serversCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Server> list);
+    void takeServers(const std::vector<Server> &list);
+    void storeAnswered();
+    void storeFailed(const std::string &message);
+    void rowFaulty(const Error &reason, std::uint64_t version);
+    void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
+    void removeOldTokens();
+    void stopStep();
+    void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
+
+    ProxyLog m_log;
+    boost::asio::steady_timer m_pollTimer;
+    boost::asio::steady_timer m_stopTimer;
+    std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks;
+    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>> m_tokenWaiters;
+    std::map<std::string, std::uint64_t> m_faultyRows;
+    std::uint64_t m_nextSession = 1;
+    std::size_t m_heldBytes = 0;
+    std::optional<TimePoint> m_serversAt;
+    std::optional<TimePoint> m_storeAt;
+    TimePoint m_stopAt{};
+    TimePoint m_cleanAt{};
+    std::function<void()> m_stopped;
+    unsigned m_openPolls = 0;
+    bool m_isStopping = false;
+    bool m_isShutDown = false;
+    bool m_isStoreAway = false;
+};
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/server_link.cpp
@@ -0,0 +1,347 @@
+#include "server_link.h"
+
+#include "proxy_clock.h"
+#include "socket_option_func.h"
+
+#include "vanillahall/platform/wire_header_func.h"
+
+#include <boost/asio/write.hpp>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+namespace Http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds ConnectLimit{400};    ///< A few round trips to the farthest zone and a full accept queue.
+constexpr std::size_t MaxAnswerHead = 64 * 1024;          ///< Longest head of an answer.
+constexpr Duration IdleUnknown = std::chrono::seconds(2); ///< Use of an idle connection whose server doesn't tell for how long.
+constexpr Duration IdleMargin = std::chrono::milliseconds(700); ///< Before a server's own limit: a round trip and late timers.
+constexpr unsigned StatusInformational = 200;             ///< Statuses below it are no answers.
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+ServerLink::ServerLink(boost::asio::io_context &loop, Server server, Released released)
+    : m_socket(loop)
+    , m_connectTimer(loop)
+    , m_server(std::move(server))
+    , m_released(std::move(released))
+{
+}
+
+const Server &ServerLink::server() const
+{
+    return m_server;
+}
+
+bool ServerLink::wasSent() const
+{
+    return m_wasSent;
+}
+
+bool ServerLink::isFresh(TimePoint now) const
+{
+    const Duration limit = m_keepAlive ? *m_keepAlive - IdleMargin : IdleUnknown;
+    return m_isOpen && !m_isClosed && m_user == nullptr && now - m_idleSince < limit;
+}
+
+void ServerLink::send(LinkUser *user, std::string text, std::string requestId, bool isHead)
+{
+    m_user = user;
+    m_out = std::move(text);
+    m_requestId = std::move(requestId);
+    m_isHead = isHead;
+    m_wasSent = false;
+    m_isDone = false;
+    m_isPaused = false;
+    beginAnswer();
+    if (m_isOpen) {
+        write();
+    } else {
+        connect();
+    }
+}
+
+void ServerLink::connect()
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(m_server.address, ec);
+    if (ec) {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->fail("address can't be read");
+        });
+        return;
+    }
+    m_connectTimer.expires_after(ConnectLimit);
+    m_connectTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isOpen) {
+            self->fail("no connection in time");
+        }
+    });
+    m_socket.async_connect(tcp::endpoint(address, m_server.port), [self = shared_from_this()](const boost::system::error_code &error) {
+        if (self->m_isClosed) {
+            return;
+        }
+        self->m_connectTimer.cancel();
+        if (error) {
+            self->fail("connect: " + error.message());
+            return;
+        }
+        self->m_isOpen = true;
+        setSocketOptions(self->m_socket);
+        self->write();
+        self->read();
+    });
+}
+
+void ServerLink::write()
+{
+    m_wasSent = true;
+    m_isWriting = true;
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+            self->m_isWriting = false;
+            if (self->m_isClosed) {
+                return;
+            }
+            if (ec) {
+                self->fail("write: " + ec.message());
+                return;
+            }
+            self->m_out.clear();
+            if (self->m_isDone) {
+                self->release(true);
+            }
+        });
+}
+
+void ServerLink::read()
+{
+    if (m_isReading || m_isPaused || m_isClosed) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_buf), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+        self->m_isReading = false;
+        if (!self->m_isClosed) {
+            self->haveRead(ec, n);
+        }
+    });
+}
+
+void ServerLink::haveRead(const boost::system::error_code &ec, std::size_t n)
+{
+    if (m_user == nullptr || m_isDone) {
+        // Bytes or an end on an idle connection: nothing that belongs to a request.
+        release(false);
+        return;
+    }
+    if (ec == boost::asio::error::eof && m_parser->is_header_done() && m_parser->need_eof() && !m_isStale) {
+        boost::system::error_code end;
+        m_parser->put_eof(end);
+        finishAnswer();
+        return;
+    }
+    if (ec) {
+        fail("read: " + ec.message());
+        return;
+    }
+    m_in.append(m_buf.data(), n);
+    parse();
+    read();
+}
+
+void ServerLink::beginAnswer()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(MaxAnswerHead);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
+    m_head = {};
+    m_isStale = false;
+}
+
+void ServerLink::parse()
+{
+    if (m_isParsing) {
+        return;
+    }
+    m_isParsing = true;
+    const auto self = shared_from_this();
+    while (!m_isClosed && !m_isPaused && !m_isDone && m_user != nullptr) {
+        if (!m_parser->is_header_done() && !parseHead()) {
+            break;
+        }
+        if (m_isClosed || !parseBody()) {
+            break;
+        }
+    }
+    m_isParsing = false;
+}
+
+bool ServerLink::parseHead()
+{
+    boost::system::error_code ec;
+    m_parser->eager(false);
+    const auto n = m_parser->put(boost::asio::buffer(m_in), ec);
+    m_in.erase(0, n);
+    if (ec && ec != Http::error::need_more && ec != Http::error::need_buffer) {
+        fail("answer: " + ec.message());
+        return false;
+    }
+    if (!m_parser->is_header_done()) {
+        if (m_in.size() > MaxAnswerHead) {
+            fail("answer: head too large");
+        }
+        return false;
+    }
+    const auto &head = m_parser->get();
+    m_head.status = head.result_int();
+    m_head.reason = std::string(view(head.reason()));
+    const std::string connection(view(head[Http::field::connection]));
+    for (const auto &it : head) {
+        const auto name = view(it.name_string());
+        Platform::readAnswerHeader(m_head.facts, name, view(it.value()));
+        const bool isListed = !connection.empty() && Http::token_list(connection).exists(it.name_string());
+        if (Platform::answerHeaderUse(name) == Platform::HeaderUse::Forward && !isListed) {
+            m_head.headers.append(name).append(": ").append(view(it.value())).append("\r\n");
+        }
+    }
+    const auto length = m_parser->content_length();
+    if (length) {
+        m_head.length = *length;
+    }
+    m_head.hasBody = !m_isHead && m_head.status != StatusNoContent && m_head.status != StatusNotModified;
+    m_head.endsWithConnection = m_parser->need_eof();
+    m_isStale = m_head.status < StatusInformational || (m_head.facts.requestId && *m_head.facts.requestId != m_requestId);
+    if (m_isStale && m_parser->need_eof() && m_head.status >= StatusInformational) {
+        fail("answer to another request, without length");
+        return false;
+    }
+    if (m_head.facts.keepAlive) {
+        m_keepAlive = m_head.facts.keepAlive;
+    }
+    if (!m_isStale && !m_user->linkHead(m_head)) {
+        fail("answer refused");
+        return false;
+    }
+    return true;
+}
+
+bool ServerLink::parseBody()
+{
+    std::array<char, 8192> piece; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the parser
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        body.more = true;
+        boost::system::error_code ec;
+        m_parser->eager(true);
+        const auto n = m_parser->put(boost::asio::buffer(m_in), ec);
+        m_in.erase(0, n);
+        const std::size_t got = piece.size() - m_parser->get().body().size;
+        if (ec && ec != Http::error::need_buffer && ec != Http::error::need_more) {
+            fail("answer: " + ec.message());
+            return false;
+        }
+        if (got != 0 && !m_isStale && m_user != nullptr && !m_user->linkBody(std::string_view(piece.data(), got))) {
+            m_isPaused = true;
+        }
+        if (m_isClosed || m_isPaused) {
+            return false;
+        }
+        if (ec == Http::error::need_more || (m_in.empty() && !m_parser->is_done())) {
+            return false;
+        }
+    }
+    if (m_isStale) {
+        beginAnswer();
+        return !m_in.empty();
+    }
+    finishAnswer();
+    return false;
+}
+
+void ServerLink::finishAnswer()
+{
+    const bool isReusable = m_parser->keep_alive() && !m_parser->need_eof() && m_in.empty();
+    const auto self = shared_from_this();
+    m_isDone = true;
+    auto *user = std::exchange(m_user, nullptr);
+    if (user != nullptr) {
+        user->linkDone();
+    }
+    if (m_isClosed) {
+        return;
+    }
+    if (!isReusable) {
+        release(false);
+    } else if (!m_isWriting) {
+        release(true);
+    }
+}
+
+void ServerLink::resume()
+{
+    if (!m_isPaused || m_isClosed) {
+        return;
+    }
+    m_isPaused = false;
+    parse();
+    read();
+}
+
+void ServerLink::fail(const std::string &message)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    auto *user = std::exchange(m_user, nullptr);
+    const LinkFailure failure{m_wasSent, message};
+    release(false);
+    if (user != nullptr) {
+        user->linkFailed(failure);
+    }
+}
+
+void ServerLink::abandon()
+{
+    m_user = nullptr;
+    if (!m_isClosed) {
+        release(false);
+    }
+}
+
+void ServerLink::release(bool isReusable)
+{
+    const auto self = shared_from_this();
+    if (isReusable) {
+        m_idleSince = now();
+        m_isDone = false;
+        m_user = nullptr;
+    } else {
+        closeSocket();
+    }
+    m_released(self, isReusable);
+}
+
+void ServerLink::closeSocket()
+{
+    m_isClosed = true;
+    m_connectTimer.cancel();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/server_link.h
@@ -0,0 +1,123 @@
+/** One connection to a backend server; carries one request at a time. */
+#pragma once
+
+#include "vanillahall/core/forward_type.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Vanillahall::Forward {
+
+/** Head of a server's answer. */
+struct AnswerHead
+{
+    unsigned status = 0;                      ///< HTTP status.
+    std::string reason;                       ///< Reason phrase.
+    std::string headers;                      ///< Headers that are passed on, each ended by CR LF.
+    AnswerFacts facts;                        ///< What the headers say.
+    std::optional<std::uint64_t> length;      ///< Length of the body, if told.
+    bool endsWithConnection = false;          ///< True if only the end of the connection ends the body.
+    bool hasBody = true;                      ///< False if the status or method has none.
+};
+
+/** How a connection ended before the answer was whole. */
+struct LinkFailure
+{
+    bool wasSent = false;  ///< True if any byte of the request may have reached the server.
+    std::string message;   ///< For the log.
+};
+
+/** Who waits for an answer. */
+class LinkUser
+{
+public:
+    virtual ~LinkUser() = default;
+    /** The head came. @return False to drop the connection. */
+    virtual bool linkHead(const AnswerHead &head) = 0;
+    /** A piece of the body came. @return False to stop reading until ServerLink::resume(). */
+    virtual bool linkBody(std::string_view piece) = 0;
+    /** The answer is whole. */
+    virtual void linkDone() = 0;
+    /** The connection ended before that. */
+    virtual void linkFailed(const LinkFailure &failure) = 0;
+};
+
+/** One connection. */
+class ServerLink : public std::enable_shared_from_this<ServerLink>
+{
+public:
+    /** Called when the connection can take another request (true) or is closed (false). */
+    using Released = std::function<void(const std::shared_ptr<ServerLink> &link, bool isReusable)>;
+
+    ServerLink(boost::asio::io_context &loop, Server server, Released released);
+
+    // Commands.
+
+    /**
+     * Sends a request; connects first if needed.
+     * @param user Gets the answer; must outlive the request or call abandon().
+     * @param text Head and body.
+     * @param requestId Answers to other requests are skipped.
+     */
+    void send(LinkUser *user, std::string text, std::string requestId, bool isHead);
+    /** Reads on after linkBody() returned false. */
+    void resume();
+    /** Closes the connection; nobody is called back any more. */
+    void abandon();
+
+    // Queries.
+
+    /** @return The server. */
+    [[nodiscard]] const Server &server() const;
+    /** @return True if the connection is open, idle, and the server will keep it for a while. */
+    [[nodiscard]] bool isFresh(TimePoint now) const;
+    /** @return True if any byte of the present request may have reached the server. */
+    [[nodiscard]] bool wasSent() const;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    void connect();
+    void write();
+    void read();
+    void haveRead(const boost::system::error_code &ec, std::size_t n);
+    void parse();
+    bool parseHead();
+    bool parseBody();
+    void beginAnswer();
+    void finishAnswer();
+    void fail(const std::string &message);
+    void release(bool isReusable);
+    void closeSocket();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_connectTimer;
+    Server m_server;
+    Released m_released;
+    LinkUser *m_user = nullptr;
+    std::string m_out;
+    std::string m_requestId;
+    std::string m_in;
+    std::array<char, 16384> m_buf{};
+    std::unique_ptr<Parser> m_parser;
+    AnswerHead m_head;
+    TimePoint m_idleSince{};
+    std::optional<Duration> m_keepAlive;
+    bool m_isOpen = false;
+    bool m_isClosed = false;
+    bool m_isHead = false;
+    bool m_isWriting = false;
+    bool m_isReading = false;
+    bool m_isPaused = false;
+    bool m_wasSent = false;
+    bool m_isStale = false;
+    bool m_isDone = false;
+    bool m_isParsing = false;
+};
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/store_caller.cpp
@@ -0,0 +1,230 @@
+#include "store_caller.h"
+
+#include "socket_option_func.h"
+
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+namespace Http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+constexpr std::size_t MaxReply = std::size_t{4} * 1024 * 1024; ///< The store answers with 1 MB at most; base64 and JSON add to it.
+constexpr std::size_t MaxIdle = 4;                             ///< Connections kept for the next calls.
+
+} // namespace
+
+/** One connection, with one call at a time. */
+class StoreConnection : public std::enable_shared_from_this<StoreConnection>
+{
+public:
+    StoreConnection(boost::asio::io_context &loop, ProxyAddress store)
+        : m_socket(loop)
+        , m_timer(loop)
+        , m_store(std::move(store))
+    {
+    }
+
+    [[nodiscard]] bool isIdle() const
+    {
+        return m_isOpen && !m_handler;
+    }
+
+    [[nodiscard]] bool isClosed() const
+    {
+        return m_isClosed;
+    }
+
+    void call(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler)
+    {
+        m_handler = std::move(handler);
+        m_request = {};
+        m_request.method_string(request.method);
+        m_request.target(request.target);
+        m_request.version(11);
+        m_request.set(Http::field::host, m_store.address + ":" + std::to_string(m_store.port));
+        if (!request.body.empty()) {
+            m_request.set(Http::field::content_type, "application/json");
+            m_request.body() = request.body;
+        }
+        m_request.prepare_payload();
+        m_wasSent = false;
+        m_timer.expires_after(limit);
+        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+            const auto self = weak.lock();
+            if (!ec && self) {
+                self->fail("no answer in time");
+            }
+        });
+        if (m_isOpen) {
+            write();
+        } else {
+            connect();
+        }
+    }
+
+    void close()
+    {
+        m_isClosed = true;
+        m_isOpen = false;
+        m_timer.cancel();
+        boost::system::error_code ec;
+        m_socket.close(ec);
+    }
+
+private:
+    void connect()
+    {
+        boost::system::error_code ec;
+        const auto address = boost::asio::ip::make_address(m_store.address, ec);
+        if (ec) {
+            boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+                self->fail("address can't be read");
+            });
+            return;
+        }
+        m_socket.async_connect(tcp::endpoint(address, m_store.port), [self = shared_from_this()](const boost::system::error_code &error) {
+            if (self->m_isClosed) {
+                return;
+            }
+            if (error) {
+                self->fail("connect: " + error.message());
+                return;
+            }
+            self->m_isOpen = true;
+            setSocketOptions(self->m_socket);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        m_wasSent = true;
+        Http::async_write(m_socket, m_request, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+            if (self->m_isClosed) {
+                return;
+            }
+            if (ec) {
+                self->fail("write: " + ec.message());
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void read()
+    {
+        m_parser = std::make_unique<Http::response_parser<Http::string_body>>();
+        m_parser->body_limit(MaxReply);
+        Http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+            if (self->m_isClosed) {
+                return;
+            }
+            if (ec) {
+                self->fail("read: " + ec.message());
+                return;
+            }
+            self->finish();
+        });
+    }
+
+    void finish()
+    {
+        m_timer.cancel();
+        StoreReply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
+        if (!m_parser->keep_alive() || m_buffer.size() != 0) {
+            close();
+        }
+        const auto handler = std::exchange(m_handler, nullptr);
+        handler(reply, {});
+    }
+
+    void fail(std::string message)
+    {
+        if (m_isClosed) {
+            return;
+        }
+        const auto self = shared_from_this();
+        close();
+        Error reason;
+        reason.code = ErrorCode::StoreUnavailable;
+        reason.run = m_wasSent ? RunState::Unknown : RunState::NotRun;
+        reason.step = Step::Reserve;
+        reason.peer = "store";
+        reason.message = std::move(message);
+        const auto handler = std::exchange(m_handler, nullptr);
+        if (handler) {
+            handler(std::nullopt, reason);
+        }
+    }
+
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    ProxyAddress m_store;
+    StoreCaller::Handler m_handler;
+    Http::request<Http::string_body> m_request;
+    std::unique_ptr<Http::response_parser<Http::string_body>> m_parser;
+    boost::beast::flat_buffer m_buffer;
+    bool m_isOpen = false;
+    bool m_isClosed = false;
+    bool m_wasSent = false;
+};
+
+StoreCaller::StoreCaller(boost::asio::io_context &loop, ProxyAddress store)
+    : m_loop(loop)
+    , m_store(std::move(store))
+{
+}
+
+StoreCaller::~StoreCaller()
+{
+    for (const auto &it : m_connections) {
+        it->close();
+    }
+}
+
+void StoreCaller::call(const Platform::StoreRequest &request, Duration limit, Handler handler)
+{
+    m_calls++;
+    m_connections.erase(std::remove_if(m_connections.begin(),
+                                       m_connections.end(),
+                                       [](const auto &it) {
+                                           return it->isClosed();
+                                       }),
+                        m_connections.end());
+    const auto idle = std::find_if(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        return it->isIdle();
+    });
+    if (idle != m_connections.end()) {
+        (*idle)->call(request, limit, std::move(handler));
+        return;
+    }
+    auto connection = std::make_shared<StoreConnection>(m_loop, m_store);
+    if (m_connections.size() < MaxIdle) {
+        m_connections.push_back(connection);
+    }
+    connection->call(request, limit, std::move(handler));
+}
+
+void StoreCaller::setStore(ProxyAddress store)
+{
+    for (const auto &it : m_connections) {
+        if (it->isIdle()) {
+            it->close();
+        }
+    }
+    m_store = std::move(store);
+}
+
+std::uint64_t StoreCaller::calls() const
+{
+    return m_calls;
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/platform/row_codec_test.cpp
+++ b/tests/adapters/row_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/row_codec_func.h"
+#include "vanillahall/adapters/row_codec_func.h"
 
 #include "json_archive_base.h"
 
--- a/tests/platform/service_client_test.cpp
+++ b/tests/adapters/service_client_test.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/service_client_base.h"
+#include "vanillahall/adapters/service_client_base.h"
 
 #include "adapter_bench.h"
 #include "service_standin_base.h"
--- a/tests/platform/store_client_test.cpp
+++ b/tests/adapters/store_client_test.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/store_client_base.h"
+#include "vanillahall/adapters/store_client_base.h"
 
 #include "adapter_bench.h"
 #include "store_standin_base.h"
--- a/tests/platform/vm_list_client_test.cpp
+++ b/tests/adapters/vm_list_client_test.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/platform/vm_list_client_base.h"
+#include "vanillahall/adapters/vm_list_client_base.h"
 
 #include "adapter_bench.h"
 #include "vm_list_standin_base.h"
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -4,7 +4,7 @@
 #include "vanillahall/core/program_book_base.h"
 #include "vanillahall/core/store_budget_base.h"
 #include "vanillahall/core/worker_book_base.h"
-#include "vanillahall/platform/row_codec_func.h"
+#include "vanillahall/adapters/row_codec_func.h"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/daemon/access_test.cpp
+++ b/tests/daemon/access_test.cpp
@@ -1,5 +1,5 @@
 #include "access_base.h"
-#include "metrics_base.h"
+#include "vanillahall/core/metrics_base.h"
 #include "table/event_table.h"
 
 #include <filesystem>
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -71,7 +71,7 @@
             return it.rfind(start, 0) == 0;
         });
     };
-    EXPECT_TRUE(has("test.ini:2: [process] role: expected entry or gate"));
+    EXPECT_TRUE(has("test.ini:2: [process] role: expected entry, gate or proxy"));
     EXPECT_TRUE(has("test.ini:3: [process] nmae: expected a known key"));
     EXPECT_TRUE(has("test.ini:4: [process] zone: expected [section], key = value"));
     EXPECT_TRUE(has("test.ini: [link] key_file: expected"));
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -2,7 +2,7 @@
 # Installs the build tools and libraries from Debian's packages. Safe to run again.
 set -euo pipefail
 PACKAGES="build-essential cmake ninja-build pkg-config clang-format clang-tidy curl python3
-libwebsockets-dev libgrpc++-dev libprotobuf-dev libboost-program-options-dev libboost-log-dev
+libwebsockets-dev libgrpc++-dev libprotobuf-dev libboost-dev libboost-program-options-dev libboost-log-dev
 libgtest-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev"
 missing=""
 for p in $PACKAGES; do
