--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -5,6 +5,7 @@
 
 #include "vanillahall/platform/wire_header_func.h"
 
+#include <limits>
 #include <boost/asio/write.hpp>
 
 namespace Vanillahall::Forward {
@@ -164,7 +165,7 @@
 {
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(MaxAnswerHead);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_isHead);
     m_head = {};
     m_isStale = false;
