--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -71,10 +71,44 @@
     return std::max(MinConnections, maxConnections / std::max(1U, m_settings.entries));
 }
 
+const ServerBook::Place *ServerBook::home(const ChoiceRequest &request) const
+{
+    const Place *best = nullptr;
+    std::uint64_t bestRank = 0;
+    if (request.facts->program.empty() || request.facts->promptParts.empty()) {
+        return nullptr;
+    }
+    for (const auto &[id, place] : m_places) {
+        if (!place.isUsable || place.server.service != request.service) {
+            continue;
+        }
+        const auto rank = homeRank(request.facts->program, id);
+        if (best == nullptr || rank > bestRank) {
+            best = &place;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+std::uint32_t ServerBook::unreadTokens(const Place &place, const Place *home, const RequestFacts &facts) const
+{
+    const std::uint32_t known = readTokens(place, facts);
+    std::uint32_t read = known;
+    if (&place == home) {
+        // The other entries send this program's turns there, too.
+        const auto &last = facts.promptParts.back();
+        const std::uint32_t fresh = std::min(last.tokens, m_settings.newTokens);
+        read = std::max(read, facts.promptTokens - std::min(facts.promptTokens, fresh));
+    }
+    return facts.promptTokens - std::min(facts.promptTokens, read);
+}
+
 std::optional<Choice> ServerBook::choose(const ChoiceRequest &request, TimePoint now) const
 {
     const auto &facts = *request.facts;
     const auto share = connectionShare(request.maxConnections);
+    const Place *homePlace = home(request);
     const Place *best = nullptr;
     double bestMs = 0;
     std::uint64_t bestRank = 0;
@@ -84,8 +118,8 @@
             || !hasModel(place.server, facts.model)) {
             continue;
         }
-        const std::uint32_t unread = facts.promptTokens - std::min(facts.promptTokens, readTokens(place, facts));
-        const double ms = expectedMs(place, unread, now);
+        const std::uint32_t unread = unreadTokens(place, homePlace, facts);
+        const double ms = expectedMs(place, unread, now) - (&place == homePlace ? m_settings.homeMs : 0.0);
         const auto rank = homeRank(facts.program, id);
         if (best == nullptr || ms < bestMs || (ms == bestMs && rank > bestRank)) {
             best = &place;
