--- a/packages/adapters/include/vanillahall/adapters/vm_list_client_base.h
+++ b/packages/adapters/include/vanillahall/adapters/vm_list_client_base.h
@@ -1,8 +1,8 @@
 /** HTTP adapter of the platform's list of VMs. */
 #pragma once
 
-#include "vanillahall/net/http_client_base.h"
 #include "vanillahall/adapters/port_type.h"
+#include "vanillahall/net/http_client_base.h"
 
 #include <memory>
 
--- a/packages/adapters/src/whole_request_base.h
+++ b/packages/adapters/src/whole_request_base.h
@@ -1,8 +1,8 @@
 /** Requests whose answers are wanted whole. */
 #pragma once
 
-#include "vanillahall/net/http_client_base.h"
 #include "vanillahall/adapters/port_type.h"
+#include "vanillahall/net/http_client_base.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -52,33 +52,33 @@
 /** What a client may send, and how long it may take. */
 struct ClientLimits
 {
-    std::size_t maxHeaderBytes = 16384;                     ///< Request line and headers.
+    std::size_t maxHeaderBytes = 16384;                      ///< Request line and headers.
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Body of a request.
-    Duration headerTimeout = std::chrono::seconds(3);       ///< From a request's first byte to the end of its headers.
-    Duration idleTimeout = std::chrono::seconds(15);        ///< Life of a connection without a request.
+    Duration headerTimeout = std::chrono::seconds(3);        ///< From a request's first byte to the end of its headers.
+    Duration idleTimeout = std::chrono::seconds(15);         ///< Life of a connection without a request.
 };
 
 /** One version of the operators' configuration. */
 struct Config
 {
-    std::uint64_t version = 0;                      ///< Grows with each version.
+    std::uint64_t version = 0;               ///< Grows with each version.
     std::vector<Route> routes;               ///< All routes.
     std::map<std::string, Service> services; ///< All services by name.
-    ClientLimits limits;                            ///< Limits on clients.
+    ClientLimits limits;                     ///< Limits on clients.
 };
 
 /** One backend server, as the platform's list tells it. */
 struct Server
 {
-    std::string id;             ///< Name of this incarnation.
-    std::string service;        ///< Service that it belongs to.
-    std::string address;        ///< IP number.
-    std::uint16_t port{};       ///< Port.
-    std::string zone;           ///< Availability zone.
-    std::uint32_t slots = 1;    ///< Requests that it runs at once.
-    bool isDraining = false;    ///< True if it takes no new requests.
-    Duration coldLeft{};        ///< How much longer it stays slow after its start.
-    std::uint64_t startedMs{};  ///< Calendar time of its start, in Unix milliseconds; 0 if unknown.
+    std::string id;                  ///< Name of this incarnation.
+    std::string service;             ///< Service that it belongs to.
+    std::string address;             ///< IP number.
+    std::uint16_t port{};            ///< Port.
+    std::string zone;                ///< Availability zone.
+    std::uint32_t slots = 1;         ///< Requests that it runs at once.
+    bool isDraining = false;         ///< True if it takes no new requests.
+    Duration coldLeft{};             ///< How much longer it stays slow after its start.
+    std::uint64_t startedMs{};       ///< Calendar time of its start, in Unix milliseconds; 0 if unknown.
     std::vector<std::string> models; ///< Models that it has loaded; empty for plain services.
 };
 
@@ -92,17 +92,17 @@
 /** What the headers of a client's request say. */
 struct RequestFacts
 {
-    std::string requestId;                     ///< Identity of this attempt of the client; empty if missing.
-    std::optional<Duration> deadline;          ///< How long the client waits, from the arrival on.
-    std::string program;                       ///< Program that the request belongs to; empty if none.
-    std::string session;                       ///< Line of turns that it belongs to; empty if none.
-    std::optional<Duration> programTimeLeft;   ///< Time until the program should have ended; negative if late.
-    std::optional<std::uint64_t> tokenBudget;  ///< Tokens that all turns of the program may generate.
-    std::uint32_t promptTokens{};              ///< Length of the prompt.
-    std::uint32_t maxGenerated{};              ///< Most tokens that this turn generates.
-    std::vector<PromptPart> promptParts;       ///< Parts of the prompt; empty if not told.
-    std::string model;                         ///< Model that is asked for; empty if none.
-    std::optional<std::uint64_t> lastEventId;  ///< Last event that the client has, if it resumes a stream.
+    std::string requestId;                    ///< Identity of this attempt of the client; empty if missing.
+    std::optional<Duration> deadline;         ///< How long the client waits, from the arrival on.
+    std::string program;                      ///< Program that the request belongs to; empty if none.
+    std::string session;                      ///< Line of turns that it belongs to; empty if none.
+    std::optional<Duration> programTimeLeft;  ///< Time until the program should have ended; negative if late.
+    std::optional<std::uint64_t> tokenBudget; ///< Tokens that all turns of the program may generate.
+    std::uint32_t promptTokens{};             ///< Length of the prompt.
+    std::uint32_t maxGenerated{};             ///< Most tokens that this turn generates.
+    std::vector<PromptPart> promptParts;      ///< Parts of the prompt; empty if not told.
+    std::string model;                        ///< Model that is asked for; empty if none.
+    std::optional<std::uint64_t> lastEventId; ///< Last event that the client has, if it resumes a stream.
 };
 
 /** Load that a server told with an answer. */
--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -91,16 +91,16 @@
     /** One server. */
     struct Place
     {
-        Server server;                       ///< As listed.
-        std::uint32_t running = 0;           ///< Requests of this entry there.
-        std::uint64_t unread = 0;            ///< Prompt tokens of this entry's requests that have no first event yet.
-        std::uint32_t others = 0;            ///< Requests of other entries, as last told.
-        std::uint32_t failures = 0;          ///< Failures in a row.
-        TimePoint doubtUntil{};              ///< Avoided until then because it failed.
-        TimePoint fullUntil{};               ///< Avoided until then because it was full.
-        TimePoint othersAt{};                ///< Age of `others`.
-        std::optional<TimePoint> lapseAt;    ///< Given up then if it is still missing in the list.
-        bool isUsable = true;                ///< False once it drains, is gone or has lost its address.
+        Server server;                    ///< As listed.
+        std::uint32_t running = 0;        ///< Requests of this entry there.
+        std::uint64_t unread = 0;         ///< Prompt tokens of this entry's requests that have no first event yet.
+        std::uint32_t others = 0;         ///< Requests of other entries, as last told.
+        std::uint32_t failures = 0;       ///< Failures in a row.
+        TimePoint doubtUntil{};           ///< Avoided until then because it failed.
+        TimePoint fullUntil{};            ///< Avoided until then because it was full.
+        TimePoint othersAt{};             ///< Age of `others`.
+        std::optional<TimePoint> lapseAt; ///< Given up then if it is still missing in the list.
+        bool isUsable = true;             ///< False once it drains, is gone or has lost its address.
     };
 
     /** Where a part of a prompt was read last, and how much of it. */
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -91,12 +91,12 @@
     /** One program. */
     struct Account
     {
-        TokenRow row;                       ///< As far as known.
-        std::uint64_t here{};               ///< Tokens reserved by this entry and not in use.
-        std::uint64_t asked{};              ///< Tokens that the open or unfinished write reserves; 0 if there is none.
+        TokenRow row;                        ///< As far as known.
+        std::uint64_t here{};                ///< Tokens reserved by this entry and not in use.
+        std::uint64_t asked{};               ///< Tokens that the open or unfinished write reserves; 0 if there is none.
         std::optional<TokenWrite> openWrite; ///< Write under way, or of unknown outcome.
-        bool isWriting = false;             ///< True if the open write is under way.
-        TimePoint lastUse{};                ///< Last ask or end of a turn.
+        bool isWriting = false;              ///< True if the open write is under way.
+        TimePoint lastUse{};                 ///< Last ask or end of a turn.
     };
 
     std::string m_writer;
--- a/packages/daemon/src/caller_desk_base.h
+++ b/packages/daemon/src/caller_desk_base.h
@@ -3,8 +3,8 @@
 
 #include "access_base.h"
 #include "api_func.h"
-#include "vanillahall/core/metrics_base.h"
 #include "settings_type.h"
+#include "vanillahall/core/metrics_base.h"
 
 #include "vanillahall/core/caller_type.h"
 #include "vanillahall/net/http_server_base.h"
--- a/packages/daemon/src/entry_process.cpp
+++ b/packages/daemon/src/entry_process.cpp
@@ -4,14 +4,14 @@
 #include "process_func.h"
 #include "report_func.h"
 
+#include "vanillahall/adapters/store_client_base.h"
+#include "vanillahall/adapters/vm_list_client_base.h"
 #include "vanillahall/core/burn_book_base.h"
 #include "vanillahall/core/config_keeper_base.h"
 #include "vanillahall/core/entry_base.h"
 #include "vanillahall/core/entry_query.h"
 #include "vanillahall/core/error_func.h"
 #include "vanillahall/core/id_func.h"
-#include "vanillahall/adapters/store_client_base.h"
-#include "vanillahall/adapters/vm_list_client_base.h"
 
 #include <algorithm>
 #include <iostream>
--- a/packages/daemon/src/gate_process.cpp
+++ b/packages/daemon/src/gate_process.cpp
@@ -1,9 +1,9 @@
 #include "log_func.h"
 #include "process_func.h"
 
-#include "vanillahall/core/gate_base.h"
 #include "vanillahall/adapters/engine_client_base.h"
 #include "vanillahall/adapters/service_client_base.h"
+#include "vanillahall/core/gate_base.h"
 
 #include <iostream>
 #include <variant>
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds LogFlush{250};  ///< Between two writes of buffered log lines.
-constexpr unsigned FileLookEvery = 4;               ///< Flushes between two looks at the settings file: one a second.
+constexpr std::chrono::milliseconds LogFlush{250}; ///< Between two writes of buffered log lines.
+constexpr unsigned FileLookEvery = 4;              ///< Flushes between two looks at the settings file: one a second.
 
 Forward::ProxyAddress toAddress(const Endpoint &endpoint)
 {
@@ -57,7 +57,9 @@
 
 FileStamp stampOf(const std::string &path)
 {
-    struct stat found{};
+    struct stat found
+    {
+    };
     if (stat(path.c_str(), &found) != 0) {
         return {};
     }
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -52,8 +52,7 @@
 {
     const bool isPair = role != Role::Proxy;
     return row.neededBy == NeededBy::All || (row.neededBy == NeededBy::Both && isPair) || (row.neededBy == NeededBy::Proxy && !isPair)
-        || (row.neededBy == NeededBy::Entry && role == Role::Entry)
-        || (row.neededBy == NeededBy::Gate && role == Role::Gate);
+        || (row.neededBy == NeededBy::Entry && role == Role::Entry) || (row.neededBy == NeededBy::Gate && role == Role::Gate);
 }
 
 SettingsFault faultAt(const SettingsLine &line, std::string message)
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -25,14 +25,15 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
-constexpr std::size_t MaxHeld = std::size_t{256} * 1024;               ///< Body that is held back until it is whole; longer ones are passed on as they come.
-constexpr Duration AnswerMargin = std::chrono::milliseconds(40);       ///< A server's own answer at the deadline may still come.
-constexpr Duration PlaceWait = std::chrono::milliseconds(15);          ///< Between two looks for a free server.
-constexpr Duration TokenWait = std::chrono::milliseconds(80);          ///< Before a failed write of a token row is made again.
-constexpr Duration TokenPatience = std::chrono::milliseconds(1200);    ///< Longest wait for a slow store; a third of a usual deadline.
-constexpr Duration BackSoon = std::chrono::milliseconds(250);          ///< Time to come back when all servers are full: a turn's length.
-constexpr Duration BackLater = std::chrono::milliseconds(800);         ///< Time to come back when the store is away.
-constexpr unsigned ObjectiveShare = 4;                                 ///< A request waits for a place for a quarter of its objective.
+constexpr std::size_t MaxHeld
+    = std::size_t{256} * 1024; ///< Body that is held back until it is whole; longer ones are passed on as they come.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(40);    ///< A server's own answer at the deadline may still come.
+constexpr Duration PlaceWait = std::chrono::milliseconds(15);       ///< Between two looks for a free server.
+constexpr Duration TokenWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
+constexpr Duration TokenPatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
+constexpr Duration BackSoon = std::chrono::milliseconds(250);       ///< Time to come back when all servers are full: a turn's length.
+constexpr Duration BackLater = std::chrono::milliseconds(800);      ///< Time to come back when the store is away.
+constexpr unsigned ObjectiveShare = 4;                              ///< A request waits for a place for a quarter of its objective.
 
 bool isSuccess(unsigned status)
 {
@@ -109,7 +110,8 @@
         return;
     }
     // A whole number of events, since each may hold tokensPerEvent tokens.
-    const std::uint64_t most = (facts.maxGenerated + m_tokensPerEvent - 1) / m_tokensPerEvent * m_tokensPerEvent;
+    const std::uint64_t perEvent = m_tokensPerEvent;
+    const std::uint64_t most = (facts.maxGenerated + perEvent - 1) / perEvent * perEvent;
     const auto said = m_proxy.ledger.ask({facts.program, *facts.tokenBudget, most}, now());
     if (std::holds_alternative<TokenGranted>(said)) {
         m_waitsForTokens = false;
@@ -397,8 +399,7 @@
     endAttempt();
     m_avoided.insert(m_choice.server.id);
     const bool canResume = m_hasBegunAnswer && m_lastEvent && m_route.repetition == Repetition::Resumable && !m_head.length;
-    const AttemptHistory history{
-        m_route.repetition, m_route.maxAttempts, m_mayHaveRun, m_tries, m_hasBegunAnswer, canResume, left()};
+    const AttemptHistory history{m_route.repetition, m_route.maxAttempts, m_mayHaveRun, m_tries, m_hasBegunAnswer, canResume, left()};
     const auto step = m_isClientGone ? NextStep::BreakOff : nextStep(history, failure);
     std::ostringstream line;
     line << "request=" << m_request.facts.requestId << " program=" << m_request.facts.program << " server=" << m_choice.server.id
@@ -515,8 +516,8 @@
     const auto ended = now();
     std::ostringstream line;
     line << "request=" << facts.requestId << " program=" << facts.program << " session=" << facts.session << " route=" << m_route.name
-         << " config=" << m_configVersion << " status=" << status << " outcome=" << outcome << " servers=" << m_servers << " tries=" << m_tries
-         << " placed_ms=" << (m_placedAt ? ms(*m_placedAt - m_request.arrived) : -1)
+         << " config=" << m_configVersion << " status=" << status << " outcome=" << outcome << " servers=" << m_servers
+         << " tries=" << m_tries << " placed_ms=" << (m_placedAt ? ms(*m_placedAt - m_request.arrived) : -1)
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
          << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens << " prompt=" << facts.promptTokens
          << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -13,16 +13,17 @@
 
 using boost::asio::ip::tcp;
 
-constexpr Duration StoreLimit = std::chrono::milliseconds(900);     ///< Wait for an answer of the store; slow ones take 400 ms.
-constexpr Duration StoreNear = std::chrono::milliseconds(1500);     ///< Three polls without an answer mean that the store is away.
-constexpr Duration ListAway = std::chrono::milliseconds(2500);      ///< A list older than this may have lapsed entries.
-constexpr Duration TakeTime = std::chrono::milliseconds(3500);      ///< After a stop began: two missed questions for readiness and a connection under way.
-constexpr Duration StopStep = std::chrono::milliseconds(50);        ///< Between two looks whether a stop is complete.
-constexpr Duration CleanInterval = std::chrono::seconds(5);         ///< Between two looks for rows of programs that have ended.
-constexpr Duration KeepTokens = std::chrono::seconds(150);          ///< A program may come back for a minute after its last turn.
-constexpr std::size_t MaxRemoved = 100;                             ///< Rows of one transaction.
-constexpr std::size_t MaxIdleLinks = 6;                             ///< Idle connections kept to one server.
-constexpr std::size_t MaxFaultyRows = 200;                          ///< Faulty rows remembered so that each is logged once.
+constexpr Duration StoreLimit = std::chrono::milliseconds(900); ///< Wait for an answer of the store; slow ones take 400 ms.
+constexpr Duration StoreNear = std::chrono::milliseconds(1500); ///< Three polls without an answer mean that the store is away.
+constexpr Duration ListAway = std::chrono::milliseconds(2500);  ///< A list older than this may have lapsed entries.
+constexpr Duration TakeTime
+    = std::chrono::milliseconds(3500); ///< After a stop began: two missed questions for readiness and a connection under way.
+constexpr Duration StopStep = std::chrono::milliseconds(50); ///< Between two looks whether a stop is complete.
+constexpr Duration CleanInterval = std::chrono::seconds(5);  ///< Between two looks for rows of programs that have ended.
+constexpr Duration KeepTokens = std::chrono::seconds(150);   ///< A program may come back for a minute after its last turn.
+constexpr std::size_t MaxRemoved = 100;                      ///< Rows of one transaction.
+constexpr std::size_t MaxIdleLinks = 6;                      ///< Idle connections kept to one server.
+constexpr std::size_t MaxFaultyRows = 200;                   ///< Faulty rows remembered so that each is logged once.
 
 } // namespace
 
@@ -181,7 +182,7 @@
 {
     auto &idle = m_idleLinks[server.id];
     while (!idle.empty()) {
-        const auto link = idle.back();
+        auto link = idle.back();
         idle.pop_back();
         if (link->isFresh(now()) && link->server().address == server.address && link->server().port == server.port) {
             return link;
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -53,7 +53,6 @@
     void exchangeEnded(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
 
-
     [[nodiscard]] bool isReady() const;
     /** @return True if the store has answered a moment ago. */
     [[nodiscard]] bool isStoreNear() const;
--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -5,8 +5,8 @@
 
 #include "vanillahall/platform/wire_header_func.h"
 
-#include <limits>
 #include <boost/asio/write.hpp>
+#include <limits>
 
 namespace Vanillahall::Forward {
 
@@ -15,11 +15,11 @@
 namespace Http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr std::chrono::milliseconds ConnectLimit{400};    ///< A few round trips to the farthest zone and a full accept queue.
-constexpr std::size_t MaxAnswerHead = 64 * 1024;          ///< Longest head of an answer.
-constexpr Duration IdleUnknown = std::chrono::seconds(2); ///< Use of an idle connection whose server doesn't tell for how long.
+constexpr std::chrono::milliseconds ConnectLimit{400};          ///< A few round trips to the farthest zone and a full accept queue.
+constexpr std::size_t MaxAnswerHead = std::size_t{64} * 1024;   ///< Longest head of an answer.
+constexpr Duration IdleUnknown = std::chrono::seconds(2);       ///< Use of an idle connection whose server doesn't tell for how long.
 constexpr Duration IdleMargin = std::chrono::milliseconds(700); ///< Before a server's own limit: a round trip and late timers.
-constexpr unsigned StatusInformational = 200;             ///< Statuses below it are no answers.
+constexpr unsigned StatusInformational = 200;                   ///< Statuses below it are no answers.
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
--- a/packages/proxy/src/server_link.h
+++ b/packages/proxy/src/server_link.h
@@ -16,20 +16,20 @@
 /** Head of a server's answer. */
 struct AnswerHead
 {
-    unsigned status = 0;                      ///< HTTP status.
-    std::string reason;                       ///< Reason phrase.
-    std::string headers;                      ///< Headers that are passed on, each ended by CR LF.
-    AnswerFacts facts;                        ///< What the headers say.
-    std::optional<std::uint64_t> length;      ///< Length of the body, if told.
-    bool endsWithConnection = false;          ///< True if only the end of the connection ends the body.
-    bool hasBody = true;                      ///< False if the status or method has none.
+    unsigned status = 0;                 ///< HTTP status.
+    std::string reason;                  ///< Reason phrase.
+    std::string headers;                 ///< Headers that are passed on, each ended by CR LF.
+    AnswerFacts facts;                   ///< What the headers say.
+    std::optional<std::uint64_t> length; ///< Length of the body, if told.
+    bool endsWithConnection = false;     ///< True if only the end of the connection ends the body.
+    bool hasBody = true;                 ///< False if the status or method has none.
 };
 
 /** How a connection ended before the answer was whole. */
 struct LinkFailure
 {
-    bool wasSent = false;  ///< True if any byte of the request may have reached the server.
-    std::string message;   ///< For the log.
+    bool wasSent = false; ///< True if any byte of the request may have reached the server.
+    std::string message;  ///< For the log.
 };
 
 /** Who waits for an answer. */
--- a/packages/proxy/src/socket_option.cpp
+++ b/packages/proxy/src/socket_option.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int UnansweredMs = 2000;  ///< Sent bytes that the peer doesn't confirm for so long mean a dead connection.
+constexpr int UnansweredMs = 2000;   ///< Sent bytes that the peer doesn't confirm for so long mean a dead connection.
 constexpr int ProbeAfterSeconds = 2; ///< Silence before the first probe.
 constexpr int ProbeEverySeconds = 1; ///< Between probes.
 constexpr int Probes = 2;            ///< Unanswered probes that mean a dead connection.
--- a/tests/adapters/adapter_bench.h
+++ b/tests/adapters/adapter_bench.h
@@ -1,8 +1,8 @@
 /** What the tests of the adapters share: a loop with a client and one stand-in. */
 #pragma once
 
-#include "vanillahall/net/http_client_base.h"
 #include "vanillahall/adapters/port_type.h"
+#include "vanillahall/net/http_client_base.h"
 
 #include "standin_server_base.h"
 
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -1,10 +1,10 @@
 /** Slopes for docs/CAPACITY.md: memory, processor time and bytes as programs, servers and messages grow. Prints "name: value unit". */
 #include "link_codec.h"
 
+#include "vanillahall/adapters/row_codec_func.h"
 #include "vanillahall/core/program_book_base.h"
 #include "vanillahall/core/store_budget_base.h"
 #include "vanillahall/core/worker_book_base.h"
-#include "vanillahall/adapters/row_codec_func.h"
 
 #include <algorithm>
 #include <chrono>
--- /dev/null
+++ b/tests/core/route_table_test.cpp
@@ -0,0 +1,91 @@
+#include "vanillahall/core/route_table_base.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+Config configOf(std::uint64_t version, const std::vector<std::pair<std::string, std::string>> &routes)
+{
+    Config config;
+    config.version = version;
+    for (const auto &[host, prefix] : routes) {
+        Route route;
+        route.name = host + prefix;
+        route.host = host;
+        route.prefix = prefix;
+        route.targets = {{"one", 1}};
+        config.routes.push_back(route);
+    }
+    return config;
+}
+
+} // namespace
+
+/** One look-up. */
+struct FindCase
+{
+    const char *name;  ///< For the test's name.
+    const char *host;  ///< Host header.
+    const char *path;  ///< Path.
+    const char *route; ///< Expected route, or null.
+};
+
+class RouteFind : public ::testing::TestWithParam<FindCase>
+{
+};
+
+TEST_P(RouteFind, TakesTheLongestPrefixOfTheHost)
+{
+    RouteTable table;
+    table.apply(configOf(1, {{"a.example", "/"}, {"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/x/"}}));
+    const auto *route = table.find(GetParam().host, GetParam().path);
+    EXPECT_EQ(route == nullptr ? std::string() : route->name, GetParam().route == nullptr ? "" : GetParam().route);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         RouteFind,
+                         ::testing::Values(FindCase{"root", "a.example", "/z", "a.example/"},
+                                           FindCase{"one", "a.example", "/x/1", "a.example/x/"},
+                                           FindCase{"longest", "a.example", "/x/y/1", "a.example/x/y/"},
+                                           FindCase{"caseAndPort", "A.Example:80", "/x/1", "a.example/x/"},
+                                           FindCase{"noSlash", "b.example", "/x", nullptr},
+                                           FindCase{"otherHost", "c.example", "/x/1", nullptr}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+TEST(RouteTable, NeverGoesBackwards)
+{
+    RouteTable table;
+    EXPECT_FALSE(table.isLoaded());
+    EXPECT_TRUE(table.apply(configOf(5, {{"a.example", "/"}})));
+    EXPECT_FALSE(table.apply(configOf(4, {})));
+    EXPECT_FALSE(table.apply(configOf(5, {})));
+    EXPECT_NE(table.find("a.example", "/"), nullptr);
+    EXPECT_TRUE(table.apply(configOf(9, {})));
+    EXPECT_EQ(table.find("a.example", "/"), nullptr);
+}
+
+TEST(PickService, SplitsByWeightAndStaysForAKey)
+{
+    Route route;
+    route.targets = {{"one", 90}, {"two", 10}, {"none", 0}};
+    int two = 0;
+    constexpr int Keys = 2000;
+    for (int n = 0; n < Keys; n++) {
+        const auto key = "program-" + std::to_string(n);
+        const auto first = pickService(route, key);
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first, pickService(route, key));
+        EXPECT_NE(*first, "none");
+        two += *first == "two" ? 1 : 0;
+    }
+    EXPECT_GT(two, Keys / 20);
+    EXPECT_LT(two, Keys / 5);
+    route.targets = {{"none", 0}};
+    EXPECT_FALSE(pickService(route, "x"));
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/core/server_book_test.cpp
@@ -0,0 +1,175 @@
+#include "vanillahall/core/server_book_base.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+
+Server serverOf(const std::string &id, const std::string &zone = "z1")
+{
+    Server server;
+    server.id = id;
+    server.service = "svc";
+    server.address = "127.0.0.1";
+    server.port = static_cast<std::uint16_t>(1000 + id.back());
+    server.zone = zone;
+    server.slots = 8;
+    return server;
+}
+
+RequestFacts turnOf(const std::string &program, std::vector<PromptPart> parts)
+{
+    RequestFacts facts;
+    facts.program = program;
+    facts.promptParts = std::move(parts);
+    for (const auto &it : facts.promptParts) {
+        facts.promptTokens += it.tokens;
+    }
+    return facts;
+}
+
+std::string chosen(const ServerBook &book, const RequestFacts &facts, const std::set<std::string> &avoided = {}, TimePoint at = Start)
+{
+    const auto choice = book.choose({"svc", &facts, 120, &avoided}, at);
+    return choice ? choice->server.id : "";
+}
+
+} // namespace
+
+/** How a list changes, and whether the server "a" may be used then. */
+struct ListCase
+{
+    const char *name;         ///< For the test's name.
+    std::vector<Server> list; ///< The list after one with only "a".
+    bool wasAway;             ///< True if the store was away before it.
+    Duration later;           ///< When the same list is read once more.
+    bool isUsable;            ///< True if "a" may be used after that.
+};
+
+class ServerList : public ::testing::TestWithParam<ListCase>
+{
+};
+
+TEST_P(ServerList, IsFollowed)
+{
+    const auto &param = GetParam();
+    ServerBook book("z1", {});
+    book.update({serverOf("a")}, false, Start);
+    book.update(param.list, param.wasAway, Start + 1s);
+    book.update(param.list, false, Start + 1s + param.later);
+    EXPECT_EQ(book.hasServer("svc"), param.isUsable);
+}
+
+Server changedServer(bool isDraining, std::uint64_t startedMs)
+{
+    auto server = serverOf("a");
+    server.isDraining = isDraining;
+    server.startedMs = startedMs;
+    return server;
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ServerList,
+                         ::testing::Values(ListCase{"stays", {serverOf("a")}, false, 0s, true},
+                                           ListCase{"gone", {}, false, 0s, false},
+                                           ListCase{"draining", {changedServer(true, 0)}, false, 0s, false},
+                                           ListCase{"reborn", {changedServer(false, 7)}, false, 0s, true},
+                                           ListCase{"lapsedWhileTheStoreWasAway", {}, true, 1s, true},
+                                           ListCase{"stillMissingAfterTheGrace", {}, true, 2s, false}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+TEST(ServerBook, EntriesAgreeOnTheHomeOfAProgram)
+{
+    std::vector<Server> list;
+    for (char c = 'a'; c < 'j'; c++) {
+        list.push_back(serverOf(std::string(1, c), c < 'd' ? "z1" : "z2"));
+    }
+    ServerBook first("z1", {});
+    ServerBook second("z2", {});
+    first.update(list, false, Start);
+    second.update(list, false, Start);
+    std::map<std::string, int> homes;
+    for (int n = 0; n < 300; n++) {
+        const auto program = "program-" + std::to_string(n);
+        const auto home = chosen(first, turnOf(program, {{1, 500}, {100U + static_cast<unsigned>(n), 300}}));
+        // A sub-agent arrives at an entry that has never seen the program.
+        EXPECT_EQ(chosen(second, turnOf(program, {{1, 500}, {100U + static_cast<unsigned>(n), 2200}, {5000, 300}})), home);
+        homes[home]++;
+    }
+    EXPECT_EQ(homes.size(), list.size());
+}
+
+TEST(ServerBook, AFullHomeIsPassedOver)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b")}, false, Start);
+    const auto facts = turnOf("p", {{1, 500}, {2, 300}});
+    const auto home = chosen(book, facts);
+    for (int n = 0; n < 9; n++) {
+        book.began(home, 800, facts, Start);
+    }
+    EXPECT_NE(chosen(book, facts), home);
+}
+
+TEST(ServerBook, TurnsFollowTheirPromptToAnotherServer)
+{
+    ChoiceSettings settings;
+    settings.newTokens = 3000;
+    ServerBook book("z1", settings);
+    book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
+    const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
+    const auto home = chosen(book, facts);
+    const std::string other = home == "a" ? "b" : "a";
+    book.began(other, 3500, facts, Start);
+    book.ended(other, 3500, false);
+    EXPECT_EQ(chosen(book, turnOf("p", {{1, 500}, {2, 3400}})), other);
+}
+
+TEST(ServerBook, RefusedFailedAndAvoidedServersArePassedOver)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b")}, false, Start);
+    const RequestFacts plain;
+    EXPECT_EQ(chosen(book, plain, {"a"}), "b");
+    EXPECT_EQ(chosen(book, plain, {"a", "b"}), "");
+    book.failed("a", Start);
+    EXPECT_EQ(chosen(book, plain), "b");
+    book.worked("a");
+    book.refused("b", Start);
+    EXPECT_EQ(chosen(book, plain), "a");
+    book.misdirected("a");
+    EXPECT_EQ(chosen(book, plain, {}, Start + 1s), "b");
+}
+
+TEST(ServerBook, ConnectionsAreSharedAmongEntries)
+{
+    ChoiceSettings settings;
+    settings.entries = 10;
+    ServerBook book("z1", settings);
+    book.update({serverOf("a")}, false, Start);
+    const RequestFacts plain;
+    for (std::uint32_t n = 0; n < 12; n++) {
+        EXPECT_EQ(chosen(book, plain), "a");
+        book.began("a", 0, plain, Start);
+    }
+    EXPECT_EQ(chosen(book, plain), "");
+    book.ended("a", 0, false);
+    EXPECT_EQ(chosen(book, plain), "a");
+}
+
+TEST(ServerBook, ToldLoadOfOthersCounts)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b")}, false, Start);
+    book.told("a", {8, 6, 8}, Start);
+    EXPECT_EQ(chosen(book, RequestFacts{}), "b");
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/core/token_ledger_test.cpp
@@ -0,0 +1,210 @@
+#include "vanillahall/core/token_ledger_base.h"
+
+#include <map>
+#include <memory>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+constexpr std::uint64_t Budget = 900;
+constexpr std::uint64_t Most = 100;
+
+/** Rows under conditions, as the store keeps them; one counter gives all versions. */
+class RowModel
+{
+public:
+    /** @return Version, or nothing if the condition doesn't hold. */
+    std::optional<std::uint64_t> write(const TokenWrite &write)
+    {
+        auto &row = m_rows[write.program];
+        if (row.version != write.row.version) {
+            return std::nullopt;
+        }
+        row = write.row;
+        row.version = ++m_counter;
+        return row.version;
+    }
+
+    TokenRow row(const std::string &program)
+    {
+        return m_rows[program];
+    }
+
+private:
+    std::map<std::string, TokenRow> m_rows;
+    std::uint64_t m_counter = 0;
+};
+
+bool isGranted(const TokenAnswer &answer)
+{
+    return std::holds_alternative<TokenGranted>(answer);
+}
+
+/** Asks until the ledger has an answer; each write is done at once. */
+TokenAnswer askThrough(TokenLedger &ledger, RowModel &rows, const TokenAsk &ask)
+{
+    auto answer = ledger.ask(ask, Start);
+    while (const auto *needed = std::get_if<TokenNeedsWrite>(&answer)) {
+        const auto version = rows.write(needed->write);
+        if (version) {
+            ledger.written(ask.program, *version);
+        } else {
+            ledger.changed(ask.program, rows.row(ask.program));
+        }
+        answer = ledger.ask(ask, Start);
+    }
+    return answer;
+}
+
+} // namespace
+
+TEST(TokenLedger, OneWriteServesSeveralTurns)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    EXPECT_TRUE(isGranted(askThrough(ledger, rows, {"p", Budget, Most})));
+    EXPECT_TRUE(isGranted(ledger.ask({"p", Budget, Most}, Start)));
+    EXPECT_TRUE(isGranted(ledger.ask({"p", Budget, Most}, Start)));
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsWrite>(ledger.ask({"p", Budget, Most}, Start)));
+}
+
+TEST(TokenLedger, UnusedTokensServeLaterTurns)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    for (int n = 0; n < 40; n++) {
+        ASSERT_TRUE(isGranted(askThrough(ledger, rows, {"p", Budget, Most})));
+        ledger.settle("p", Most, 10);
+    }
+    EXPECT_LE(rows.row("p").reserved, Budget / 2 + Most);
+}
+
+TEST(TokenLedger, SpentBudgetIsRefused)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    std::uint64_t granted = 0;
+    while (isGranted(askThrough(ledger, rows, {"p", Budget, Most}))) {
+        granted += Most;
+        ASSERT_LE(granted, Budget + Most);
+    }
+    EXPECT_GE(granted, Budget);
+    TokenLedger other("b/1");
+    EXPECT_TRUE(std::holds_alternative<TokenSpent>(askThrough(other, rows, {"p", Budget, Most})));
+}
+
+TEST(TokenLedger, ConcurrentAsksWaitForOneWrite)
+{
+    TokenLedger ledger("a/1");
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsWrite>(ledger.ask({"p", Budget, Most}, Start)));
+    EXPECT_TRUE(std::holds_alternative<TokenBusy>(ledger.ask({"p", Budget, Most}, Start)));
+    ledger.notWritten("p");
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsWrite>(ledger.ask({"p", Budget, Most}, Start)));
+}
+
+TEST(TokenLedger, LostAnswerIsFoundDone)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    const auto first = ledger.ask({"p", Budget, Most}, Start);
+    const auto write = std::get<TokenNeedsWrite>(first).write;
+    ASSERT_TRUE(rows.write(write));
+    ledger.notWritten("p");
+    EXPECT_TRUE(isGranted(askThrough(ledger, rows, {"p", Budget, Most})));
+    EXPECT_EQ(rows.row("p").reserved, write.row.reserved);
+}
+
+TEST(TokenLedger, OldProgramsAreForgottenWithTheirRows)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    askThrough(ledger, rows, {"p", Budget, Most});
+    EXPECT_TRUE(ledger.forget(Start).empty());
+    const auto old = ledger.forget(Start + 1s);
+    ASSERT_EQ(old.size(), 1U);
+    EXPECT_EQ(old[0].row.version, rows.row("p").version);
+    EXPECT_EQ(ledger.size(), 0U);
+}
+
+/**
+ * Several entries, turns that begin and end in any order, answers lost, writes that are done late, entries that restart and forget.
+ * Whatever happens, no more tokens are handed out than the budget and one turn.
+ */
+RC_GTEST_PROP(TokenLedgerProperty, NoInterleavingHandsOutMoreThanTheBudgetAndOneTurn, ())
+{
+    constexpr std::size_t Entries = 3;
+    struct Turn
+    {
+        std::size_t entry;
+        std::uint64_t incarnation;
+    };
+    RowModel rows;
+    std::vector<std::unique_ptr<TokenLedger>> ledgers;
+    std::vector<std::uint64_t> incarnations(Entries, 0);
+    for (std::size_t n = 0; n < Entries; n++) {
+        ledgers.push_back(std::make_unique<TokenLedger>("e" + std::to_string(n) + "/0"));
+    }
+    std::vector<std::optional<TokenWrite>> open(Entries);
+    std::vector<TokenWrite> late;
+    std::vector<Turn> turns;
+    std::uint64_t handedOut = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, static_cast<int>(Entries))));
+    for (const auto &[action, which] : steps) {
+        const auto n = static_cast<std::size_t>(which);
+        auto &ledger = *ledgers[n];
+        if (action <= 2) {
+            const auto answer = ledger.ask({"p", Budget, Most}, Start);
+            if (const auto *needed = std::get_if<TokenNeedsWrite>(&answer)) {
+                open[n] = needed->write;
+            } else if (isGranted(answer)) {
+                turns.push_back({n, incarnations[n]});
+            }
+        } else if (action <= 4 && open[n]) {
+            const auto version = rows.write(*open[n]);
+            if (version) {
+                ledger.written("p", *version);
+            } else {
+                ledger.changed("p", rows.row("p"));
+            }
+            open[n].reset();
+        } else if (action == 5 && open[n]) {
+            // Done, but the answer is lost.
+            rows.write(*open[n]);
+            ledger.notWritten("p");
+            open[n].reset();
+        } else if (action == 6 && open[n]) {
+            // Not done now; perhaps later.
+            late.push_back(*open[n]);
+            ledger.notWritten("p");
+            open[n].reset();
+        } else if (action == 7 && !turns.empty()) {
+            const Turn turn = turns.back();
+            turns.pop_back();
+            const std::uint64_t used = (n + 1) * Most / Entries;
+            handedOut += used;
+            if (incarnations[turn.entry] == turn.incarnation) {
+                ledgers[turn.entry]->settle("p", Most, used);
+            }
+        } else if (action == 8) {
+            if (!late.empty()) {
+                rows.write(late.back());
+                late.pop_back();
+            } else {
+                incarnations[n]++;
+                ledgers[n] = std::make_unique<TokenLedger>("e" + std::to_string(n) + "/" + std::to_string(incarnations[n]));
+                open[n].reset();
+            }
+        }
+        RC_ASSERT(handedOut + turns.size() * Most <= Budget + Most);
+    }
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/daemon/access_test.cpp
+++ b/tests/daemon/access_test.cpp
@@ -1,6 +1,6 @@
 #include "access_base.h"
-#include "vanillahall/core/metrics_base.h"
 #include "table/event_table.h"
+#include "vanillahall/core/metrics_base.h"
 
 #include <filesystem>
 #include <fstream>
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,262 @@
+#include "vanillahall/platform/wire_header_func.h"
+#include "vanillahall/platform/wire_store_func.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace Vanillahall::Platform {
+
+using namespace std::chrono_literals;
+
+/** A header and what is done with it on its way to a server. */
+struct HeaderCase
+{
+    const char *name; ///< Header.
+    HeaderUse use;    ///< Expected.
+};
+
+class RequestHeader : public ::testing::TestWithParam<HeaderCase>
+{
+};
+
+TEST_P(RequestHeader, IsPassedOnOrNot)
+{
+    EXPECT_EQ(requestHeaderUse(GetParam().name), GetParam().use);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         RequestHeader,
+                         ::testing::Values(HeaderCase{"X-Unknown", HeaderUse::Forward},
+                                           HeaderCase{"Request-Id", HeaderUse::Forward},
+                                           HeaderCase{"Last-Event-Id", HeaderUse::Forward},
+                                           HeaderCase{"Program-Id", HeaderUse::Forward},
+                                           HeaderCase{"connection", HeaderUse::ConnectionOnly},
+                                           HeaderCase{"Transfer-Encoding", HeaderUse::ConnectionOnly},
+                                           HeaderCase{"hold", HeaderUse::SystemOnly},
+                                           HeaderCase{"Pin-Ms", HeaderUse::SystemOnly},
+                                           HeaderCase{"Kv-Backup", HeaderUse::SystemOnly},
+                                           HeaderCase{"Kv-From", HeaderUse::SystemOnly},
+                                           HeaderCase{"Kv-Fetch", HeaderUse::SystemOnly},
+                                           HeaderCase{"Expect-Instance", HeaderUse::SystemOnly},
+                                           HeaderCase{"Deadline-Ms", HeaderUse::SystemOnly},
+                                           HeaderCase{"Request-Priority", HeaderUse::SystemOnly}));
+
+TEST(RequestFacts, AreReadFromHeaders)
+{
+    Forward::RequestFacts facts;
+    readRequestHeader(facts, "request-id", " 9c41 ");
+    readRequestHeader(facts, "Deadline-Ms", "4000");
+    readRequestHeader(facts, "Program-Id", "3fa81c");
+    readRequestHeader(facts, "Program-Deadline-Ms", "-12.5");
+    readRequestHeader(facts, "Token-Budget", "2296");
+    readRequestHeader(facts, "Token-Usage", "1840,287");
+    readRequestHeader(facts, "Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,broken,x:y,e4402b7d:250");
+    readRequestHeader(facts, "Last-Event-Id", "12");
+    EXPECT_EQ(facts.requestId, "9c41");
+    EXPECT_EQ(facts.deadline, Duration(4s));
+    EXPECT_EQ(facts.program, "3fa81c");
+    EXPECT_EQ(facts.programTimeLeft, Duration(-12500us));
+    EXPECT_EQ(facts.tokenBudget, 2296U);
+    EXPECT_EQ(facts.promptTokens, 1840U);
+    EXPECT_EQ(facts.maxGenerated, 287U);
+    ASSERT_EQ(facts.promptParts.size(), 3U);
+    EXPECT_EQ(facts.promptParts[1].id, 0x91bd3f06U);
+    EXPECT_EQ(facts.promptParts[2].tokens, 250U);
+    EXPECT_EQ(facts.lastEventId, 12U);
+    readRequestHeader(facts, "Deadline-Ms", "soon");
+    EXPECT_FALSE(facts.deadline);
+}
+
+TEST(AnswerFacts, AreReadFromHeaders)
+{
+    Forward::AnswerFacts facts;
+    readAnswerHeader(facts, "Request-Id", "a");
+    readAnswerHeader(facts, "Response-Signature", "s");
+    readAnswerHeader(facts, "Server-Load", "3,0,8");
+    readAnswerHeader(facts, "Keep-Alive", "timeout=5, max=100");
+    readAnswerHeader(facts, "Content-Type", "text/event-stream; charset=utf-8");
+    EXPECT_EQ(facts.requestId, "a");
+    EXPECT_TRUE(facts.isSigned);
+    EXPECT_FALSE(facts.isNotRun);
+    ASSERT_TRUE(facts.load);
+    EXPECT_EQ(facts.load->slots, 8U);
+    EXPECT_EQ(facts.keepAlive, Duration(5s));
+    EXPECT_TRUE(facts.isEventStream);
+    readAnswerHeader(facts, "Not-Executed", "1");
+    EXPECT_TRUE(facts.isNotRun);
+}
+
+TEST(ServerOrder, IsWrittenAsHeaders)
+{
+    std::string text;
+    appendOrder(text, {1500ms, "i-7", 2});
+    EXPECT_EQ(text, "Deadline-Ms: 1500\r\nExpect-Instance: i-7\r\nRequest-Priority: 2\r\n");
+    text.clear();
+    appendOrder(text, {-5ms, "i-7", std::nullopt});
+    EXPECT_EQ(text, "Deadline-Ms: 1\r\nExpect-Instance: i-7\r\n");
+}
+
+namespace {
+
+constexpr const char *GoodServer = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"ready","born":17,
+    "models":[{"name":"m","version":1}],"coldLeftMs":50,"unknown":[]})";
+
+constexpr const char *GoodConfig = R"({"version":7,"routes":[
+    {"name":"r","host":"Ficu.Example","prefix":"/a/","kind":"streaming","timeoutMs":4000,"sloMs":250,"priority":1,
+     "backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"resumable":true}],
+    "services":[{"name":"s","maxConns":210,"engine":{"slots":24,"kvCapacity":144781,"tokensPerEvent":7}},{"name":"t"}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+/** The good value with one field replaced, or removed if the new value is null. */
+std::string with(const char *good, const char *pointer, const nlohmann::json &value)
+{
+    auto json = nlohmann::json::parse(good);
+    const nlohmann::json::json_pointer place(pointer);
+    if (value.is_null()) {
+        json[place.parent_pointer()].erase(place.back());
+    } else {
+        json[place] = value;
+    }
+    return json.dump();
+}
+
+} // namespace
+
+TEST(ServerRow, IsDecoded)
+{
+    Error reason;
+    const auto server = decodeServer("i-1", GoodServer, reason);
+    ASSERT_TRUE(server) << reason.message;
+    EXPECT_EQ(server->address, "10.0.0.9");
+    EXPECT_EQ(server->port, 8080);
+    EXPECT_EQ(server->slots, 24U);
+    EXPECT_EQ(server->startedMs, 17U);
+    EXPECT_EQ(server->models, std::vector<std::string>{"m"});
+    EXPECT_FALSE(server->isDraining);
+    EXPECT_TRUE(decodeServer("i-1", with(GoodServer, "/state", "draining"), reason)->isDraining);
+}
+
+class BrokenServerRow : public ::testing::TestWithParam<std::string>
+{
+};
+
+TEST_P(BrokenServerRow, NamesNoServer)
+{
+    Error reason;
+    EXPECT_FALSE(decodeServer("i-1", GetParam(), reason));
+    EXPECT_EQ(reason.peer, "i-1");
+    EXPECT_FALSE(reason.message.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         BrokenServerRow,
+                         ::testing::Values("",
+                                           "\xff\xfe",
+                                           "[]",
+                                           "{",
+                                           with(GoodServer, "/service", nullptr),
+                                           with(GoodServer, "/service", 5),
+                                           with(GoodServer, "/address", "10.0.0.9"),
+                                           with(GoodServer, "/address", "10.0.0.9:0"),
+                                           with(GoodServer, "/address", "10.0.0.9:99999"),
+                                           with(GoodServer, "/slots", "24"),
+                                           with(GoodServer, "/slots", -1),
+                                           with(GoodServer, "/state", "sleeping"),
+                                           with(GoodServer, "/zone", nullptr)));
+
+TEST(ConfigRow, IsDecoded)
+{
+    Error reason;
+    const auto config = decodeConfig(GoodConfig, reason);
+    ASSERT_TRUE(config) << reason.message;
+    ASSERT_EQ(config->routes.size(), 1U);
+    const auto &route = config->routes[0];
+    EXPECT_EQ(config->version, 7U);
+    EXPECT_EQ(route.host, "ficu.example");
+    EXPECT_EQ(route.repetition, Forward::Repetition::Resumable);
+    EXPECT_EQ(route.timeLimit, Duration(4s));
+    EXPECT_EQ(route.targets.size(), 2U);
+    EXPECT_EQ(route.maxAttempts, 2U);
+    EXPECT_EQ(config->services.at("s").tokensPerEvent, 7U);
+    EXPECT_EQ(config->services.at("s").maxConnections, 210U);
+    EXPECT_EQ(config->limits.maxBodyBytes, 1000U);
+}
+
+class BrokenConfigRow : public ::testing::TestWithParam<std::string>
+{
+};
+
+TEST_P(BrokenConfigRow, IsRefusedWhole)
+{
+    Error reason;
+    EXPECT_FALSE(decodeConfig(GetParam(), reason));
+    EXPECT_FALSE(reason.message.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         BrokenConfigRow,
+                         ::testing::Values("",
+                                           "null",
+                                           with(GoodConfig, "/version", nullptr),
+                                           with(GoodConfig, "/version", "7"),
+                                           with(GoodConfig, "/routes", 5),
+                                           with(GoodConfig, "/routes/0", "r"),
+                                           with(GoodConfig, "/routes/0/prefix", nullptr),
+                                           with(GoodConfig, "/routes/0/kind", "sometimes"),
+                                           with(GoodConfig, "/routes/0/backends", nullptr),
+                                           with(GoodConfig, "/services/0", "s")));
+
+TEST(StoreCalls, TokenRowsGoThereAndBack)
+{
+    const Forward::TokenWrite write{"p1", {300, "a/1", 12}};
+    const auto call = writeTokensCall(write);
+    const auto body = nlohmann::json::parse(call.body);
+    EXPECT_EQ(call.method, "POST");
+    EXPECT_EQ(body["expect"][0]["ver"], 12);
+    EXPECT_EQ(body["expect"][0]["part"], tokenPart("p1"));
+    nlohmann::json row = body["writes"][0];
+    row["ver"] = 13;
+    const nlohmann::json refused = {{"rows", {row}}};
+    Error reason;
+    const auto answer = decodeTransaction(412, refused.dump(), reason);
+    ASSERT_TRUE(answer);
+    const auto tokens = decodeTokens(std::get<TransactionRefused>(*answer).rows.at(0), reason);
+    ASSERT_TRUE(tokens);
+    EXPECT_EQ(tokens->reserved, 300U);
+    EXPECT_EQ(tokens->writer, "a/1");
+    EXPECT_EQ(tokens->version, 13U);
+}
+
+/** An answer to a transaction. */
+struct TransactionCase
+{
+    const char *name;  ///< For the test's name.
+    unsigned status;   ///< HTTP status.
+    const char *body;  ///< Body.
+    std::size_t index; ///< Alternative of the answer; npos if it can't be decoded.
+};
+
+class Transaction : public ::testing::TestWithParam<TransactionCase>
+{
+};
+
+TEST_P(Transaction, IsDecodedOrRefused)
+{
+    Error reason;
+    const auto answer = decodeTransaction(GetParam().status, GetParam().body, reason);
+    EXPECT_EQ(answer ? answer->index() : std::variant_npos, GetParam().index) << reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         Transaction,
+                         ::testing::Values(TransactionCase{"done", 200, R"({"ver":4,"nowMs":1})", 0},
+                                           TransactionCase{"refused", 412, R"({"rows":[]})", 1},
+                                           TransactionCase{"busy", 503, R"({"ver":4})", std::variant_npos},
+                                           TransactionCase{"tooMany", 429, "", std::variant_npos},
+                                           TransactionCase{"noVersion", 200, "{}", std::variant_npos},
+                                           TransactionCase{"noJson", 200, "<html>", std::variant_npos}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+} // namespace Vanillahall::Platform
--- /dev/null
+++ b/tests/proxy/proxy_test.cpp
@@ -0,0 +1,375 @@
+#include "proxy_world.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+unsigned statusOf(const std::string &answer)
+{
+    constexpr std::size_t StatusAt = 9;
+    return answer.size() > StatusAt + 3 ? static_cast<unsigned>(std::stoul(answer.substr(StatusAt, 3))) : 0;
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const auto at = answer.find("\r\n\r\n");
+    return at == std::string::npos ? std::string() : answer.substr(at + 4);
+}
+
+constexpr const char *NotRun = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *Plain503 = "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *OtherServer = "HTTP/1.1 421 X\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *NoLength = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n\r\nwhole";
+constexpr const char *Torn = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 9\r\n\r\nto";
+constexpr const char *Unsigned = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char *Foreign = "HTTP/1.1 200 OK\r\nRequest-Id: foreign\r\nResponse-Signature: sig\r\nContent-Length: 5\r\n\r\nother";
+constexpr const char *Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr const char *Failed = "HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 4\r\n\r\noops";
+
+} // namespace
+
+/** What the first server asked does, what the next ones do, and what the client gets. */
+struct AnswerCase
+{
+    const char *name;     ///< For the test's name.
+    const char *path;     ///< Path of the request.
+    Script first;         ///< First answer.
+    Script later;         ///< All further answers.
+    unsigned status;      ///< Expected status; 0 for a connection closed without an answer.
+    std::string body;     ///< Expected body.
+    std::size_t attempts; ///< Expected requests at servers.
+};
+
+class ProxyAnswer : public ::testing::TestWithParam<AnswerCase>
+{
+};
+
+TEST_P(ProxyAnswer, IsTrueAndWhole)
+{
+    const auto &param = GetParam();
+    std::size_t asked = 0;
+    ProxyWorld world([&param, &asked](const std::string &) {
+        return asked++ == 0 ? param.first : param.later;
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", param.path, "r1", {}, "body"));
+    EXPECT_EQ(statusOf(answer), param.status) << answer;
+    EXPECT_EQ(bodyOf(answer), param.body);
+    EXPECT_EQ(asked, param.attempts);
+    if (param.status == 503) {
+        EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ProxyAnswer,
+    ::testing::Values(AnswerCase{"good", "/once/1", {goodAnswer("ok")}, {}, 200, "ok", 1},
+                      AnswerCase{"failureOfTheServer", "/once/1", {Failed}, {}, 500, "oops", 1},
+                      AnswerCase{"interimFirst", "/once/1", {Interim + goodAnswer("ok")}, {}, 200, "ok", 1},
+                      AnswerCase{"answerToAnotherFirst", "/once/1", {Foreign + goodAnswer("ok")}, {}, 200, "ok", 1},
+                      AnswerCase{"noLength", "/once/1", {NoLength, true}, {}, 200, "whole", 1},
+                      AnswerCase{"noLengthReset", "/once/1", {NoLength, false, true}, {}, 502, "", 1},
+                      AnswerCase{"tornOnce", "/once/1", {Torn, true}, {goodAnswer("ok")}, 502, "", 1},
+                      AnswerCase{"tornMayRepeat", "/call/1", {Torn, true}, {goodAnswer("ok")}, 200, "ok", 2},
+                      AnswerCase{"unsignedOnce", "/once/1", {Unsigned}, {goodAnswer("ok")}, 502, "", 1},
+                      AnswerCase{"encoded", "/once/1", {goodAnswer("ok", "Content-Encoding: gzip\r\n")}, {}, 502, "", 1},
+                      AnswerCase{"nonsense", "/once/1", {"nonsense\r\n\r\n"}, {}, 502, "", 1},
+                      AnswerCase{"closedOnce", "/once/1", {"", true}, {goodAnswer("ok")}, 502, "", 1},
+                      AnswerCase{"closedMayRepeat", "/call/1", {"", true}, {goodAnswer("ok")}, 200, "ok", 2},
+                      AnswerCase{"closedTwice", "/call/1", {"", true}, {"", true}, 502, "", 2},
+                      AnswerCase{"notRunGoesOn", "/once/1", {NotRun}, {goodAnswer("ok")}, 200, "ok", 2},
+                      AnswerCase{"otherServerGoesOn", "/once/1", {OtherServer}, {goodAnswer("ok")}, 200, "ok", 2},
+                      AnswerCase{"plain503IsNoPromise", "/once/1", {Plain503}, {goodAnswer("ok")}, 502, "", 1},
+                      AnswerCase{"noRoute", "/none/1", {}, {}, 404, "", 0},
+                      AnswerCase{"extraAnswer", "/once/1", {goodAnswer("ok") + goodAnswer("again")}, {}, 200, "ok", 1}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
+TEST(ProxyRequest, ReachesTheServerAsSentWithoutWhatIsTheSystemsToSet)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok", "X-Own: 1\r\nServer-Load: 1,0,8\r\n")};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST",
+                                                      "/once/1?a=b",
+                                                      "r1",
+                                                      "Deadline-Ms: 900\r\nHold: x\r\nKv-From: y\r\nPin-Ms: 5\r\nX-Unknown: kept\r\n"
+                                                      "Connection: X-Hop\r\nX-Hop: dropped\r\n",
+                                                      "body"));
+    ASSERT_EQ(statusOf(answer), 200U);
+    EXPECT_NE(answer.find("X-Own: 1"), std::string::npos);
+    EXPECT_EQ(answer.find("Server-Load"), std::string::npos);
+    const auto requests = world.first.requests.empty() ? world.second.requests : world.first.requests;
+    const bool isFirst = !world.first.requests.empty();
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].find("POST /once/1?a=b HTTP/1.1\r\n"), 0U);
+    EXPECT_NE(requests[0].find("\r\nRequest-Id: r1\r\n"), std::string::npos);
+    EXPECT_NE(requests[0].find("\r\nX-Unknown: kept\r\n"), std::string::npos);
+    EXPECT_NE(requests[0].find(std::string("\r\nExpect-Instance: ") + (isFirst ? "s1" : "s2")), std::string::npos);
+    EXPECT_NE(requests[0].find("\r\nDeadline-Ms: "), std::string::npos);
+    EXPECT_EQ(requests[0].find("Deadline-Ms: 900\r\n"), requests[0].rfind("Deadline-Ms: 900\r\n"));
+    for (const auto *it : {"Hold", "Kv-From", "Pin-Ms", "X-Hop"}) {
+        EXPECT_EQ(requests[0].find(it), std::string::npos) << it;
+    }
+    EXPECT_EQ(requests[0].substr(requests[0].size() - 4), "body");
+}
+
+/** A request that two readers could frame differently, or that is over a limit. */
+struct FramingCase
+{
+    const char *name;    ///< For the test's name.
+    std::string request; ///< Bytes.
+    unsigned status;     ///< Expected status.
+};
+
+class Framing : public ::testing::TestWithParam<FramingCase>
+{
+};
+
+TEST_P(Framing, IsStrict)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send(GetParam().request);
+    EXPECT_TRUE(world.run([&client] {
+        return client.isClosed;
+    }));
+    EXPECT_EQ(statusOf(client.received), GetParam().status);
+    EXPECT_TRUE(world.first.requests.empty());
+    EXPECT_TRUE(world.second.requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    Framing,
+    ::testing::Values(
+        FramingCase{
+            "bothLengths", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+        FramingCase{"bothLengthsTurned",
+                    "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+                    400},
+        FramingCase{"twoLengths", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+        FramingCase{"oddEncoding", "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
+        FramingCase{"oddChunk", "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n", 400},
+        FramingCase{"foldedLine", "GET /call/1 HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400},
+        FramingCase{"bareLf", "GET /call/1 HTTP/1.1\r\nHost: h\nX: a\r\n\r\n", 400},
+        FramingCase{"spaceBeforeColon", "GET /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc", 400},
+        FramingCase{"noHost", "GET /call/1 HTTP/1.1\r\n\r\n", 400},
+        FramingCase{"twoHosts", "GET /call/1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400},
+        FramingCase{"absoluteTarget", "GET http://h/call/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        FramingCase{"largeHeaders", "GET /call/1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(5000, 'a') + "\r\n\r\n", 431},
+        FramingCase{"largeBody", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20001\r\n\r\n", 413}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
+TEST(ProxyRequest, MayComeInPiecesAndInARow)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    const auto text = ProxyWorld::request("POST", "/call/1", "r1", {}, "body")
+        + "POST /call/2 HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
+    TestClient client(world.loop, world.proxy->port());
+    for (const char c : text) {
+        client.send(std::string(1, c));
+        world.loop.restart();
+        world.loop.poll();
+    }
+    EXPECT_TRUE(world.run([&client] {
+        return client.received.find("\r\n\r\nok", client.received.find("\r\n\r\nok") + 1) != std::string::npos;
+    }));
+    const auto bodies = world.first.requests.size() + world.second.requests.size();
+    EXPECT_EQ(bodies, 2U);
+}
+
+TEST(ProxyStream, PassesWholeEventsAndNeverATornOne)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
+    EXPECT_NE(answer.find("id: 2\n"), std::string::npos);
+    EXPECT_EQ(answer.find("id: 3"), std::string::npos);
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST(ProxyStream, GoesOnAtAnotherServerAfterTheLastWholeEvent)
+{
+    std::size_t asked = 0;
+    std::string resumed;
+    ProxyWorld world([&](const std::string &request) {
+        if (asked++ == 0) {
+            return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
+        }
+        resumed = request;
+        return Script{streamHead() + eventChunk(2) + eventChunk(3) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_NE(resumed.find("\r\nLast-Event-Id: 2\r\n"), std::string::npos);
+    EXPECT_NE(answer.find("id: 3\n"), std::string::npos);
+    EXPECT_EQ(answer.find("id: 2\n"), answer.rfind("id: 2\n"));
+    EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1)};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("POST", "/stream/1", "r1"));
+    ASSERT_TRUE(world.run([&client] {
+        return client.received.find("id: 1") != std::string::npos;
+    }));
+    client.close();
+    EXPECT_TRUE(world.run([&world] {
+        return world.first.closed + world.second.closed == 1;
+    }));
+}
+
+TEST(ProxyOnce, WorkGoesOnWhenItsClientLeaves)
+{
+    bool mayAnswer = false;
+    ProxyWorld world([&mayAnswer](const std::string &) {
+        return mayAnswer ? Script{goodAnswer("ok")} : Script{};
+    });
+    ASSERT_TRUE(world.start());
+    {
+        TestClient client(world.loop, world.proxy->port());
+        client.send(ProxyWorld::request("POST", "/once/1", "r1"));
+        ASSERT_TRUE(world.run([&world] {
+            return world.first.requests.size() + world.second.requests.size() == 1;
+        }));
+        client.close();
+        world.run([&client] {
+            return client.isClosed;
+        });
+    }
+    mayAnswer = true;
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/once/2", "r2"))), 200U);
+    EXPECT_EQ(world.first.closed + world.second.closed, 0U);
+}
+
+TEST(ProxyTime, LimitOfTheRouteEndsTheRequestAtOnce)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{};
+    });
+    ASSERT_TRUE(world.start());
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/brief/1", "r1"))), 504U);
+}
+
+TEST(ProxyStart, WithoutConfigurationNothingRunsAndItIsNotReady)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    const auto config = std::exchange(world.rows.config, {});
+    Error reason;
+    ASSERT_TRUE(world.proxy->start(reason)) << reason.message;
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 503U);
+    EXPECT_FALSE(world.proxy->isReady());
+    world.rows.config = config;
+    EXPECT_TRUE(world.run([&world] {
+        return world.proxy->isReady();
+    }));
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r2"))), 200U);
+}
+
+TEST(ProxyConfig, BrokenRowsLeaveTheLastGoodState)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    world.rows.servers["s3"] = "broken";
+    ASSERT_TRUE(world.start());
+    world.rows.config = "{";
+    world.rows.version++;
+    EXPECT_TRUE(world.run([&world] {
+        return std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
+            return it.find("peer=configuration") != std::string::npos;
+        });
+    }));
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
+}
+
+/** A turn of a program with a budget, and what the store does. */
+struct BudgetCase
+{
+    const char *name;     ///< For the test's name.
+    unsigned budget;      ///< Tokens of the program.
+    bool isStoreAway;     ///< True if the store refuses writes.
+    unsigned status;      ///< Expected status of the third turn.
+    std::size_t attempts; ///< Expected requests at servers.
+};
+
+class ProxyBudget : public ::testing::TestWithParam<BudgetCase>
+{
+};
+
+TEST_P(ProxyBudget, IsKept)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
+    });
+    world.rows.refusesWrites = GetParam().isStoreAway;
+    ASSERT_TRUE(world.start());
+    const auto headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: " + std::to_string(GetParam().budget) + "\r\n";
+    std::string answer;
+    for (int n = 0; n < 3; n++) {
+        answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers));
+    }
+    EXPECT_EQ(statusOf(answer), GetParam().status);
+    EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), GetParam().attempts);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyBudget,
+                         ::testing::Values(BudgetCase{"holds", 1000, false, 200, 3},
+                                           BudgetCase{"spent", 20, false, 402, 2},
+                                           BudgetCase{"storeAway", 1000, true, 503, 0}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+TEST(ProxyStop, AnswersWhatItHasRead)
+{
+    bool mayAnswer = false;
+    ProxyWorld world([&mayAnswer](const std::string &) {
+        return mayAnswer ? Script{goodAnswer("ok")} : Script{};
+    });
+    ASSERT_TRUE(world.start());
+    bool isStopped = false;
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("GET", "/call/1", "r1"));
+    ASSERT_TRUE(world.run([&world] {
+        return world.first.requests.size() + world.second.requests.size() == 1;
+    }));
+    world.proxy->stop([&isStopped] {
+        isStopped = true;
+    });
+    EXPECT_FALSE(world.proxy->isReady());
+    mayAnswer = true;
+    // Connections that were on their way are still served, and closed with their answer.
+    const auto answer = world.ask(ProxyWorld::request("GET", "/call/2", "r2"));
+    EXPECT_EQ(statusOf(answer), 200U);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_FALSE(isStopped);
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/proxy_world.cpp
@@ -0,0 +1,325 @@
+#include "proxy_world.h"
+
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+std::string base64(const std::string &bytes)
+{
+    std::string text(bytes.size() * 2 + 8, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                  reinterpret_cast<const unsigned char *>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+std::string headerValue(const std::string &request, const std::string &name)
+{
+    const auto at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+/** @return Length of the first whole request, or 0. */
+std::size_t requestLength(const std::string &in, bool headOnly)
+{
+    const auto end = in.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return 0;
+    }
+    const auto length = headerValue(in.substr(0, end + 2), "Content-Length");
+    const std::size_t all = end + 4 + (length.empty() ? 0 : std::stoul(length));
+    return headOnly || in.size() >= all ? std::min(all, in.size()) : 0;
+}
+
+std::string json(const Json &body, unsigned status = 200)
+{
+    const std::string text = body.dump();
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+}
+
+} // namespace
+
+struct ScriptedPeer::Connection
+{
+    explicit Connection(tcp::socket s)
+        : socket(std::move(s))
+    {
+    }
+
+    tcp::socket socket;
+    std::array<char, 4096> buf{};
+    std::string in;
+    std::string out;
+};
+
+ScriptedPeer::ScriptedPeer(boost::asio::io_context &loop, Answer answer)
+    : m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    , m_answer(std::move(answer))
+{
+    accept();
+}
+
+std::uint16_t ScriptedPeer::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+void ScriptedPeer::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
+        if (ec) {
+            return;
+        }
+        opened++;
+        read(std::make_shared<Connection>(std::move(socket)));
+        accept();
+    });
+}
+
+void ScriptedPeer::read(const std::shared_ptr<Connection> &connection)
+{
+    connection->socket.async_read_some(boost::asio::buffer(connection->buf),
+                                       [this, connection](const boost::system::error_code &ec, std::size_t n) {
+                                           if (ec) {
+                                               closed++;
+                                               return;
+                                           }
+                                           connection->in.append(connection->buf.data(), n);
+                                           serve(connection);
+                                       });
+}
+
+void ScriptedPeer::serve(const std::shared_ptr<Connection> &connection)
+{
+    const auto length = requestLength(connection->in, answersEarly);
+    if (length == 0) {
+        read(connection);
+        return;
+    }
+    const std::string request = connection->in.substr(0, length);
+    connection->in.erase(0, length);
+    requests.push_back(request);
+    auto script = m_answer ? m_answer(request) : Script{};
+    for (auto at = script.bytes.find("{id}"); at != std::string::npos; at = script.bytes.find("{id}")) {
+        script.bytes.replace(at, 4, headerValue(request, "Request-Id"));
+    }
+    connection->out = script.bytes;
+    boost::asio::async_write(connection->socket,
+                             boost::asio::buffer(connection->out),
+                             [this, connection, script](const boost::system::error_code &ec, std::size_t) {
+                                 if (script.resets) {
+                                     connection->socket.set_option(boost::asio::socket_base::linger(true, 0));
+                                 }
+                                 if (script.resets || script.closes) {
+                                     connection->socket.close();
+                                 } else if (!ec) {
+                                     read(connection);
+                                 }
+                             });
+}
+
+TestClient::TestClient(boost::asio::io_context &loop, std::uint16_t port)
+    : m_socket(loop)
+{
+    m_socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+    read();
+}
+
+void TestClient::send(const std::string &bytes)
+{
+    boost::system::error_code ec;
+    boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
+}
+
+void TestClient::close()
+{
+    m_socket.close();
+}
+
+void TestClient::read()
+{
+    m_socket.async_read_some(boost::asio::buffer(m_buf), [this](const boost::system::error_code &ec, std::size_t n) {
+        if (ec) {
+            isClosed = true;
+            return;
+        }
+        received.append(m_buf.data(), n);
+        read();
+    });
+}
+
+Script StoreModel::answer(const std::string &request)
+{
+    if (refusesAll) {
+        return {json(Json::object(), 503)};
+    }
+    if (request.find("GET /api/rows-get?table=op") == 0) {
+        Json list = Json::array();
+        if (!config.empty()) {
+            list.push_back({{"key", "config"}, {"value", base64(config)}, {"ver", version}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+    }
+    if (request.find("GET /api/rows-get?table=servers") == 0) {
+        Json list = Json::array();
+        for (const auto &[id, value] : servers) {
+            list.push_back({{"key", id}, {"value", base64(value)}, {"ver", version}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+    }
+    if (refusesWrites) {
+        return {json(Json::object(), 503)};
+    }
+    const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    const std::string key = body["expect"][0]["key"];
+    const auto row = tokens.find(key);
+    if ((row == tokens.end() ? 0 : row->second.second) != body["expect"][0]["ver"].get<int>()) {
+        Json list = Json::array();
+        if (row != tokens.end()) {
+            list.push_back({{"key", key}, {"value", row->second.first}, {"ver", row->second.second}});
+        }
+        return {json({{"rows", list}}, 412)};
+    }
+    tokens[key] = {body["writes"][0]["value"], ++version};
+    return {json({{"ver", version}, {"nowMs", 1}})};
+}
+
+ProxyWorld::ProxyWorld(const ScriptedPeer::Answer &answer)
+    : first(loop, answer)
+    , second(loop, answer)
+    , store(loop, [this](const std::string &request) {
+        return rows.answer(request);
+    })
+{
+    const Json route = {{"name", "call"},
+                        {"host", "h"},
+                        {"prefix", "/call/"},
+                        {"kind", "idempotent"},
+                        {"timeoutMs", 5000},
+                        {"sloMs", 200},
+                        {"service", "svc"},
+                        {"maxAttempts", 2}};
+    Json once = route;
+    once.update({{"name", "once"}, {"prefix", "/once/"}, {"kind", "non_idempotent"}});
+    Json stream = route;
+    stream.update({{"name", "stream"}, {"prefix", "/stream/"}, {"kind", "streaming"}, {"resumable", true}, {"maxAttempts", 1}});
+    Json resumed = stream;
+    resumed.update({{"name", "resumed"}, {"prefix", "/resumed/"}, {"maxAttempts", 2}});
+    Json brief = once;
+    brief.update({{"name", "brief"}, {"prefix", "/brief/"}, {"timeoutMs", 60}});
+    rows.config
+        = Json({{"version", 3},
+                {"routes", {route, once, stream, resumed, brief}},
+                {"services", {{{"name", "svc"}, {"maxConns", 100}, {"engine", {{"slots", 8}, {"tokensPerEvent", 10}}}}}},
+                {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 20000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}})
+              .dump();
+    const auto server = [](std::uint16_t port) {
+        return Json({{"service", "svc"}, {"address", "127.0.0.1:" + std::to_string(port)}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}})
+            .dump();
+    };
+    rows.servers = {{"s1", server(first.port())}, {"s2", server(second.port())}};
+    ProxySettings settings;
+    settings.name = "proxy";
+    settings.zone = "z";
+    settings.incarnation = "1";
+    settings.listen = {"127.0.0.1", 0};
+    settings.readyListen = {"127.0.0.1", 0};
+    settings.store = {"127.0.0.1", store.port()};
+    settings.pollInterval = 5ms;
+    proxy = std::make_unique<Proxy>(loop, settings, [this](LogLevel, EventNumber event, const std::string &fields) {
+        lines.push_back(std::to_string(static_cast<int>(event)) + " " + fields);
+    });
+}
+
+ProxyWorld::~ProxyWorld()
+{
+    proxy.reset();
+    loop.stop();
+}
+
+bool ProxyWorld::run(const std::function<bool()> &until)
+{
+    constexpr std::chrono::seconds LongWhile{20}; // Only a condition that never holds takes so long.
+    const auto end = std::chrono::steady_clock::now() + LongWhile;
+    while (!until()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        loop.restart();
+        loop.run_one_for(5ms);
+    }
+    return true;
+}
+
+bool ProxyWorld::start()
+{
+    Error reason;
+    return proxy->start(reason) && run([this] {
+               return proxy->isReady();
+           });
+}
+
+std::string ProxyWorld::ask(const std::string &text)
+{
+    TestClient client(loop, proxy->port());
+    client.send(text);
+    run([&client] {
+        const auto head = client.received.find("\r\n\r\n");
+        if (client.isClosed || head == std::string::npos) {
+            return client.isClosed;
+        }
+        const auto length = headerValue(client.received, "Content-Length");
+        return length.empty() ? client.received.find("\r\n0\r\n\r\n") != std::string::npos
+                              : client.received.size() >= head + 4 + std::stoul(length);
+    });
+    std::string received = client.received;
+    client.close();
+    run([&client] {
+        return client.isClosed;
+    });
+    return received;
+}
+
+std::string ProxyWorld::request(
+    const std::string &method, const std::string &path, const std::string &id, const std::string &headers, const std::string &body)
+{
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\n" + headers;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + body;
+}
+
+std::string goodAnswer(const std::string &body, const std::string &headers)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\n" + headers + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+std::string streamHead()
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string eventChunk(int id)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: e\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", event.size());
+    return std::string(size.data()) + "\r\n" + event + "\r\n";
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/proxy_world.h
@@ -0,0 +1,124 @@
+/** A proxy between scripted clients, servers and a scripted store, all in one loop on the loopback interface. */
+#pragma once
+
+#include "vanillahall/proxy/proxy_base.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Vanillahall::Forward {
+
+using boost::asio::ip::tcp;
+
+/** What a scripted peer does with one request. */
+struct Script
+{
+    std::string bytes;   ///< Sent at once; "{id}" is replaced by the id of the request.
+    bool closes = false; ///< True to close the connection after that.
+    bool resets = false; ///< True to reset it.
+};
+
+/** A listener that answers each request by a function. */
+class ScriptedPeer
+{
+public:
+    using Answer = std::function<Script(const std::string &request)>; ///< Gets head and body of a request.
+
+    ScriptedPeer(boost::asio::io_context &loop, Answer answer);
+
+    [[nodiscard]] std::uint16_t port() const;
+
+    std::vector<std::string> requests; ///< All requests so far.
+    std::size_t opened = 0;            ///< Connections so far.
+    std::size_t closed = 0;            ///< Connections that the proxy has closed.
+    bool answersEarly = false;         ///< True to answer once the head is in.
+
+private:
+    struct Connection;
+    void accept();
+    void read(const std::shared_ptr<Connection> &connection);
+    void serve(const std::shared_ptr<Connection> &connection);
+
+    tcp::acceptor m_acceptor;
+    Answer m_answer;
+};
+
+/** A client's connection. */
+class TestClient
+{
+public:
+    TestClient(boost::asio::io_context &loop, std::uint16_t port);
+
+    void send(const std::string &bytes);
+    void close();
+
+    std::string received;  ///< Everything so far.
+    bool isClosed = false; ///< True once the proxy has closed the connection.
+
+private:
+    void read();
+
+    tcp::socket m_socket;
+    std::array<char, 4096> m_buf{};
+};
+
+/** The store's rows and how it behaves. */
+struct StoreModel
+{
+    std::string config;                                        ///< Value of the configuration row; empty if there is none.
+    std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
+    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
+    int version = 10;                                          ///< Newest version.
+    bool refusesWrites = false;                                ///< True to answer writes with 503.
+    bool refusesAll = false;                                   ///< True to answer everything with 503.
+
+    /** @return The answer to a call. */
+    Script answer(const std::string &request);
+};
+
+/** Everything together. Servers "s1" and "s2" offer the service "svc". */
+class ProxyWorld
+{
+public:
+    explicit ProxyWorld(const ScriptedPeer::Answer &answer);
+    ~ProxyWorld();
+
+    /** Runs the loop until a condition holds. @return False if it doesn't within a long while. */
+    bool run(const std::function<bool()> &until);
+    /** Starts the proxy and waits until it is ready. */
+    bool start();
+    /** Sends a request and waits until the answer is whole or the connection is closed. @return What came. */
+    std::string ask(const std::string &request);
+    /** @return Text of a request. */
+    static std::string request(const std::string &method,
+                               const std::string &path,
+                               const std::string &id,
+                               const std::string &headers = {},
+                               const std::string &body = {});
+
+    boost::asio::io_context loop;
+    ScriptedPeer first;
+    ScriptedPeer second;
+    StoreModel rows;
+    ScriptedPeer store;
+    std::vector<std::string> lines; ///< Log lines of the proxy.
+    std::unique_ptr<Proxy> proxy;
+};
+
+/** @return A whole, signed answer with a length. */
+std::string goodAnswer(const std::string &body, const std::string &headers = {});
+
+/** @return Head of a signed event stream in chunks. */
+std::string streamHead();
+
+/** @return One event in a chunk of its own. */
+std::string eventChunk(int id);
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/request_reader_test.cpp
@@ -0,0 +1,105 @@
+#include "event_splitter.h"
+#include "request_reader.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr const char *TwoRequests = "POST /a/1?x=y HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nbody"
+                                    "POST /a/2 HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    "3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n";
+
+/** Reads everything; pieces end at the given places. */
+std::vector<ClientRequest> readAll(const std::string &text, const std::vector<std::size_t> &cuts, bool &isFaulty)
+{
+    RequestReader reader;
+    std::vector<ClientRequest> requests;
+    std::string in;
+    std::size_t from = 0;
+    isFaulty = false;
+    for (std::size_t n = 0; n <= cuts.size() && !isFaulty; n++) {
+        const std::size_t to = n == cuts.size() ? text.size() : std::max(from, cuts[n] % (text.size() + 1));
+        in += text.substr(from, to - from);
+        from = to;
+        auto progress = reader.read(in, {}, TimePoint{});
+        while (progress == RequestReader::Progress::Whole) {
+            requests.push_back(reader.take());
+            progress = reader.read(in, {}, TimePoint{});
+        }
+        isFaulty = progress == RequestReader::Progress::Faulty;
+    }
+    return requests;
+}
+
+} // namespace
+
+RC_GTEST_PROP(RequestReaderProperty, SplitsDoNotMatter, (std::vector<std::size_t> cuts))
+{
+    std::sort(cuts.begin(), cuts.end());
+    bool isFaulty = false;
+    const auto requests = readAll(TwoRequests, cuts, isFaulty);
+    RC_ASSERT(!isFaulty);
+    RC_ASSERT(requests.size() == 2U);
+    RC_ASSERT(requests[0].target == "/a/1?x=y");
+    RC_ASSERT(requests[0].body == "body");
+    RC_ASSERT(requests[0].facts.requestId == "r1");
+    RC_ASSERT(requests[1].body == "abcd");
+}
+
+RC_GTEST_PROP(RequestReaderProperty, SpoiltBytesNeverMakeMoreRequests, ())
+{
+    std::string text = TwoRequests;
+    const auto spoils = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+        rc::gen::pair(rc::gen::inRange<std::size_t>(0, std::string(TwoRequests).size()), rc::gen::arbitrary<char>()));
+    for (const auto &[at, byte] : spoils) {
+        text[at] = byte;
+    }
+    bool isFaulty = false;
+    const auto requests = readAll(text, {}, isFaulty);
+    for (const auto &it : requests) {
+        RC_ASSERT(!it.target.empty());
+        RC_ASSERT(it.target.front() == '/');
+        RC_ASSERT(it.headers.find("\n\n") == std::string::npos);
+        RC_ASSERT(it.headers.find("\r\n\r\n") == std::string::npos);
+    }
+}
+
+RC_GTEST_PROP(EventSplitterProperty, EventsAreWholeAndNoneIsLost, (const std::vector<std::uint8_t> &pieces))
+{
+    std::string text;
+    constexpr int Events = 9;
+    for (int n = 1; n <= Events; n++) {
+        text += "id: " + std::to_string(n) + "\ndata: " + std::string(static_cast<std::size_t>(n), 'x') + "\n\n";
+    }
+    EventSplitter splitter;
+    std::string out;
+    std::uint32_t count = 0;
+    std::size_t at = 0;
+    for (const auto it : pieces) {
+        const auto events = splitter.take(text.substr(at, it), std::nullopt);
+        at = std::min(text.size(), at + it);
+        const bool isWhole = events.bytes.empty() || events.bytes.rfind("\n\n") == events.bytes.size() - 2;
+        RC_ASSERT(isWhole);
+        out += events.bytes;
+        count += events.count;
+    }
+    const auto last = splitter.take(text.substr(at), std::nullopt);
+    RC_ASSERT(out + last.bytes == text);
+    RC_ASSERT(count + last.count == static_cast<std::uint32_t>(Events));
+    RC_ASSERT(splitter.takeRest().empty());
+}
+
+TEST(EventSplitter, LeavesOutWhatTheClientHas)
+{
+    EventSplitter splitter;
+    const auto events = splitter.take("id: 1\n\nid: 2\r\ndata: a\r\n\r\nid: 3\n\ntorn", 1);
+    EXPECT_EQ(events.bytes, "id: 2\r\ndata: a\r\n\r\nid: 3\n\n");
+    EXPECT_EQ(events.first, 2U);
+    EXPECT_EQ(events.last, 3U);
+    EXPECT_EQ(splitter.takeRest(), "torn");
+}
+
+} // namespace Vanillahall::Forward
