Proxies know each other by rows in the store, and call the store for one another

Change: a row a proxy, renewed every 4 s, read by all of a region; a call that fails directly is made once through another proxy; connections are shared by the counted number.

--- /dev/null
+++ b/packages/core/include/vanillahall/core/member_book_base.h
@@ -0,0 +1,64 @@
+/**
+ * The other proxies, as their rows in the platform's store show them.
+ * Load pattern: the connections that a server takes are shared by all proxies, however many there are; and a proxy that the store turns
+ * away needs another one that still reaches it.
+ */
+#pragma once
+
+#include "vanillahall/core/time_type.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Vanillahall::Forward {
+
+/** One proxy. */
+struct Member
+{
+    std::string name;        ///< Name of its VM.
+    std::string address;     ///< IP number.
+    std::uint16_t port{};    ///< Port for calls of other proxies.
+    std::uint64_t version{}; ///< Version of its row; grows with each sign of life.
+};
+
+inline constexpr Duration MemberBeat = std::chrono::seconds(4); ///< Between two signs of life; 105 writes a second at 420 VMs.
+inline constexpr Duration MemberSilence
+    = std::chrono::seconds(10); ///< Without a sign of life for so long a proxy is gone; two beats may be lost.
+
+/** Proxies that live. */
+class MemberBook
+{
+public:
+    /** @param self Name of this VM. */
+    explicit MemberBook(std::string self);
+
+    // Commands.
+
+    /** Takes the rows of all proxies. */
+    void update(const std::vector<Member> &rows, TimePoint now);
+    /** A call to a member failed. */
+    void failed(const std::string &name, TimePoint now);
+
+    // Queries.
+
+    /** @return Number of proxies that live, this one included. */
+    [[nodiscard]] std::uint32_t count(TimePoint now) const;
+    /** @return A proxy to call, another one at each `turn`, or null. Those that failed a moment ago come last. */
+    [[nodiscard]] const Member *pick(std::uint64_t turn, TimePoint now) const;
+
+private:
+    /** One proxy and its signs of life. */
+    struct Seen
+    {
+        Member member;      ///< As last read.
+        TimePoint alive{};  ///< When its row was last seen to change.
+        TimePoint failed{}; ///< When a call to it last failed.
+    };
+
+    std::string m_self;
+    std::map<std::string, Seen> m_members;
+};
+
+} // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -73,6 +73,8 @@
     void worked(const std::string &id);
     /** A server refused a request because it is full. */
     void refused(const std::string &id, TimePoint now);
+    /** Sets the number of entries that share each server's connections. */
+    void setEntries(std::uint32_t entries);
     /** Another incarnation has the server's address. */
     void misdirected(const std::string &id);
 
--- /dev/null
+++ b/packages/core/src/commands/member_book_cmd.cpp
@@ -0,0 +1,36 @@
+#include "vanillahall/core/member_book_base.h"
+
+#include <set>
+
+namespace Vanillahall::Forward {
+
+MemberBook::MemberBook(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+void MemberBook::update(const std::vector<Member> &rows, TimePoint now)
+{
+    std::set<std::string> listed;
+    for (const auto &it : rows) {
+        listed.insert(it.name);
+        auto &seen = m_members[it.name];
+        if (seen.member.version != it.version) {
+            seen.alive = now;
+        }
+        seen.member = it;
+    }
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        it = listed.count(it->first) == 0 ? m_members.erase(it) : std::next(it);
+    }
+}
+
+void MemberBook::failed(const std::string &name, TimePoint now)
+{
+    const auto it = m_members.find(name);
+    if (it != m_members.end()) {
+        it->second.failed = now;
+    }
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -141,6 +141,11 @@
     }
 }
 
+void ServerBook::setEntries(std::uint32_t entries)
+{
+    m_settings.entries = std::max(1U, entries);
+}
+
 void ServerBook::misdirected(const std::string &id)
 {
     const auto it = m_places.find(id);
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -33,6 +33,10 @@
     if (!settings.proxyMetricsListen.address.empty()) {
         proxy.metricsListen = toAddress(settings.proxyMetricsListen);
     }
+    proxy.region = settings.region;
+    if (!settings.proxyPeerListen.address.empty()) {
+        proxy.peerListen = toAddress(settings.proxyPeerListen);
+    }
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.stopLimit = settings.proxyStopLimit;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -62,6 +62,7 @@
     Endpoint proxyListen{"127.0.0.1", 0};                                  ///< proxy.listen
     Endpoint proxyReadyListen{"127.0.0.1", 0};                             ///< proxy.ready_listen
     Endpoint proxyMetricsListen;                                           ///< proxy.metrics_listen
+    Endpoint proxyPeerListen;                                              ///< proxy.peer_listen
     std::uint64_t proxyMaxClients = 3000;                                  ///< proxy.max_clients
     std::uint64_t proxyMaxBufferedBytes = std::uint64_t{24} * 1024 * 1024; ///< proxy.max_buffered_bytes
     Duration proxyPollInterval = std::chrono::milliseconds(500);           ///< proxy.poll_interval_ms
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -123,6 +123,13 @@
         answer(StatusPaymentRequired, std::nullopt, "budget_spent");
         return;
     }
+    if (!m_proxy.isStoreNear()) {
+        if (std::holds_alternative<TokenNeedsWrite>(said)) {
+            m_proxy.ledger.notWritten(facts.program);
+        }
+        answer(StatusUnavailable, BackLater, "no_store_for_budget");
+        return;
+    }
     m_waitsForTokens = true;
     m_proxy.waitForTokens(facts.program, shared_from_this());
     if (const auto *needed = std::get_if<TokenNeedsWrite>(&said)) {
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -1,7 +1,8 @@
 #include "proxy_state.h"
 
 #include "proxy_clock.h"
-#include "status_server.h"
+
+#include "vanillahall/platform/wire_header_func.h"
 
 #include <algorithm>
 
@@ -13,6 +14,8 @@
 
 using boost::asio::ip::tcp;
 
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnavailable = 503;
 constexpr Duration StoreLimit = std::chrono::milliseconds(900); ///< Wait for an answer of the store; slow ones take 400 ms.
 constexpr Duration StoreNear = std::chrono::milliseconds(1500); ///< Three polls without an answer mean that the store is away.
 constexpr Duration ListAway = std::chrono::milliseconds(2500);  ///< A list older than this may have lapsed entries.
@@ -32,10 +35,21 @@
     , settings(std::move(proxySettings))
     , book(settings.zone, settings.choice)
     , ledger(settings.name + "/" + settings.incarnation)
-    , store(ioLoop, settings.store)
+    , members(settings.name)
+    , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
-    , readyAcceptor(ioLoop)
-    , metricsAcceptor(ioLoop)
+    , readyServer(ioLoop,
+                  [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+                      answerStatus(request, answer);
+                  })
+    , metricsServer(ioLoop,
+                    [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+                        answerStatus(request, answer);
+                    })
+    , peerServer(ioLoop,
+                 [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+                     answerPeer(request, answer);
+                 })
     , m_log(std::move(log))
     , m_pollTimer(ioLoop)
     , m_stopTimer(ioLoop)
@@ -47,46 +61,18 @@
     m_log(level, event, fields);
 }
 
-bool ProxyState::listen(tcp::acceptor &acceptor, const ProxyAddress &address, Error &reason)
-{
-    boost::system::error_code ec;
-    const auto ip = boost::asio::ip::make_address(address.address, ec);
-    const tcp::endpoint endpoint(ip, address.port);
-    if (!ec) {
-        acceptor.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-        acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-    }
-    if (!ec) {
-        return true;
-    }
-    reason.code = ErrorCode::Internal;
-    reason.step = Step::Configure;
-    reason.peer = address.address + ":" + std::to_string(address.port);
-    reason.message = "can't listen: " + ec.message();
-    return false;
-}
-
 bool ProxyState::start(Error &reason)
 {
-    if (!listen(clientAcceptor, settings.listen, reason) || !listen(readyAcceptor, settings.readyListen, reason)) {
+    if (!openAcceptor(clientAcceptor, settings.listen, reason) || !readyServer.listen(settings.readyListen, reason)) {
         return false;
     }
-    if (settings.metricsListen && !listen(metricsAcceptor, *settings.metricsListen, reason)) {
+    if (settings.metricsListen && !metricsServer.listen(*settings.metricsListen, reason)) {
         return false;
     }
-    acceptClients();
-    acceptStatus(readyAcceptor);
-    if (settings.metricsListen) {
-        acceptStatus(metricsAcceptor);
+    if (settings.peerListen && !peerServer.listen(*settings.peerListen, reason)) {
+        return false;
     }
+    acceptClients();
     poll();
     return true;
 }
@@ -217,7 +203,8 @@
         return;
     }
     m_openPolls = 2;
-    store.call(Platform::readConfigCall(), StoreLimit, [weak = weak_from_this()](const auto &reply, const Error &reason) {
+    beat();
+    store.call(Platform::readConfigCall(), StoreLimit, true, [weak = weak_from_this()](const auto &reply, const Error &reason) {
         if (const auto self = weak.lock()) {
             self->configCame(reply, reason);
         }
@@ -271,7 +258,6 @@
 
 void ProxyState::configCame(const std::optional<StoreReply> &reply, const Error &reason)
 {
-    constexpr unsigned StatusOk = 200;
     Error ec = reason;
     const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
     if (!rows) {
@@ -303,6 +289,7 @@
 {
     store.call(Platform::readServersCall(after),
                StoreLimit,
+               true,
                [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
                    if (const auto self = weak.lock()) {
                        self->serversCame(reply, reason, std::move(list));
@@ -312,7 +299,6 @@
 
 void ProxyState::serversCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Server> list)
 {
-    constexpr unsigned StatusOk = 200;
     Error ec = reason;
     const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
     if (!rows) {
@@ -361,11 +347,12 @@
 void ProxyState::writeTokens(const TokenWrite &write)
 {
     metrics.count("vanillahall_token_writes_total", {"kind", "reserve"});
-    store.call(Platform::writeTokensCall(write), StoreLimit, [weak = weak_from_this(), write](const auto &reply, const Error &reason) {
-        if (const auto self = weak.lock()) {
-            self->tokensWritten(write, reply, reason);
-        }
-    });
+    store.call(
+        Platform::writeTokensCall(write), StoreLimit, false, [weak = weak_from_this(), write](const auto &reply, const Error &reason) {
+            if (const auto self = weak.lock()) {
+                self->tokensWritten(write, reply, reason);
+            }
+        });
 }
 
 void ProxyState::tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason)
@@ -413,7 +400,7 @@
         }
     }
     for (const auto &[part, rows] : byPart) {
-        store.call(Platform::removeTokensCall(rows), StoreLimit, [weak = weak_from_this()](const auto &reply, const Error &reason) {
+        store.call(Platform::removeTokensCall(rows), StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
             const auto self = weak.lock();
             if (self && !reply) {
                 self->storeFailed(reason.message);
@@ -422,19 +409,92 @@
     }
 }
 
-void ProxyState::acceptStatus(tcp::acceptor &acceptor)
+void ProxyState::answerStatus(const MessageRequest &request, const MessageServer::Reply &answer) const
 {
-    acceptor.async_accept([self = shared_from_this(), &acceptor](const boost::system::error_code &ec, tcp::socket socket) {
-        if (!acceptor.is_open()) {
-            return;
-        }
-        if (!ec) {
-            serveStatus(self, std::move(socket));
-        }
-        self->acceptStatus(acceptor);
+    constexpr unsigned StatusNotFound = 404;
+    if (request.target == Platform::ReadinessPath) {
+        answer({isReady() ? StatusOk : StatusUnavailable, {}, {}});
+    } else if (request.target == "/metrics") {
+        answer({StatusOk, "text/plain; version=0.0.4", metrics.text()});
+    } else {
+        answer({StatusNotFound, {}, {}});
+    }
+}
+
+void ProxyState::answerPeer(const MessageRequest &request, const MessageServer::Reply &answer)
+{
+    constexpr unsigned StatusNotFound = 404;
+    constexpr unsigned StatusGatewayTimeout = 504;
+    const Platform::StoreRequest wanted{request.method, request.target, request.body};
+    if (!Platform::isStoreCall(wanted)) {
+        answer({StatusNotFound, {}, {}});
+        return;
+    }
+    if (!isStoreNear()) {
+        answer({StatusUnavailable, {}, {}});
+        return;
+    }
+    metrics.count("vanillahall_store_calls_for_peers_total", {"call", request.method});
+    store.callFor(wanted, StoreLimit, [answer](const auto &reply, const Error &) {
+        answer(reply ? MessageReply{reply->status, "application/json", reply->body} : MessageReply{StatusGatewayTimeout, {}, {}});
     });
 }
 
+void ProxyState::beat()
+{
+    const auto present = now();
+    if (!settings.peerListen || present < m_beatAt) {
+        return;
+    }
+    m_beatAt = present + MemberBeat;
+    const Member self{settings.name, settings.peerListen->address, peerServer.port(), 0};
+    store.call(Platform::writeMemberCall(settings.region, self),
+               StoreLimit,
+               false,
+               [weak = weak_from_this()](const auto &reply, const Error &reason) {
+                   const auto proxy = weak.lock();
+                   if (proxy && !reply) {
+                       proxy->storeFailed(reason.message);
+                   }
+               });
+    readMembers({}, {});
+}
+
+void ProxyState::readMembers(const std::string &after, std::vector<Member> list)
+{
+    store.call(Platform::readMembersCall(settings.region, after),
+               StoreLimit,
+               false,
+               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
+                   if (const auto proxy = weak.lock()) {
+                       proxy->membersCame(reply, reason, std::move(list));
+                   }
+               });
+}
+
+void ProxyState::membersCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Member> list)
+{
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!rows) {
+        storeFailed(ec.message);
+        return;
+    }
+    for (const auto &it : rows->rows) {
+        if (auto member = Platform::decodeMember(it, ec)) {
+            list.push_back(std::move(*member));
+        } else {
+            rowFaulty(ec, it.version);
+        }
+    }
+    if (rows->hasMore && !rows->rows.empty()) {
+        readMembers(rows->rows.back().key, std::move(list));
+        return;
+    }
+    members.update(list, now());
+    book.setEntries(members.count(now()));
+}
+
 void ProxyState::stop(std::function<void()> stopped)
 {
     if (m_isStopping) {
@@ -482,8 +542,9 @@
     m_isShutDown = true;
     boost::system::error_code ec;
     clientAcceptor.close(ec);
-    readyAcceptor.close(ec);
-    metricsAcceptor.close(ec);
+    readyServer.close();
+    metricsServer.close();
+    peerServer.close();
     m_pollTimer.cancel();
     m_stopTimer.cancel();
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -3,8 +3,9 @@
 
 #include "client_session.h"
 #include "exchange.h"
+#include "message_server.h"
 #include "server_link.h"
-#include "store_caller.h"
+#include "store_path.h"
 
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_book_base.h"
@@ -63,15 +64,20 @@
     ServerBook book;
     TokenLedger ledger;
     Metrics metrics;
-    StoreCaller store;
+    MemberBook members;
+    StorePath store;
     boost::asio::ip::tcp::acceptor clientAcceptor;
-    boost::asio::ip::tcp::acceptor readyAcceptor;
-    boost::asio::ip::tcp::acceptor metricsAcceptor;
+    MessageServer readyServer;
+    MessageServer metricsServer;
+    MessageServer peerServer;
 
 private:
-    bool listen(boost::asio::ip::tcp::acceptor &acceptor, const ProxyAddress &address, Error &reason);
     void acceptClients();
-    void acceptStatus(boost::asio::ip::tcp::acceptor &acceptor);
+    void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer) const;
+    void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
+    void beat();
+    void membersCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Member> list);
+    void readMembers(const std::string &after, std::vector<Member> list);
     void poll();
     void pollAgain();
     void configCame(const std::optional<StoreReply> &reply, const Error &reason);
@@ -100,6 +106,7 @@
     std::optional<TimePoint> m_storeAt;
     TimePoint m_stopAt{};
     TimePoint m_cleanAt{};
+    TimePoint m_beatAt{};
     std::function<void()> m_stopped;
     unsigned m_openPolls = 0;
     bool m_isStopping = false;
