Turns wait up to 1.2 s for a store that is away, without calling it, and are told to come back after 1.3 s

Change: a turn without reserved tokens waits for the store's return up to a bounded patience, a third of a usual deadline; reads of the rows go on every 150 ms meanwhile and wake it.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -32,8 +32,9 @@
 constexpr Duration TokenWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
 constexpr Duration TokenPatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
 constexpr Duration BackSoon = std::chrono::milliseconds(250);       ///< Time to come back when all servers are full: a turn's length.
-constexpr Duration BackLater = std::chrono::milliseconds(800);      ///< Time to come back when the store is away.
-constexpr unsigned ObjectiveShare = 4;                              ///< A request waits for a place for a quarter of its objective.
+constexpr Duration BackLater
+    = std::chrono::milliseconds(1300); ///< Time to come back when the store is away; clients use a third of their time at most.
+constexpr unsigned ObjectiveShare = 4; ///< A request waits for a place for a quarter of its objective.
 
 bool isSuccess(unsigned status)
 {
@@ -123,18 +124,36 @@
         answer(StatusPaymentRequired, std::nullopt, "budget_spent");
         return;
     }
-    if (!m_proxy.isStoreNear()) {
-        if (std::holds_alternative<TokenNeedsWrite>(said)) {
-            m_proxy.ledger.notWritten(facts.program);
+    m_waitsForTokens = true;
+    const auto *needed = std::get_if<TokenNeedsWrite>(&said);
+    if (m_proxy.isStoreNear()) {
+        m_proxy.waitForTokens(facts.program, shared_from_this());
+        if (needed != nullptr) {
+            m_proxy.writeTokens(needed->write);
         }
-        answer(StatusUnavailable, BackLater, "no_store_for_budget");
         return;
     }
-    m_waitsForTokens = true;
-    m_proxy.waitForTokens(facts.program, shared_from_this());
-    if (const auto *needed = std::get_if<TokenNeedsWrite>(&said)) {
-        m_proxy.writeTokens(needed->write);
+    if (needed != nullptr) {
+        m_proxy.ledger.notWritten(facts.program);
     }
+    m_proxy.waitForStore(shared_from_this());
+    setTokenTimer(TokenPatience - (now() - m_request.arrived));
+}
+
+void Exchange::setTokenTimer(Duration span)
+{
+    m_waitTimer.expires_after(std::max(Duration::zero(), span));
+    m_waitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->m_isEnded) {
+            return;
+        }
+        if (now() - self->m_request.arrived >= TokenPatience) {
+            self->answer(StatusUnavailable, BackLater, "no_store_for_budget");
+        } else {
+            self->askTokens();
+        }
+    });
 }
 
 void Exchange::tokensChanged(bool isStoreAway)
@@ -142,21 +161,12 @@
     if (m_isEnded || !m_waitsForTokens) {
         return;
     }
+    m_waitTimer.cancel();
     if (!isStoreAway) {
         askTokens();
         return;
     }
-    if (!m_proxy.isStoreNear() || now() - m_request.arrived > TokenPatience) {
-        answer(StatusUnavailable, BackLater, "no_store_for_budget");
-        return;
-    }
-    m_waitTimer.expires_after(TokenWait);
-    m_waitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self && !self->m_isEnded) {
-            self->askTokens();
-        }
-    });
+    setTokenTimer(std::min(TokenWait, TokenPatience - (now() - m_request.arrived)));
 }
 
 void Exchange::place()
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -40,6 +40,7 @@
 
 private:
     void askTokens();
+    void setTokenTimer(Duration span);
     void place();
     void waitForPlace();
     void send(const Choice &choice);
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -16,9 +16,10 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusUnavailable = 503;
-constexpr Duration StoreLimit = std::chrono::milliseconds(900); ///< Wait for an answer of the store; slow ones take 400 ms.
-constexpr Duration StoreNear = std::chrono::milliseconds(1500); ///< Three polls without an answer mean that the store is away.
-constexpr Duration ListAway = std::chrono::milliseconds(2500);  ///< A list older than this may have lapsed entries.
+constexpr Duration StoreLimit = std::chrono::milliseconds(900);   ///< Wait for an answer of the store; slow ones take 400 ms.
+constexpr Duration StoreNear = std::chrono::milliseconds(1500);   ///< Three polls without an answer mean that the store is away.
+constexpr Duration PollWhenAway = std::chrono::milliseconds(150); ///< Between reads while the store is away; requests wait for its return.
+constexpr Duration ListAway = std::chrono::milliseconds(2500);    ///< A list older than this may have lapsed entries.
 constexpr Duration TakeTime
     = std::chrono::milliseconds(3500); ///< After a stop began: two missed questions for readiness and a connection under way.
 constexpr Duration StopStep = std::chrono::milliseconds(50); ///< Between two looks whether a stop is complete.
@@ -218,7 +219,7 @@
         return;
     }
     removeOldTokens();
-    m_pollTimer.expires_after(settings.pollInterval);
+    m_pollTimer.expires_after(isStoreNear() ? settings.pollInterval : std::min(settings.pollInterval, PollWhenAway));
     m_pollTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
         if (!ec && self) {
@@ -233,6 +234,11 @@
     if (std::exchange(m_isStoreAway, false)) {
         log(LogLevel::Info, EventNumber::StoreBack, "peer=store");
     }
+    for (const auto &it : std::exchange(m_storeWaiters, {})) {
+        if (const auto exchange = it.lock()) {
+            exchange->tokensChanged(false);
+        }
+    }
 }
 
 void ProxyState::storeFailed(const std::string &message)
@@ -344,6 +350,11 @@
     m_tokenWaiters[program].push_back(exchange);
 }
 
+void ProxyState::waitForStore(const std::shared_ptr<Exchange> &exchange)
+{
+    m_storeWaiters.push_back(exchange);
+}
+
 void ProxyState::writeTokens(const TokenWrite &write)
 {
     metrics.count("vanillahall_token_writes_total", {"kind", "reserve"});
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -50,6 +50,8 @@
     void writeTokens(const TokenWrite &write);
     /** Puts an exchange among those that wait for a program's tokens. */
     void waitForTokens(const std::string &program, const std::shared_ptr<Exchange> &exchange);
+    /** Puts an exchange among those that wait for the store's return. */
+    void waitForStore(const std::shared_ptr<Exchange> &exchange);
     /** Forgets an exchange that has ended. */
     void exchangeEnded(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
@@ -99,6 +101,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks;
     std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>> m_tokenWaiters;
+    std::vector<std::weak_ptr<Exchange>> m_storeWaiters;
     std::map<std::string, std::uint64_t> m_faultyRows;
     std::uint64_t m_nextSession = 1;
     std::size_t m_heldBytes = 0;
