Turns stay with their program's home server; three engine priorities in place of four

Cause: with a home gain of 20 ms the least load moved turns away from their prompts as soon as queues grew, so bursts made more reading, and short-lived differences of priority preempted runs whose prompts had to be read again.

--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -21,7 +21,7 @@
     double otherZoneMs = 4.0;        ///< Price of a server in another availability zone, in milliseconds.
     double fullMs = 12.0;            ///< Wait for each request beyond a server's slots, in milliseconds.
     double busyMs = 2.0;             ///< Wait for each request that a server has already, in milliseconds.
-    double homeMs = 20.0;            ///< Gain of a program's home server, where later turns at other entries are sent too, in milliseconds.
+    double homeMs = 150.0;           ///< Gain of a program's home server, where later turns at other entries are sent too, in milliseconds.
     std::uint32_t newTokens = 500;   ///< Prompt tokens that a turn adds to its line, where the line isn't known here.
     double doubtMs = 400.0;          ///< Price of a server that failed a moment ago, in milliseconds.
     std::uint32_t entries = 12;      ///< Entries that share each server's connections.
--- a/packages/core/include/vanillahall/core/urgency_func.h
+++ b/packages/core/include/vanillahall/core/urgency_func.h
@@ -9,8 +9,7 @@
 
 namespace Vanillahall::Forward {
 
-inline constexpr Duration PressingTime = std::chrono::milliseconds(1500); ///< Less time left than about five turns take.
-inline constexpr Duration NearTime = std::chrono::milliseconds(4000);     ///< Less time left than most programs have at their start.
+inline constexpr Duration NearTime = std::chrono::milliseconds(4000); ///< Less time left than most programs have at their start.
 
 /**
  * @param timeLeft Time until the program should have ended; nothing if the request belongs to no program.
--- a/packages/core/src/queries/urgency_query.cpp
+++ b/packages/core/src/queries/urgency_query.cpp
@@ -4,7 +4,7 @@
 
 std::uint32_t enginePriority(std::optional<Duration> timeLeft)
 {
-    constexpr std::uint32_t Pressing = 2;
+    // Few steps: a turn that overtakes another in memory costs the other one its whole prompt.
     constexpr std::uint32_t Near = 4;
     constexpr std::uint32_t Ordinary = 5;
     constexpr std::uint32_t Late = 8;
@@ -14,9 +14,6 @@
     if (*timeLeft <= Duration::zero()) {
         return Late;
     }
-    if (*timeLeft < PressingTime) {
-        return Pressing;
-    }
     return *timeLeft < NearTime ? Near : Ordinary;
 }
 
