One token write for all turns that wait; descriptors and memory of a proxy follow the VM's limits

Sub-agents of a program begin together and each waited for a write of its own (12 ms one after the other); now the second write serves all that wait. max_files and memory_mb replace max_clients and max_buffered_bytes: half of the descriptors serve clients, a fifth of the memory holds bodies.

--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -95,6 +95,7 @@
         std::uint64_t here{};                ///< Tokens reserved by this entry and not in use.
         std::uint64_t asked{};               ///< Tokens that the open or unfinished write reserves; 0 if there is none.
         std::optional<TokenWrite> openWrite; ///< Write under way, or of unknown outcome.
+        std::uint64_t waiting{};             ///< Tokens that turns asked for while a write was under way.
         bool isWriting = false;              ///< True if the open write is under way.
         TimePoint lastUse{};                 ///< Last ask or end of a turn.
     };
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -1,6 +1,7 @@
 #include "vanillahall/core/token_ledger_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
@@ -18,6 +19,7 @@
         return TokenGranted{};
     }
     if (account.isWriting) {
+        account.waiting += ask.most;
         return TokenBusy{};
     }
     if (account.openWrite) {
@@ -29,8 +31,13 @@
     if (account.row.reserved + missing > ask.budget + ask.most) {
         return TokenSpent{account.row.reserved};
     }
-    std::uint64_t amount = missing + (TurnsAhead - 1) * ask.most;
+    // One write for all turns that wait, as sub-agents begin together.
+    const std::uint64_t others = std::exchange(account.waiting, 0);
+    std::uint64_t amount = missing + std::max(others, (TurnsAhead - 1) * ask.most);
     if (account.row.reserved + amount > ask.budget / 2) {
+        amount = missing + others;
+    }
+    if (account.row.reserved + amount > ask.budget) {
         amount = missing;
     }
     TokenWrite write{ask.program, account.row};
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -4,6 +4,8 @@
 
 #include "vanillahall/proxy/proxy_base.h"
 
+#include <algorithm>
+
 #include <sys/stat.h>
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +19,11 @@
 constexpr std::chrono::milliseconds LogFlush{250}; ///< Between two writes of buffered log lines.
 constexpr unsigned FileLookEvery = 4;              ///< Flushes between two looks at the settings file: one a second.
 
+constexpr std::uint64_t BytesOfMb = std::uint64_t{1024} * 1024;
+constexpr std::uint64_t BodyShare = 5;        ///< Bodies get a fifth of the memory; answers to slow readers may need as much.
+constexpr std::uint64_t FilesForOthers = 250; ///< Files, listeners, the store and other proxies.
+constexpr std::uint64_t ClientShare = 2;      ///< Each client's request may need a connection to a server.
+
 Forward::ProxyAddress toAddress(const Endpoint &endpoint)
 {
     return {endpoint.address, endpoint.port};
@@ -40,8 +47,8 @@
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.stopLimit = settings.proxyStopLimit;
-    proxy.maxBufferedBytes = settings.proxyMaxBufferedBytes;
-    proxy.maxClients = settings.proxyMaxClients;
+    proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesOfMb / BodyShare;
+    proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, FilesForOthers)) / ClientShare;
     return proxy;
 }
 
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -27,47 +27,47 @@
 /** Every setting. The table in table/settings_table.h gives name, form and default of each. */
 struct Settings
 {
-    Role role = Role::Entry;                                               ///< process.role
-    std::string name;                                                      ///< process.name
-    std::string zone;                                                      ///< process.zone
-    std::string region;                                                    ///< process.region
-    Endpoint linkListen{"127.0.0.1", 0};                                   ///< link.listen
-    std::string linkKeyFile;                                               ///< link.key_file
-    TlsFiles linkTls;                                                      ///< link.certificate, link.private_key, link.authority
-    Endpoint entryListen{"127.0.0.1", 0};                                  ///< entry.listen
-    TlsFiles entryTls;                                                     ///< entry.certificate, entry.private_key
-    std::string tokensFile;                                                ///< entry.tokens_file
-    std::string defaultClass;                                              ///< entry.default_class
-    std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024;           ///< entry.max_body_bytes
-    std::uint64_t maxConnections = 4096;                                   ///< entry.max_connections
-    std::uint64_t maxRequestsPerCustomer = 1024;                           ///< entry.max_requests_per_customer
-    Endpoint store;                                                        ///< platform.store
-    Endpoint vmList;                                                       ///< platform.vm_list
-    Duration vmListPoll = std::chrono::seconds(1);                         ///< platform.vm_list_poll_ms
-    Duration leaseTime = std::chrono::seconds(3);                          ///< lease.time_ms
-    Duration renewInterval = std::chrono::seconds(1);                      ///< lease.renew_interval_ms
-    Duration commitWindow = std::chrono::milliseconds(10);                 ///< lease.commit_window_ms
-    Duration modelTimeLimit = std::chrono::minutes(5);                     ///< entry.model_time_limit_ms
-    Duration serviceTimeLimit = std::chrono::seconds(30);                  ///< entry.service_time_limit_ms
-    Duration gateGone = std::chrono::seconds(10);                          ///< entry.gate_gone_ms
-    std::string serverKind = "model";                                      ///< gate.kind
-    Endpoint server;                                                       ///< gate.server
-    std::string service;                                                   ///< gate.service
-    std::uint64_t slots = 8;                                               ///< gate.slots
-    std::uint64_t maxWaiting = 1000;                                       ///< gate.max_waiting
-    Duration loadPoll = std::chrono::milliseconds(250);                    ///< gate.load_poll_ms
-    Duration streamSilence = std::chrono::seconds(3);                      ///< gate.stream_silence_ms
-    Duration stopLimit = std::chrono::minutes(2);                          ///< process.stop_limit_ms
-    std::uint64_t agreedMissesPerThousand = 10;                            ///< report.agreed_misses_per_thousand
-    Endpoint proxyListen{"127.0.0.1", 0};                                  ///< proxy.listen
-    Endpoint proxyReadyListen{"127.0.0.1", 0};                             ///< proxy.ready_listen
-    Endpoint proxyMetricsListen;                                           ///< proxy.metrics_listen
-    Endpoint proxyPeerListen;                                              ///< proxy.peer_listen
-    std::uint64_t proxyMaxClients = 3000;                                  ///< proxy.max_clients
-    std::uint64_t proxyMaxBufferedBytes = std::uint64_t{24} * 1024 * 1024; ///< proxy.max_buffered_bytes
-    Duration proxyPollInterval = std::chrono::milliseconds(500);           ///< proxy.poll_interval_ms
-    Duration proxyStopLimit = std::chrono::seconds(7);                     ///< proxy.stop_limit_ms
-    std::string logLevel = "info";                                         ///< log.level
+    Role role = Role::Entry;                                     ///< process.role
+    std::string name;                                            ///< process.name
+    std::string zone;                                            ///< process.zone
+    std::string region;                                          ///< process.region
+    Endpoint linkListen{"127.0.0.1", 0};                         ///< link.listen
+    std::string linkKeyFile;                                     ///< link.key_file
+    TlsFiles linkTls;                                            ///< link.certificate, link.private_key, link.authority
+    Endpoint entryListen{"127.0.0.1", 0};                        ///< entry.listen
+    TlsFiles entryTls;                                           ///< entry.certificate, entry.private_key
+    std::string tokensFile;                                      ///< entry.tokens_file
+    std::string defaultClass;                                    ///< entry.default_class
+    std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024; ///< entry.max_body_bytes
+    std::uint64_t maxConnections = 4096;                         ///< entry.max_connections
+    std::uint64_t maxRequestsPerCustomer = 1024;                 ///< entry.max_requests_per_customer
+    Endpoint store;                                              ///< platform.store
+    Endpoint vmList;                                             ///< platform.vm_list
+    Duration vmListPoll = std::chrono::seconds(1);               ///< platform.vm_list_poll_ms
+    Duration leaseTime = std::chrono::seconds(3);                ///< lease.time_ms
+    Duration renewInterval = std::chrono::seconds(1);            ///< lease.renew_interval_ms
+    Duration commitWindow = std::chrono::milliseconds(10);       ///< lease.commit_window_ms
+    Duration modelTimeLimit = std::chrono::minutes(5);           ///< entry.model_time_limit_ms
+    Duration serviceTimeLimit = std::chrono::seconds(30);        ///< entry.service_time_limit_ms
+    Duration gateGone = std::chrono::seconds(10);                ///< entry.gate_gone_ms
+    std::string serverKind = "model";                            ///< gate.kind
+    Endpoint server;                                             ///< gate.server
+    std::string service;                                         ///< gate.service
+    std::uint64_t slots = 8;                                     ///< gate.slots
+    std::uint64_t maxWaiting = 1000;                             ///< gate.max_waiting
+    Duration loadPoll = std::chrono::milliseconds(250);          ///< gate.load_poll_ms
+    Duration streamSilence = std::chrono::seconds(3);            ///< gate.stream_silence_ms
+    Duration stopLimit = std::chrono::minutes(2);                ///< process.stop_limit_ms
+    std::uint64_t agreedMissesPerThousand = 10;                  ///< report.agreed_misses_per_thousand
+    Endpoint proxyListen{"127.0.0.1", 0};                        ///< proxy.listen
+    Endpoint proxyReadyListen{"127.0.0.1", 0};                   ///< proxy.ready_listen
+    Endpoint proxyMetricsListen;                                 ///< proxy.metrics_listen
+    Endpoint proxyPeerListen;                                    ///< proxy.peer_listen
+    std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
+    std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
+    Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
+    Duration proxyStopLimit = std::chrono::seconds(7);           ///< proxy.stop_limit_ms
+    std::string logLevel = "info";                               ///< log.level
 };
 
 /** One fault in the settings. */
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -22,12 +22,13 @@
 constexpr Duration ListAway = std::chrono::milliseconds(2500);    ///< A list older than this may have lapsed entries.
 constexpr Duration TakeTime
     = std::chrono::milliseconds(3500); ///< After a stop began: two missed questions for readiness and a connection under way.
-constexpr Duration StopStep = std::chrono::milliseconds(50); ///< Between two looks whether a stop is complete.
-constexpr Duration CleanInterval = std::chrono::seconds(5);  ///< Between two looks for rows of programs that have ended.
-constexpr Duration KeepTokens = std::chrono::seconds(150);   ///< A program may come back for a minute after its last turn.
-constexpr std::size_t MaxRemoved = 100;                      ///< Rows of one transaction.
-constexpr std::size_t MaxIdleLinks = 6;                      ///< Idle connections kept to one server.
-constexpr std::size_t MaxFaultyRows = 200;                   ///< Faulty rows remembered so that each is logged once.
+constexpr Duration AcceptPause = std::chrono::milliseconds(50); ///< After a connection couldn't be taken, as when no descriptor is free.
+constexpr Duration StopStep = std::chrono::milliseconds(50);    ///< Between two looks whether a stop is complete.
+constexpr Duration CleanInterval = std::chrono::seconds(5);     ///< Between two looks for rows of programs that have ended.
+constexpr Duration KeepTokens = std::chrono::seconds(150);      ///< A program may come back for a minute after its last turn.
+constexpr std::size_t MaxRemoved = 100;                         ///< Rows of one transaction.
+constexpr std::size_t MaxIdleLinks = 6;                         ///< Idle connections kept to one server.
+constexpr std::size_t MaxFaultyRows = 200;                      ///< Faulty rows remembered so that each is logged once.
 
 } // namespace
 
@@ -54,6 +55,7 @@
     , m_log(std::move(log))
     , m_pollTimer(ioLoop)
     , m_stopTimer(ioLoop)
+    , m_acceptTimer(ioLoop)
 {
 }
 
@@ -88,10 +90,18 @@
             const auto session = std::make_shared<ClientSession>(std::move(socket), *self, self->m_nextSession++);
             self->m_sessions[session->number()] = session;
             session->start();
-        } else if (ec) {
-            self->log(LogLevel::Warning, EventNumber::DependencyLost, "peer=clients why=\"accept: " + ec.message() + '"');
         }
-        self->acceptClients();
+        if (!ec) {
+            self->acceptClients();
+            return;
+        }
+        self->log(LogLevel::Warning, EventNumber::DependencyLost, "peer=clients why=\"accept: " + ec.message() + '"');
+        self->m_acceptTimer.expires_after(AcceptPause);
+        self->m_acceptTimer.async_wait([self](const boost::system::error_code &error) {
+            if (!error && self->clientAcceptor.is_open()) {
+                self->acceptClients();
+            }
+        });
     });
 }
 
@@ -558,6 +568,7 @@
     peerServer.close();
     m_pollTimer.cancel();
     m_stopTimer.cancel();
+    m_acceptTimer.cancel();
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -97,6 +97,7 @@
     ProxyLog m_log;
     boost::asio::steady_timer m_pollTimer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_acceptTimer;
     std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks;
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -109,6 +109,30 @@
     EXPECT_TRUE(std::holds_alternative<TokenNeedsWrite>(ledger.ask({"p", Budget, Most}, Start)));
 }
 
+TEST(TokenLedger, OneWriteServesAllTurnsThatWaited)
+{
+    constexpr std::uint64_t Large = 10000;
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    const auto first = ledger.ask({"p", Large, Most}, Start);
+    constexpr int Waiting = 5;
+    for (int n = 0; n < Waiting; n++) {
+        EXPECT_TRUE(std::holds_alternative<TokenBusy>(ledger.ask({"p", Large, Most}, Start)));
+    }
+    ledger.written("p", *rows.write(std::get<TokenNeedsWrite>(first).write));
+    int writes = 0;
+    for (int n = 0; n <= Waiting; n++) {
+        auto answer = ledger.ask({"p", Large, Most}, Start);
+        if (const auto *needed = std::get_if<TokenNeedsWrite>(&answer)) {
+            writes++;
+            ledger.written("p", *rows.write(needed->write));
+            answer = ledger.ask({"p", Large, Most}, Start);
+        }
+        EXPECT_TRUE(isGranted(answer));
+    }
+    EXPECT_EQ(writes, 1);
+}
+
 TEST(TokenLedger, LostAnswerIsFoundDone)
 {
     RowModel rows;
