Contents that break their servers are counted over all proxies and refused

A request may crash each server that runs it and come again through any entry. Broken attempts are counted by method, path and body, shared as rows of the store that every proxy reads each 2 s, and cleared by an answer; after three the content is answered 503 and reaches no server for two minutes.

--- /dev/null
+++ b/packages/core/src/queries/crash_book_query.cpp
@@ -0,0 +1,24 @@
+#include "vanillahall/core/crash_book_base.h"
+
+#include <xxhash.h>
+
+namespace Vanillahall::Forward {
+
+std::uint64_t contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body)
+{
+    auto hash = XXH3_64bits(method.data(), method.size());
+    hash = XXH3_64bits_withSeed(target.data(), target.size(), hash);
+    // A body tells contents apart by itself; requests without one differ only by who sends them.
+    const auto &content = body.empty() ? program : body;
+    return XXH3_64bits_withSeed(content.data(), content.size(), hash);
+}
+
+bool CrashBook::isRefused(std::uint64_t content) const
+{
+    const auto own = m_own.find(content);
+    const auto others = m_others.find(content);
+    const std::uint32_t breaks = (own == m_own.end() ? 0 : own->second.breaks) + (others == m_others.end() ? 0 : others->second);
+    return breaks >= CrashLimit;
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -100,6 +100,11 @@
             self->timeOut();
         }
     });
+    m_content = contentHash(m_request.method, target, facts.program, m_request.body);
+    if (m_proxy.crashes.isRefused(m_content)) {
+        answer(StatusUnavailable, CrashMemory, "content_quarantined");
+        return;
+    }
     askTokens();
 }
 
@@ -370,6 +375,7 @@
         return;
     }
     m_proxy.book.worked(m_choice.server.id);
+    m_proxy.contentWorked(m_content);
     endAttempt();
     if (!m_hasBegunAnswer) {
         if (!m_isStreaming && m_head.hasBody) {
@@ -403,6 +409,9 @@
         attemptFailed(AttemptFailure::NoConnection, failure.message);
         return;
     }
+    if (m_failure == AttemptFailure::Broken) {
+        m_proxy.contentBroke(m_content);
+    }
     attemptFailed(m_failure, m_failureText.empty() ? failure.message : m_failureText);
 }
 
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -73,6 +73,7 @@
     std::optional<TimePoint> m_placedAt;
     std::optional<TimePoint> m_firstByteAt;
     std::uint64_t m_configVersion = 0;
+    std::uint64_t m_content = 0;
     std::uint64_t m_tokensHeld = 0;
     std::uint64_t m_eventsOut = 0;
     std::optional<std::uint64_t> m_lastEvent;
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -24,11 +24,13 @@
     = std::chrono::milliseconds(3500); ///< After a stop began: two missed questions for readiness and a connection under way.
 constexpr Duration AcceptPause = std::chrono::milliseconds(50); ///< After a connection couldn't be taken, as when no descriptor is free.
 constexpr Duration StopStep = std::chrono::milliseconds(50);    ///< Between two looks whether a stop is complete.
-constexpr Duration CleanInterval = std::chrono::seconds(5);     ///< Between two looks for rows of programs that have ended.
-constexpr Duration KeepTokens = std::chrono::seconds(150);      ///< A program may come back for a minute after its last turn.
-constexpr std::size_t MaxRemoved = 100;                         ///< Rows of one transaction.
-constexpr std::size_t MaxIdleLinks = 6;                         ///< Idle connections kept to one server.
-constexpr std::size_t MaxFaultyRows = 200;                      ///< Faulty rows remembered so that each is logged once.
+constexpr Duration CrashRead
+    = std::chrono::seconds(2); ///< Between reads of shared counts; a content may be refused everywhere 3 s after it broke the third server.
+constexpr Duration CleanInterval = std::chrono::seconds(5); ///< Between two looks for rows of programs that have ended.
+constexpr Duration KeepTokens = std::chrono::seconds(150);  ///< A program may come back for a minute after its last turn.
+constexpr std::size_t MaxRemoved = 100;                     ///< Rows of one transaction.
+constexpr std::size_t MaxIdleLinks = 6;                     ///< Idle connections kept to one server.
+constexpr std::size_t MaxFaultyRows = 200;                  ///< Faulty rows remembered so that each is logged once.
 
 } // namespace
 
@@ -215,6 +217,10 @@
     }
     m_openPolls = 2;
     beat();
+    if (now() >= m_crashesAt) {
+        m_crashesAt = now() + CrashRead;
+        readCrashes({}, {});
+    }
     store.call(Platform::readConfigCall(), StoreLimit, true, [weak = weak_from_this()](const auto &reply, const Error &reason) {
         if (const auto self = weak.lock()) {
             self->configCame(reply, reason);
@@ -228,7 +234,7 @@
     if (--m_openPolls != 0 || m_isShutDown) {
         return;
     }
-    removeOldTokens();
+    removeOldRows();
     m_pollTimer.expires_after(isStoreNear() ? settings.pollInterval : std::min(settings.pollInterval, PollWhenAway));
     m_pollTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
@@ -406,13 +412,14 @@
     }
 }
 
-void ProxyState::removeOldTokens()
+void ProxyState::removeOldRows()
 {
     const auto present = now();
     if (present < m_cleanAt) {
         return;
     }
     m_cleanAt = present + CleanInterval;
+    removeCrashes(crashes.forget(present));
     std::map<std::string, std::vector<TokenWrite>> byPart;
     for (auto &it : ledger.forget(present - KeepTokens)) {
         auto &rows = byPart[Platform::tokenPart(it.program)];
@@ -421,12 +428,7 @@
         }
     }
     for (const auto &[part, rows] : byPart) {
-        store.call(Platform::removeTokensCall(rows), StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
-            const auto self = weak.lock();
-            if (self && !reply) {
-                self->storeFailed(reason.message);
-            }
-        });
+        callStore(Platform::removeTokensCall(rows));
     }
 }
 
@@ -469,16 +471,77 @@
     }
     m_beatAt = present + MemberBeat;
     const Member self{settings.name, settings.peerListen->address, peerServer.port(), 0};
-    store.call(Platform::writeMemberCall(settings.region, self),
+    callStore(Platform::writeMemberCall(settings.region, self));
+    readMembers({}, {});
+}
+
+void ProxyState::callStore(const Platform::StoreRequest &request)
+{
+    store.call(request, StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
+        const auto proxy = weak.lock();
+        if (proxy && !reply) {
+            proxy->storeFailed(reason.message);
+        }
+    });
+}
+
+void ProxyState::contentBroke(std::uint64_t content)
+{
+    const bool wasRefused = crashes.isRefused(content);
+    callStore(Platform::writeCrashCall(settings.name, crashes.broke(content, now())));
+    if (!wasRefused && crashes.isRefused(content)) {
+        log(LogLevel::Warning, EventNumber::ContentQuarantined, "content=" + std::to_string(content));
+    }
+}
+
+void ProxyState::contentWorked(std::uint64_t content)
+{
+    if (crashes.worked(content)) {
+        removeCrashes({content});
+    }
+}
+
+void ProxyState::removeCrashes(const std::vector<std::uint64_t> &contents)
+{
+    if (!contents.empty()) {
+        callStore(Platform::removeCrashesCall(settings.name, contents));
+    }
+}
+
+void ProxyState::readCrashes(const std::string &after, std::vector<CrashCount> list)
+{
+    store.call(Platform::readCrashesCall(after),
                StoreLimit,
                false,
-               [weak = weak_from_this()](const auto &reply, const Error &reason) {
-                   const auto proxy = weak.lock();
-                   if (proxy && !reply) {
-                       proxy->storeFailed(reason.message);
+               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
+                   if (const auto proxy = weak.lock()) {
+                       proxy->crashesCame(reply, reason, std::move(list));
                    }
                });
-    readMembers({}, {});
+}
+
+void ProxyState::crashesCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<CrashCount> list)
+{
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!rows) {
+        storeFailed(ec.message);
+        return;
+    }
+    for (const auto &it : rows->rows) {
+        std::string writer;
+        const auto count = Platform::decodeCrash(it, writer, ec);
+        if (!count) {
+            rowFaulty(ec, it.version);
+        } else if (writer != settings.name) {
+            list.push_back(*count);
+        }
+    }
+    if (rows->hasMore && !rows->rows.empty()) {
+        readCrashes(rows->rows.back().key, std::move(list));
+        return;
+    }
+    crashes.share(list);
 }
 
 void ProxyState::readMembers(const std::string &after, std::vector<Member> list)
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -7,6 +7,7 @@
 #include "server_link.h"
 #include "store_path.h"
 
+#include "vanillahall/core/crash_book_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_book_base.h"
 #include "vanillahall/core/token_ledger_base.h"
@@ -52,6 +53,10 @@
     void waitForTokens(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Puts an exchange among those that wait for the store's return. */
     void waitForStore(const std::shared_ptr<Exchange> &exchange);
+    /** Counts a broken attempt of a content and shares the count. */
+    void contentBroke(std::uint64_t content);
+    /** An attempt of a content was answered. */
+    void contentWorked(std::uint64_t content);
     /** Forgets an exchange that has ended. */
     void exchangeEnded(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
@@ -65,6 +70,7 @@
     RouteTable routes;
     ServerBook book;
     TokenLedger ledger;
+    CrashBook crashes;
     Metrics metrics;
     MemberBook members;
     StorePath store;
@@ -78,6 +84,11 @@
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer) const;
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void beat();
+    void readCrashes(const std::string &after, std::vector<CrashCount> list);
+    void crashesCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<CrashCount> list);
+    void removeCrashes(const std::vector<std::uint64_t> &contents);
+    /** Makes a call whose answer doesn't matter but for a failure. */
+    void callStore(const Platform::StoreRequest &request);
     void membersCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Member> list);
     void readMembers(const std::string &after, std::vector<Member> list);
     void poll();
@@ -90,7 +101,7 @@
     void storeFailed(const std::string &message);
     void rowFaulty(const Error &reason, std::uint64_t version);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
-    void removeOldTokens();
+    void removeOldRows();
     void stopStep();
     void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
 
@@ -111,6 +122,7 @@
     TimePoint m_stopAt{};
     TimePoint m_cleanAt{};
     TimePoint m_beatAt{};
+    TimePoint m_crashesAt{};
     std::function<void()> m_stopped;
     unsigned m_openPolls = 0;
     bool m_isStopping = false;
--- /dev/null
+++ b/tests/core/crash_book_test.cpp
@@ -0,0 +1,78 @@
+#include "vanillahall/core/crash_book_base.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+
+} // namespace
+
+TEST(CrashBook, RefusesAContentAfterBreaksAtAnyEntry)
+{
+    CrashBook book;
+    book.broke(7, Start);
+    EXPECT_FALSE(book.isRefused(7));
+    book.share({{7, 1}, {7, 1}, {8, 2}});
+    EXPECT_TRUE(book.isRefused(7));
+    EXPECT_FALSE(book.isRefused(8));
+    EXPECT_EQ(book.broke(8, Start).breaks, 1U);
+    EXPECT_TRUE(book.isRefused(8));
+    EXPECT_FALSE(book.isRefused(9));
+}
+
+TEST(CrashBook, AnAnswerClearsTheCount)
+{
+    CrashBook book;
+    book.broke(7, Start);
+    book.broke(7, Start);
+    EXPECT_TRUE(book.worked(7));
+    EXPECT_FALSE(book.worked(7));
+    book.broke(7, Start);
+    EXPECT_FALSE(book.isRefused(7));
+}
+
+TEST(CrashBook, OldCountsAreForgotten)
+{
+    CrashBook book;
+    book.broke(7, Start);
+    EXPECT_TRUE(book.forget(Start + CrashMemory - 1s).empty());
+    EXPECT_EQ(book.forget(Start + CrashMemory), std::vector<std::uint64_t>{7});
+}
+
+/** Two requests and whether they are the same content. */
+struct ContentCase
+{
+    const char *name;    ///< For the test's name.
+    const char *target;  ///< Target of the second request.
+    const char *program; ///< Program of the second request.
+    const char *body;    ///< Body of both.
+    bool isSame;         ///< Expected, against POST /a of program p.
+};
+
+class Content : public ::testing::TestWithParam<ContentCase>
+{
+};
+
+TEST_P(Content, IsPathAndBody)
+{
+    const auto &param = GetParam();
+    EXPECT_EQ(contentHash("POST", "/a", "p", param.body) == contentHash("POST", param.target, param.program, param.body), param.isSame);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         Content,
+                         ::testing::Values(ContentCase{"same", "/a", "p", "body", true},
+                                           ContentCase{"otherProgram", "/a", "q", "body", true},
+                                           ContentCase{"otherPath", "/b", "p", "body", false},
+                                           ContentCase{"noBody", "/a", "p", "", true},
+                                           ContentCase{"noBodyOtherProgram", "/a", "q", "", false}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+} // namespace Vanillahall::Forward
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -122,6 +122,7 @@
 {
     ChoiceSettings settings;
     settings.newTokens = 3000;
+    settings.homeMs = 20;
     ServerBook book("z1", settings);
     book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
     const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
@@ -132,6 +133,19 @@
     EXPECT_EQ(chosen(book, turnOf("p", {{1, 500}, {2, 3400}})), other);
 }
 
+TEST(ServerBook, TurnsReturnToTheirHomeEvenIfAnEarlierOneRanElsewhere)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
+    const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
+    const auto home = chosen(book, facts);
+    const std::string other = home == "a" ? "b" : "a";
+    book.began(other, 3500, facts, Start);
+    book.ended(other, 3500, false);
+    // The other entries send this program's turns to its home, too.
+    EXPECT_EQ(chosen(book, turnOf("p", {{1, 500}, {2, 3400}})), home);
+}
+
 TEST(ServerBook, RefusedFailedAndAvoidedServersArePassedOver)
 {
     ServerBook book("z1", {});
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -347,6 +347,21 @@
                              return it.param.name;
                          });
 
+TEST(ProxyCrash, ContentThatBreaksItsServersIsRefusedBeforeItReachesMore)
+{
+    ProxyWorld world([](const std::string &request) {
+        return request.find("poison") != std::string::npos ? Script{"", true} : Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    std::string answer;
+    for (int n = 0; n < 5; n++) {
+        answer = world.ask(ProxyWorld::request("POST", "/call/1", "r" + std::to_string(n), {}, "poison"));
+    }
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_LE(world.first.requests.size() + world.second.requests.size(), 4U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "other", {}, "harmless"))), 200U);
+}
+
 TEST(ProxyStop, AnswersWhatItHasRead)
 {
     bool mayAnswer = false;
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -179,10 +179,16 @@
         }
         return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
     }
+    if (request.find("GET /api/rows-get?") == 0) {
+        return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+    }
     if (refusesWrites) {
         return {json(Json::object(), 503)};
     }
     const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    if (body["expect"].empty()) {
+        return {json({{"ver", ++version}, {"nowMs", 1}})};
+    }
     const std::string key = body["expect"][0]["key"];
     const auto row = tokens.find(key);
     if ((row == tokens.end() ? 0 : row->second.second) != body["expect"][0]["ver"].get<int>()) {
