vanillahall explain; outcomes as a table; gauges; a resumed stream that nobody goes on with ends without a second head

Found while reading: a refused attempt to resume a stream replaced the head of the answer under way, and a resume that found no free server wrote a 502 head into the open stream. Test ProxyStream.EndsWithoutASecondHeadIfNoServerGoesOn failed on the second once the first was mended, passes now.

--- a/packages/ctl/src/command_func.h
+++ b/packages/ctl/src/command_func.h
@@ -31,6 +31,8 @@
 CommandExit reportBurn(const CommandContext &context);
 /** program show PROGRAM */
 CommandExit showProgram(const CommandContext &context);
+/** explain ID */
+CommandExit explainId(const CommandContext &context);
 /** metrics */
 CommandExit showMetrics(const CommandContext &context);
 
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -1,5 +1,6 @@
 #include "command_func.h"
 
+#include "log_story.h"
 #include "request_func.h"
 
 #include "vanillahall/core/error_func.h"
@@ -237,6 +238,18 @@
     return showJson(context, "/v1/inspect/" + context.words[0]);
 }
 
+CommandExit explainId(const CommandContext &context)
+{
+    const auto story = tellStory(std::cin, context.words.front());
+    for (const auto &it : story) {
+        std::cout << it << '\n';
+    }
+    if (story.empty()) {
+        std::cerr << "no log line names " << context.words.front() << '\n';
+    }
+    return story.empty() ? CommandExit::Refused : CommandExit::Done;
+}
+
 CommandExit showMetrics(const CommandContext &context)
 {
     return showJson(context, "/metrics");
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -76,10 +76,11 @@
     if (row == nullptr) {
         return usage("expected a command");
     }
-    if (!takeAddress(entry, context)) {
+    const bool needsEntry = row->run != explainId;
+    if (needsEntry && !takeAddress(entry, context)) {
         return usage("expected --entry IP:PORT or " + std::string(EntryVariable));
     }
-    if (!takeToken(tokenFile, context)) {
+    if (needsEntry && !takeToken(tokenFile, context)) {
         return usage("expected --token-file FILE or " + std::string(TokenFileVariable) + ", with a token in it");
     }
     context.words.assign(words.begin() + (row->verb.empty() ? 1 : 2), words.end());
--- a/packages/ctl/src/table/command_table.h
+++ b/packages/ctl/src/table/command_table.h
@@ -33,6 +33,7 @@
     {"outcome", "settle", "PROGRAM TURN ran|not-run", 3, settleOutcome, "Records what an operator found out about such a call."},
     {"program", "show", "PROGRAM", 1, showProgram, "Shows a program turn by turn."},
     {"report", "burn", "", 0, reportBurn, "Shows missed targets and how fast the agreed rate is being used up."},
+    {"explain", "", "ID", 1, explainId, "Tells from log lines on standard input what happened to a request or program."},
     {"state", "", "", 0, showState, "Shows what the entry holds and knows."},
     {"metrics", "", "", 0, showMetrics, "Shows the entry's counters."},
 });
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -71,14 +71,14 @@
 void Exchange::start()
 {
     if (!m_proxy.routes.isLoaded()) {
-        answer(StatusUnavailable, BackSoon, "no_configuration");
+        answer(StatusUnavailable, BackSoon, Outcome::NoConfiguration);
         return;
     }
     m_configVersion = m_proxy.routes.config().version;
     const std::string_view target = m_request.target;
     const auto *route = m_proxy.routes.find(m_request.host, target.substr(0, target.find('?')));
     if (route == nullptr) {
-        answer(StatusNotFound, std::nullopt, "no_route");
+        answer(StatusNotFound, std::nullopt, Outcome::NoRoute);
         return;
     }
     m_route = *route;
@@ -87,7 +87,7 @@
     const auto &services = m_proxy.routes.config().services;
     const auto service = services.find(m_service);
     if (service == services.end()) {
-        answer(StatusUnavailable, BackSoon, "no_service");
+        answer(StatusUnavailable, BackSoon, Outcome::NoService);
         return;
     }
     m_maxConnections = service->second.maxConnections;
@@ -102,7 +102,7 @@
     });
     m_content = contentHash(m_request.method, target, facts.program, m_request.body);
     if (m_proxy.crashes.isRefused(m_content)) {
-        answer(StatusUnavailable, CrashMemory, "content_quarantined");
+        answer(StatusUnavailable, CrashMemory, Outcome::ContentQuarantined);
         return;
     }
     askTokens();
@@ -126,7 +126,7 @@
         return;
     }
     if (std::holds_alternative<TokenSpent>(said)) {
-        answer(StatusPaymentRequired, std::nullopt, "budget_spent");
+        answer(StatusPaymentRequired, std::nullopt, Outcome::BudgetSpent);
         return;
     }
     m_waitsForTokens = true;
@@ -154,7 +154,7 @@
             return;
         }
         if (now() - self->m_request.arrived >= TokenPatience) {
-            self->answer(StatusUnavailable, BackLater, "no_store_for_budget");
+            self->answer(StatusUnavailable, BackLater, Outcome::NoStoreForBudget);
         } else {
             self->askTokens();
         }
@@ -189,11 +189,11 @@
 {
     const bool isLong = now() - m_request.arrived > m_route.objective / ObjectiveShare;
     if (m_mayHaveRun != 0) {
-        answer(StatusBadGateway, std::nullopt, "no_other_server");
+        answer(StatusBadGateway, std::nullopt, Outcome::NoOtherServer);
         return;
     }
     if (isLong || !m_proxy.book.hasServer(m_service)) {
-        answerNotRun(m_proxy.book.hasServer(m_service) ? "servers_full" : "no_server");
+        answerNotRun(m_proxy.book.hasServer(m_service) ? Outcome::ServersFull : Outcome::NoServer);
         return;
     }
     m_avoided.clear();
@@ -256,7 +256,7 @@
     }
     if (facts.isNotRun || head.status == StatusMisdirected) {
         m_isRefusal = true;
-        m_head = head;
+        m_refusalStatus = head.status;
         return true;
     }
     const bool isOurs = facts.requestId && *facts.requestId == m_request.facts.requestId;
@@ -361,12 +361,12 @@
     m_link.reset();
     if (m_isRefusal) {
         m_mayHaveRun--;
-        if (m_head.status == StatusMisdirected) {
+        if (m_refusalStatus == StatusMisdirected) {
             m_proxy.book.misdirected(m_choice.server.id);
         } else {
             m_proxy.book.refused(m_choice.server.id, now());
         }
-        attemptFailed(AttemptFailure::Refused, "status " + std::to_string(m_head.status));
+        attemptFailed(AttemptFailure::Refused, "status " + std::to_string(m_refusalStatus));
         return;
     }
     const std::string rest = m_isStreaming ? m_events.takeRest() : std::string();
@@ -397,7 +397,7 @@
     if (!m_isClientGone) {
         m_session->finish(keeps);
     }
-    end(status, m_isClientGone ? "client_gone" : "answered");
+    end(status, m_isClientGone ? Outcome::ClientGone : Outcome::Answered);
 }
 
 void Exchange::linkFailed(const LinkFailure &failure)
@@ -438,27 +438,31 @@
         place();
         return;
     case NextStep::AnswerNotRun:
-        answerNotRun(failure == AttemptFailure::Refused ? "servers_full" : "servers_unreachable");
+        answerNotRun(failure == AttemptFailure::Refused ? Outcome::ServersFull : Outcome::ServersUnreachable);
         return;
     case NextStep::AnswerFailed:
-        answer(StatusBadGateway, std::nullopt, "server_failed");
+        answer(StatusBadGateway, std::nullopt, Outcome::ServerFailed);
         return;
     case NextStep::BreakOff:
-        breakOff("server_broke_off");
+        breakOff(Outcome::ServerBrokeOff);
         return;
     }
 }
 
-void Exchange::answerNotRun(const char *outcome)
+void Exchange::answerNotRun(Outcome outcome)
 {
     answer(StatusUnavailable, BackSoon, outcome);
 }
 
-void Exchange::answer(unsigned status, std::optional<Duration> retryAfter, const char *outcome)
+void Exchange::answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome)
 {
     if (m_isEnded) {
         return;
     }
+    if (m_hasBegunAnswer) {
+        breakOff(outcome);
+        return;
+    }
     const bool keeps = m_request.keepsAlive && !m_proxy.isStopping();
     if (!m_isClientGone) {
         m_session->write(ownAnswer({status, m_request.facts.requestId, retryAfter, keeps}));
@@ -467,7 +471,7 @@
     end(status, outcome);
 }
 
-void Exchange::breakOff(const char *outcome)
+void Exchange::breakOff(Outcome outcome)
 {
     if (!m_isClientGone) {
         m_session->breakOff();
@@ -487,11 +491,11 @@
         endAttempt();
     }
     if (m_hasBegunAnswer) {
-        breakOff("time_limit");
+        breakOff(Outcome::TimeLimit);
     } else if (m_mayHaveRun != 0) {
-        answer(StatusGatewayTimeout, std::nullopt, "time_limit");
+        answer(StatusGatewayTimeout, std::nullopt, Outcome::TimeLimit);
     } else {
-        answerNotRun("time_limit");
+        answerNotRun(Outcome::TimeLimit);
     }
 }
 
@@ -510,7 +514,7 @@
         m_link.reset();
         endAttempt();
     }
-    end(0, "client_gone");
+    end(0, Outcome::ClientGone);
 }
 
 void Exchange::drained()
@@ -528,7 +532,7 @@
     }
 }
 
-void Exchange::end(unsigned status, const char *outcome)
+void Exchange::end(unsigned status, Outcome outcome)
 {
     if (m_isEnded) {
         return;
@@ -542,14 +546,15 @@
     const auto ended = now();
     std::ostringstream line;
     line << "request=" << facts.requestId << " program=" << facts.program << " session=" << facts.session << " route=" << m_route.name
-         << " config=" << m_configVersion << " status=" << status << " outcome=" << outcome << " servers=" << m_servers
+         << " config=" << m_configVersion << " status=" << status << " outcome=" << outcomeName(outcome) << " servers=" << m_servers
          << " tries=" << m_tries << " placed_ms=" << (m_placedAt ? ms(*m_placedAt - m_request.arrived) : -1)
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
+         << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
          << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens << " prompt=" << facts.promptTokens
          << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
          << " program_left_ms=" << (facts.programTimeLeft ? ms(*facts.programTimeLeft) : -1);
     m_proxy.log(LogLevel::Info, EventNumber::RequestEnded, line.str());
-    m_proxy.metrics.count("vanillahall_requests_total", {"outcome", outcome});
+    m_proxy.metrics.count("vanillahall_requests_total", {"outcome", std::string(outcomeName(outcome))});
     m_proxy.metrics.observe("vanillahall_request_seconds", {"route", m_route.name}, ended - m_request.arrived);
     if (m_session) {
         m_proxy.exchangeEnded(*m_session);
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -6,6 +6,7 @@
 #include "server_link.h"
 
 #include "vanillahall/core/attempt_rule_func.h"
+#include "vanillahall/core/forward_outcome_type.h"
 #include "vanillahall/core/server_book_base.h"
 
 #include <set>
@@ -47,15 +48,15 @@
     [[nodiscard]] std::string requestText(const Server &server) const;
     void attemptFailed(AttemptFailure failure, const std::string &message);
     void endAttempt();
-    void answer(unsigned status, std::optional<Duration> retryAfter, const char *outcome);
-    void answerNotRun(const char *outcome);
+    void answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome);
+    void answerNotRun(Outcome outcome);
     void beginAnswer();
     void passOn(std::string_view bytes);
     void passEvents(const WholeEvents &events);
     void finishAnswer();
     void timeOut();
-    void breakOff(const char *outcome);
-    void end(unsigned status, const char *outcome);
+    void breakOff(Outcome outcome);
+    void end(unsigned status, Outcome outcome);
     void settleTokens();
     [[nodiscard]] Duration left() const;
     [[nodiscard]] bool isLastTry() const;
@@ -82,6 +83,7 @@
     Choice m_choice;
     AttemptFailure m_failure = AttemptFailure::Broken;
     std::string m_failureText;
+    unsigned m_refusalStatus = 0;
     std::uint32_t m_tries = 0;
     std::uint32_t m_mayHaveRun = 0;
     AnswerHead m_head;
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -172,6 +172,11 @@
     return routes.isLoaded() && m_serversAt.has_value() && !m_isStopping;
 }
 
+Duration ProxyState::listAge() const
+{
+    return m_serversAt ? now() - *m_serversAt : Duration::zero();
+}
+
 bool ProxyState::isStoreNear() const
 {
     return m_storeAt && now() - *m_storeAt < StoreNear;
@@ -432,12 +437,26 @@
     }
 }
 
-void ProxyState::answerStatus(const MessageRequest &request, const MessageServer::Reply &answer) const
+void ProxyState::setGauges()
+{
+    metrics.gauge("vanillahall_client_connections", static_cast<double>(m_sessions.size()));
+    metrics.gauge("vanillahall_requests_open", static_cast<double>(m_exchanges.size()));
+    metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(m_heldBytes));
+    metrics.gauge("vanillahall_servers_known", static_cast<double>(book.size()));
+    metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
+    metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
+    metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
+    metrics.gauge("vanillahall_proxies_known", members.count(now()));
+    metrics.gauge("vanillahall_store_reachable_directly", store.isDirectAway() ? 0 : 1);
+}
+
+void ProxyState::answerStatus(const MessageRequest &request, const MessageServer::Reply &answer)
 {
     constexpr unsigned StatusNotFound = 404;
     if (request.target == Platform::ReadinessPath) {
         answer({isReady() ? StatusOk : StatusUnavailable, {}, {}});
     } else if (request.target == "/metrics") {
+        setGauges();
         answer({StatusOk, "text/plain; version=0.0.4", metrics.text()});
     } else {
         answer({StatusNotFound, {}, {}});
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -62,6 +62,8 @@
     void log(LogLevel level, EventNumber event, const std::string &fields);
 
     [[nodiscard]] bool isReady() const;
+    /** @return Age of the list of servers. */
+    [[nodiscard]] Duration listAge() const;
     /** @return True if the store has answered a moment ago. */
     [[nodiscard]] bool isStoreNear() const;
 
@@ -81,7 +83,8 @@
 
 private:
     void acceptClients();
-    void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer) const;
+    void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
+    void setGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void beat();
     void readCrashes(const std::string &after, std::vector<CrashCount> list);
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -225,6 +225,19 @@
     EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST(ProxyStream, EndsWithoutASecondHeadIfNoServerGoesOn)
+{
+    std::size_t asked = 0;
+    ProxyWorld world([&](const std::string &) {
+        return asked++ == 0 ? Script{streamHead() + eventChunk(1), true} : Script{NotRun};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
+    EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
 {
     ProxyWorld world([](const std::string &) {
