--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -133,6 +133,7 @@
     const auto *needed = std::get_if<TokenNeedsWrite>(&said);
     if (m_proxy.isStoreNear()) {
         m_proxy.waitForTokens(facts.program, shared_from_this());
+        setTokenTimer(TokenPatience - (now() - m_request.arrived));
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
         }
