Slow and failing servers lose their programs until they are tried again

Change: the time between two events is compared with the service's usual one, failures are a fading share, a silent server and 5xx answers count as failing.

--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -23,6 +23,8 @@
     double busyMs = 2.0;             ///< Wait for each request that a server has already, in milliseconds.
     double homeMs = 150.0;           ///< Gain of a program's home server, where later turns at other entries are sent too, in milliseconds.
     std::uint32_t newTokens = 500;   ///< Prompt tokens that a turn adds to its line, where the line isn't known here.
+    double slowMs = 200.0;           ///< Price of a server for each multiple of the usual time for an event, in milliseconds.
+    double troubleMs = 300.0;        ///< Price of a server all of whose requests fail, in milliseconds.
     double doubtMs = 400.0;          ///< Price of a server that failed a moment ago, in milliseconds.
     std::uint32_t entries = 12;      ///< Entries that share each server's connections.
 };
@@ -70,7 +72,9 @@
     /** A server couldn't be reached or broke a connection. */
     void failed(const std::string &id, TimePoint now);
     /** A server answered properly. */
-    void worked(const std::string &id);
+    void worked(const std::string &id, TimePoint now);
+    /** A stream has ended. @param perEvent Time between two of its events. */
+    void paced(const std::string &id, Duration perEvent, TimePoint now);
     /** A server refused a request because it is full. */
     void refused(const std::string &id, TimePoint now);
     /** Sets the number of entries that share each server's connections. */
@@ -97,6 +101,10 @@
         std::uint32_t running = 0;        ///< Requests of this entry there.
         std::uint64_t unread = 0;         ///< Prompt tokens of this entry's requests that have no first event yet.
         std::uint32_t others = 0;         ///< Requests of other entries, as last told.
+        double trouble = 0;               ///< Share of failures, the latest counting most; fades with time.
+        TimePoint troubleAt{};            ///< When `trouble` was last changed.
+        double paceMs = 0;                ///< Time between two events, the latest counting most; 0 if unknown.
+        TimePoint paceAt{};               ///< Age of `paceMs`.
         std::uint32_t failures = 0;       ///< Failures in a row.
         TimePoint doubtUntil{};           ///< Avoided until then because it failed.
         TimePoint fullUntil{};            ///< Avoided until then because it was full.
@@ -121,14 +129,17 @@
     void remember(const std::string &id, const RequestFacts &facts);
     [[nodiscard]] std::uint32_t readTokens(const Place &place, const RequestFacts &facts) const;
     [[nodiscard]] const Place *home(const ChoiceRequest &request) const;
+    [[nodiscard]] static double troubleOf(const Place &place, TimePoint now);
     [[nodiscard]] std::uint32_t unreadTokens(const Place &place, const Place *home, const RequestFacts &facts) const;
+    [[nodiscard]] double slowness(const Place &place, TimePoint now) const;
     [[nodiscard]] double expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const;
 
     std::string m_zone;
     ChoiceSettings m_settings;
     std::unordered_map<std::string, Place> m_places;
     std::unordered_map<std::uint64_t, Part> m_parts;
-    std::list<std::uint64_t> m_partUse; ///< Least recently used first.
+    std::unordered_map<std::string, double> m_paceMs; ///< Usual time between two events, by service.
+    std::list<std::uint64_t> m_partUse;               ///< Least recently used first.
 };
 
 inline constexpr Duration LapseGrace = std::chrono::milliseconds(1900); ///< Servers that live are listed again within 2 s.
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -7,8 +7,13 @@
 namespace {
 
 constexpr Duration FirstDoubt = std::chrono::milliseconds(300); ///< After one failure; a restart takes longer, a lost answer doesn't.
-constexpr std::uint32_t MaxDoublings = 3;                       ///< Of the time after further failures.
-constexpr Duration FullTime = std::chrono::milliseconds(60);    ///< A slot comes free within this time at a busy server.
+constexpr double FailureWeight = 0.35;                          ///< Two failures in a row outweigh the gain of a home.
+constexpr double SuccessWeight = 0.1;                           ///< A server that fails one request of five keeps half of that price.
+constexpr double PaceWeight = 0.3;                              ///< A few streams show that a server has become slow.
+constexpr double UsualPaceWeight = 0.02;  ///< Slower by far than one server's, so that one slow server doesn't count as usual.
+constexpr double MaxPaceStep = 1.5;       ///< A slower stream counts as this multiple of the usual pace.
+constexpr std::uint32_t MaxDoublings = 3; ///< Of the time after further failures.
+constexpr Duration FullTime = std::chrono::milliseconds(60); ///< A slot comes free within this time at a busy server.
 
 bool isSameRun(const Server &a, const Server &b)
 {
@@ -119,15 +124,35 @@
 {
     const auto it = m_places.find(id);
     if (it != m_places.end()) {
+        it->second.trouble = troubleOf(it->second, now);
+        it->second.trouble += FailureWeight * (1 - it->second.trouble);
+        it->second.troubleAt = now;
         it->second.doubtUntil = now + FirstDoubt * (1U << std::min(it->second.failures, MaxDoublings));
         it->second.failures++;
     }
 }
 
-void ServerBook::worked(const std::string &id)
+void ServerBook::paced(const std::string &id, Duration perEvent, TimePoint now)
+{
+    const auto it = m_places.find(id);
+    if (it == m_places.end()) {
+        return;
+    }
+    auto &place = it->second;
+    const double ms = std::chrono::duration<double, std::milli>(perEvent).count();
+    place.paceMs += (place.paceMs == 0 ? 1 : PaceWeight) * (ms - place.paceMs);
+    place.paceAt = now;
+    auto &usual = m_paceMs[place.server.service];
+    // A few slow servers must not pass for usual.
+    usual += usual == 0 ? ms : UsualPaceWeight * (std::min(ms, MaxPaceStep * usual) - usual);
+}
+
+void ServerBook::worked(const std::string &id, TimePoint now)
 {
     const auto it = m_places.find(id);
     if (it != m_places.end()) {
+        it->second.trouble = (1 - SuccessWeight) * troubleOf(it->second, now);
+        it->second.troubleAt = now;
         it->second.failures = 0;
         it->second.doubtUntil = {};
     }
--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -1,6 +1,7 @@
 #include "vanillahall/core/server_book_base.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <xxhash.h>
 
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr Duration OthersTrusted = std::chrono::milliseconds(600); ///< Older reports of other entries' load count half.
+constexpr double TroubleHalfLifeSeconds = 2.0;                     ///< A server that is left alone is tried again after a few seconds.
+constexpr Duration PaceTrusted = std::chrono::seconds(3);          ///< After that a slow server is tried again.
+constexpr double OrdinarySpread = 1.6;                             ///< Crowding alone makes events this many times slower than usual.
 constexpr std::uint32_t MinConnections = 4;                        ///< Connections an entry may always hold to one server.
 
 /** @return Rank of a server for a key, the same at each entry, so that turns of a program meet again without any talk. */
@@ -47,6 +51,21 @@
     return sum;
 }
 
+double ServerBook::troubleOf(const Place &place, TimePoint now)
+{
+    const double age = std::chrono::duration<double>(now - place.troubleAt).count();
+    return place.trouble * std::exp2(-age / TroubleHalfLifeSeconds);
+}
+
+double ServerBook::slowness(const Place &place, TimePoint now) const
+{
+    const auto usual = m_paceMs.find(place.server.service);
+    if (usual == m_paceMs.end() || usual->second <= 0 || now - place.paceAt > PaceTrusted) {
+        return 0;
+    }
+    return std::max(0.0, place.paceMs / usual->second - OrdinarySpread);
+}
+
 double ServerBook::expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const
 {
     double ms = (static_cast<double>(place.unread) + unread) / m_settings.promptTokensPerMs;
@@ -60,6 +79,7 @@
     if (place.server.zone != m_zone) {
         ms += m_settings.otherZoneMs;
     }
+    ms += slowness(place, now) * m_settings.slowMs + troubleOf(place, now) * m_settings.troubleMs;
     if (now < place.doubtUntil || now < place.fullUntil) {
         ms += m_settings.doubtMs;
     }
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -21,10 +21,13 @@
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusMisdirected = 421;
 constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusServerError = 500;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
+constexpr std::uint32_t PacedEvents = 3;                           ///< Fewer events say little about a server's pace.
+constexpr Duration MutePatience = std::chrono::milliseconds(1000); ///< A server that is silent for so long counts as failing.
 constexpr std::size_t MaxHeld
     = std::size_t{256} * 1024; ///< Body that is held back until it is whole; longer ones are passed on as they come.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(40);    ///< A server's own answer at the deadline may still come.
@@ -236,6 +239,8 @@
     m_isRefusal = false;
     m_isStreaming = false;
     m_hadFirstEvent = false;
+    m_attemptEvents = 0;
+    m_attemptAt = now();
     m_held.clear();
     m_failure = AttemptFailure::Broken;
     m_failureText.clear();
@@ -311,8 +316,10 @@
     if (events.bytes.empty()) {
         return;
     }
+    m_attemptEvents += events.count;
     if (!m_hadFirstEvent) {
         m_hadFirstEvent = true;
+        m_attemptFirstAt = now();
         m_proxy.book.firstEvent(m_choice.server.id, m_choice.unreadTokens);
     }
     if (!m_hasBegunAnswer) {
@@ -375,7 +382,14 @@
         attemptFailed(AttemptFailure::Broken, "stream ended inside an event");
         return;
     }
-    m_proxy.book.worked(m_choice.server.id);
+    if (m_head.status >= StatusServerError) {
+        m_proxy.book.failed(m_choice.server.id, now());
+    } else {
+        m_proxy.book.worked(m_choice.server.id, now());
+    }
+    if (m_isStreaming && m_attemptEvents > PacedEvents) {
+        m_proxy.book.paced(m_choice.server.id, (now() - m_attemptFirstAt) / (m_attemptEvents - 1), now());
+    }
     m_proxy.contentWorked(m_content);
     endAttempt();
     if (!m_hasBegunAnswer) {
@@ -483,6 +497,7 @@
 void Exchange::timeOut()
 {
     const bool wasSent = m_link && m_link->wasSent();
+    noteMuteServer();
     if (m_link) {
         if (!wasSent) {
             m_mayHaveRun--;
@@ -500,12 +515,20 @@
     }
 }
 
+void Exchange::noteMuteServer()
+{
+    if (m_link && m_link->wasSent() && !m_hadFirstEvent && now() - m_attemptAt > MutePatience) {
+        m_proxy.book.failed(m_choice.server.id, now());
+    }
+}
+
 void Exchange::clientGone()
 {
     if (m_isEnded || m_isClientGone) {
         return;
     }
     m_isClientGone = true;
+    noteMuteServer();
     // Work that must not be repeated goes on to its end; nobody can tell otherwise whether it was done.
     if (m_link && m_link->wasSent() && m_route.repetition == Repetition::NonIdempotent) {
         return;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -56,6 +56,7 @@
     void finishAnswer();
     void timeOut();
     void breakOff(Outcome outcome);
+    void noteMuteServer();
     void end(unsigned status, Outcome outcome);
     void settleTokens();
     [[nodiscard]] Duration left() const;
@@ -77,6 +78,9 @@
     std::uint64_t m_content = 0;
     std::uint64_t m_tokensHeld = 0;
     std::uint64_t m_eventsOut = 0;
+    std::uint32_t m_attemptEvents = 0;
+    TimePoint m_attemptAt{};
+    TimePoint m_attemptFirstAt{};
     std::optional<std::uint64_t> m_lastEvent;
     std::shared_ptr<ServerLink> m_link;
     std::set<std::string> m_avoided;
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -155,13 +155,42 @@
     EXPECT_EQ(chosen(book, plain, {"a", "b"}), "");
     book.failed("a", Start);
     EXPECT_EQ(chosen(book, plain), "b");
-    book.worked("a");
+    book.worked("a", Start);
     book.refused("b", Start);
     EXPECT_EQ(chosen(book, plain), "a");
     book.misdirected("a");
     EXPECT_EQ(chosen(book, plain, {}, Start + 1s), "b");
 }
 
+TEST(ServerBook, ASlowHomeIsLeftUntilItIsTriedAgain)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
+    const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
+    const auto home = chosen(book, facts);
+    for (int n = 0; n < 20; n++) {
+        for (const auto *it : {"a", "b", "c"}) {
+            book.paced(it, it == home ? 125ms : 25ms, Start);
+        }
+    }
+    EXPECT_NE(chosen(book, facts), home);
+    EXPECT_EQ(chosen(book, facts, {}, Start + 10s), home);
+}
+
+TEST(ServerBook, AHomeThatFailsPartOfItsRequestsIsLeft)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
+    const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
+    const auto home = chosen(book, facts);
+    for (int n = 0; n < 10; n++) {
+        book.failed(home, Start);
+        book.worked(home, Start);
+    }
+    EXPECT_NE(chosen(book, facts), home);
+    EXPECT_EQ(chosen(book, facts, {}, Start + 10s), home);
+}
+
 TEST(ServerBook, ConnectionsAreSharedAmongEntries)
 {
     ChoiceSettings settings;
