--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -25,6 +25,7 @@
     std::uint32_t newTokens = 500;   ///< Prompt tokens that a turn adds to its line, where the line isn't known here.
     double slowMs = 200.0;           ///< Price of a server for each multiple of the usual time for an event, in milliseconds.
     double troubleMs = 300.0;        ///< Price of a server all of whose requests fail, in milliseconds.
+    double coldMs = 100.0;           ///< Price of a server that is still slow after its start, in milliseconds.
     double doubtMs = 400.0;          ///< Price of a server that failed a moment ago, in milliseconds.
     std::uint32_t entries = 12;      ///< Entries that share each server's connections.
 };
@@ -109,6 +110,7 @@
         TimePoint doubtUntil{};           ///< Avoided until then because it failed.
         TimePoint fullUntil{};            ///< Avoided until then because it was full.
         TimePoint othersAt{};             ///< Age of `others`.
+        TimePoint coldUntil{};            ///< Slow until then after its start.
         std::optional<TimePoint> lapseAt; ///< Given up then if it is still missing in the list.
         bool isUsable = true;             ///< False once it drains, is gone or has lost its address.
     };
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -39,6 +39,7 @@
             Place place;
             place.running = known == m_places.end() ? 0 : known->second.running;
             place.server = it;
+            place.coldUntil = now + it.coldLeft;
             place.isUsable = !it.isDraining;
             m_places[it.id] = std::move(place);
             changed.push_back(it.id);
--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -80,6 +80,9 @@
         ms += m_settings.otherZoneMs;
     }
     ms += slowness(place, now) * m_settings.slowMs + troubleOf(place, now) * m_settings.troubleMs;
+    if (now < place.coldUntil) {
+        ms += m_settings.coldMs;
+    }
     if (now < place.doubtUntil || now < place.fullUntil) {
         ms += m_settings.doubtMs;
     }
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -104,6 +104,10 @@
         refuse(StatusBadRequest, "Transfer-Encoding other than chunked");
         return false;
     }
+    if (head.count(std::string(Platform::RequestIdHeader)) != 1) {
+        refuse(StatusBadRequest, "request id missing or given twice");
+        return false;
+    }
     m_request.method = std::string(view(head.method_string()));
     m_request.target = std::string(view(head.target()));
     if (m_request.target.empty() || m_request.target.front() != '/') {
@@ -120,7 +124,8 @@
         const auto name = view(it.name_string());
         const auto value = view(it.value());
         Platform::readRequestHeader(m_request.facts, name, value);
-        if (Platform::requestHeaderUse(name) != Platform::HeaderUse::Forward || (!connection.empty() && isListed(connection, name))) {
+        if (Platform::requestHeaderUse(name) != Platform::HeaderUse::Forward
+            || (!connection.empty() && isListed(connection, name) && !Platform::isRequestId(name))) {
             continue;
         }
         m_request.headers.append(name).append(": ").append(value).append("\r\n");
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -191,6 +191,18 @@
     EXPECT_EQ(chosen(book, facts, {}, Start + 10s), home);
 }
 
+TEST(ServerBook, ColdServersWarmUpBeforeTheyAreChosen)
+{
+    ServerBook book("z1", {});
+    auto cold = serverOf("a");
+    cold.coldLeft = 2s;
+    book.update({cold, serverOf("b")}, false, Start);
+    const RequestFacts plain;
+    book.began("b", 0, plain, Start);
+    EXPECT_EQ(chosen(book, plain), "b");
+    EXPECT_EQ(chosen(book, plain, {}, Start + 3s), "a");
+}
+
 TEST(ServerBook, ConnectionsAreSharedAmongEntries)
 {
     ChoiceSettings settings;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -101,7 +101,7 @@
                                                       "/once/1?a=b",
                                                       "r1",
                                                       "Deadline-Ms: 900\r\nHold: x\r\nKv-From: y\r\nPin-Ms: 5\r\nX-Unknown: kept\r\n"
-                                                      "Connection: X-Hop\r\nX-Hop: dropped\r\n",
+                                                      "Connection: X-Hop, Request-Id\r\nX-Hop: dropped\r\n",
                                                       "body"));
     ASSERT_EQ(statusOf(answer), 200U);
     EXPECT_NE(answer.find("X-Own: 1"), std::string::npos);
@@ -153,22 +153,29 @@
     All,
     Framing,
     ::testing::Values(
-        FramingCase{
-            "bothLengths", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+        FramingCase{"bothLengths",
+                    "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                    400},
         FramingCase{"bothLengthsTurned",
-                    "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+                    "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+                    400},
+        FramingCase{
+            "twoLengths", "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+        FramingCase{
+            "oddEncoding", "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
+        FramingCase{"oddChunk",
+                    "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
                     400},
-        FramingCase{"twoLengths", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
-        FramingCase{"oddEncoding", "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
-        FramingCase{"oddChunk", "POST /call/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n", 400},
-        FramingCase{"foldedLine", "GET /call/1 HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400},
+        FramingCase{"foldedLine", "GET /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nX: a\r\n b\r\n\r\n", 400},
         FramingCase{"bareLf", "GET /call/1 HTTP/1.1\r\nHost: h\nX: a\r\n\r\n", 400},
-        FramingCase{"spaceBeforeColon", "GET /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc", 400},
+        FramingCase{"spaceBeforeColon", "GET /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length : 3\r\n\r\nabc", 400},
+        FramingCase{"noId", "GET /call/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        FramingCase{"twoIds", "GET /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nRequest-Id: s\r\n\r\n", 400},
         FramingCase{"noHost", "GET /call/1 HTTP/1.1\r\n\r\n", 400},
         FramingCase{"twoHosts", "GET /call/1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400},
         FramingCase{"absoluteTarget", "GET http://h/call/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
         FramingCase{"largeHeaders", "GET /call/1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(5000, 'a') + "\r\n\r\n", 431},
-        FramingCase{"largeBody", "POST /call/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20001\r\n\r\n", 413}),
+        FramingCase{"largeBody", "POST /call/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 20001\r\n\r\n", 413}),
     [](const auto &it) {
         return it.param.name;
     });
