Token rows of proxies that are gone are swept; the proxy's two large files are split by job

Rows of programs that nobody wrote for 150 s are removed, one part of the table every 5 s a proxy; an entry writes a row again before it hands out tokens held for more than 90 s, so that no row in use is removed.

--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -96,6 +96,8 @@
         std::uint64_t asked{};               ///< Tokens that the open or unfinished write reserves; 0 if there is none.
         std::optional<TokenWrite> openWrite; ///< Write under way, or of unknown outcome.
         std::uint64_t waiting{};             ///< Tokens that turns asked for while a write was under way.
+        TimePoint writeBegan{};              ///< When the open write was asked for.
+        TimePoint written{};                 ///< When the row was last written from here.
         bool isWriting = false;              ///< True if the open write is under way.
         TimePoint lastUse{};                 ///< Last ask or end of a turn.
     };
@@ -108,4 +110,9 @@
 /** Turns that one write reserves ahead while less than half of the budget is reserved; saves most writes of an ordinary program. */
 inline constexpr std::uint64_t TurnsAhead = 3;
 
+/** Rows that nobody wrote for so long are removed, as their programs have ended: they come back for a minute after their last turn. */
+inline constexpr Duration TokenRowLife = std::chrono::seconds(150);
+/** Tokens held for longer than this are handed out only after the row was written again, so that a row in use is never removed. */
+inline constexpr Duration TokenRowRefresh = std::chrono::seconds(90);
+
 } // namespace Vanillahall::Forward
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -14,7 +14,8 @@
 {
     auto &account = m_accounts[ask.program];
     account.lastUse = std::max(account.lastUse, now);
-    if (account.here >= ask.most) {
+    const bool isStale = now - account.written > TokenRowRefresh;
+    if (account.here >= ask.most && !isStale) {
         account.here -= ask.most;
         return TokenGranted{};
     }
@@ -22,18 +23,19 @@
         account.waiting += ask.most;
         return TokenBusy{};
     }
+    account.writeBegan = now;
     if (account.openWrite) {
         account.isWriting = true;
         return TokenNeedsWrite{*account.openWrite};
     }
-    const std::uint64_t missing = ask.most - account.here;
+    const std::uint64_t missing = ask.most - std::min(ask.most, account.here);
     // One turn more than the budget is allowed for; it covers what other entries hold and don't use.
     if (account.row.reserved + missing > ask.budget + ask.most) {
         return TokenSpent{account.row.reserved};
     }
     // One write for all turns that wait, as sub-agents begin together.
     const std::uint64_t others = std::exchange(account.waiting, 0);
-    std::uint64_t amount = missing + std::max(others, (TurnsAhead - 1) * ask.most);
+    std::uint64_t amount = missing == 0 ? 0 : missing + std::max(others, (TurnsAhead - 1) * ask.most);
     if (account.row.reserved + amount > ask.budget / 2) {
         amount = missing + others;
     }
@@ -61,6 +63,7 @@
     account.here += account.asked;
     account.openWrite.reset();
     account.isWriting = false;
+    account.written = account.writeBegan;
 }
 
 void TokenLedger::changed(const std::string &program, const TokenRow &row)
@@ -74,6 +77,10 @@
         written(program, row.version);
         return;
     }
+    if (row.reserved < it->second.row.reserved) {
+        // The row was removed and its program counts as new: what is held here was counted there.
+        it->second.here = 0;
+    }
     it->second.row = row;
     it->second.openWrite.reset();
     it->second.isWriting = false;
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -1,6 +1,7 @@
 #include "client_session.h"
 
 #include "answer_text_func.h"
+#include "http_status.h"
 #include "proxy_clock.h"
 #include "socket_option_func.h"
 
@@ -13,8 +14,6 @@
 constexpr std::size_t MaxAhead = std::size_t{64} * 1024;   ///< Bytes read while a request is answered; more stay in the system's buffer.
 constexpr std::size_t MaxUnsent = std::size_t{128} * 1024; ///< Bytes of answers held for a slow reader before the server is held up.
 constexpr std::chrono::seconds LingerLimit{1};             ///< Wait for the client's end of a connection that is closed after an answer.
-constexpr unsigned StatusTimeout = 408;                    ///< The request didn't arrive in time; it has not run.
-constexpr unsigned StatusUnavailable = 503;
 
 } // namespace
 
@@ -213,7 +212,7 @@
         close();
         return;
     }
-    refuse({StatusTimeout, "request didn't arrive in time"});
+    refuse({StatusRequestTimeout, "request didn't arrive in time"});
 }
 
 void ClientSession::closeGently()
--- /dev/null
+++ b/packages/proxy/src/exchange_end.cpp
@@ -0,0 +1,185 @@
+#include "answer_text_func.h"
+#include "exchange.h"
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+#include <sstream>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration MutePatience = std::chrono::milliseconds(1000); ///< A server that is silent for so long counts as failing.
+
+std::int64_t ms(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace
+
+void Exchange::linkFailed(const LinkFailure &failure)
+{
+    m_link.reset();
+    m_proxy.book.failed(m_choice.server.id, now());
+    if (!failure.wasSent) {
+        m_mayHaveRun--;
+        attemptFailed(AttemptFailure::NoConnection, failure.message);
+        return;
+    }
+    if (m_failure == AttemptFailure::Broken) {
+        m_proxy.contentBroke(m_content);
+    }
+    attemptFailed(m_failure, m_failureText.empty() ? failure.message : m_failureText);
+}
+
+void Exchange::endAttempt()
+{
+    m_proxy.book.ended(m_choice.server.id, m_choice.unreadTokens, m_hadFirstEvent);
+}
+
+void Exchange::attemptFailed(AttemptFailure failure, const std::string &message)
+{
+    endAttempt();
+    m_avoided.insert(m_choice.server.id);
+    const bool canResume = m_hasBegunAnswer && m_lastEvent && m_route.repetition == Repetition::Resumable && !m_head.length;
+    const AttemptHistory history{m_route.repetition, m_route.maxAttempts, m_mayHaveRun, m_tries, m_hasBegunAnswer, canResume, left()};
+    const auto step = m_isClientGone ? NextStep::BreakOff : nextStep(history, failure);
+    std::ostringstream line;
+    line << "request=" << m_request.facts.requestId << " program=" << m_request.facts.program << " server=" << m_choice.server.id
+         << " failure=" << static_cast<unsigned>(failure) << " may_have_run=" << m_mayHaveRun << " tries=" << m_tries
+         << " step=" << static_cast<unsigned>(step) << " why=\"" << message << '"';
+    m_proxy.log(LogLevel::Warning, EventNumber::AttemptFailed, line.str());
+    m_proxy.metrics.count("vanillahall_attempt_failures_total", {"failure", std::to_string(static_cast<unsigned>(failure))});
+    switch (step) {
+    case NextStep::TryAnother:
+        place();
+        return;
+    case NextStep::AnswerNotRun:
+        answerNotRun(failure == AttemptFailure::Refused ? Outcome::ServersFull : Outcome::ServersUnreachable);
+        return;
+    case NextStep::AnswerFailed:
+        answer(StatusBadGateway, std::nullopt, Outcome::ServerFailed);
+        return;
+    case NextStep::BreakOff:
+        breakOff(Outcome::ServerBrokeOff);
+        return;
+    }
+}
+
+void Exchange::answerNotRun(Outcome outcome)
+{
+    answer(StatusUnavailable, BackSoon, outcome);
+}
+
+void Exchange::answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome)
+{
+    if (m_isEnded) {
+        return;
+    }
+    if (m_hasBegunAnswer) {
+        breakOff(outcome);
+        return;
+    }
+    const bool keeps = m_request.keepsAlive && !m_proxy.isStopping();
+    if (!m_isClientGone) {
+        m_session->write(ownAnswer({status, m_request.facts.requestId, retryAfter, keeps}));
+        m_session->finish(keeps);
+    }
+    end(status, outcome);
+}
+
+void Exchange::breakOff(Outcome outcome)
+{
+    if (!m_isClientGone) {
+        m_session->breakOff();
+    }
+    end(0, outcome);
+}
+
+void Exchange::timeOut()
+{
+    const bool wasSent = m_link && m_link->wasSent();
+    noteMuteServer();
+    if (m_link) {
+        if (!wasSent) {
+            m_mayHaveRun--;
+        }
+        m_link->abandon();
+        m_link.reset();
+        endAttempt();
+    }
+    if (m_hasBegunAnswer) {
+        breakOff(Outcome::TimeLimit);
+    } else if (m_mayHaveRun != 0) {
+        answer(StatusGatewayTimeout, std::nullopt, Outcome::TimeLimit);
+    } else {
+        answerNotRun(Outcome::TimeLimit);
+    }
+}
+
+void Exchange::noteMuteServer()
+{
+    if (m_link && m_link->wasSent() && !m_hadFirstEvent && now() - m_attemptAt > MutePatience) {
+        m_proxy.book.failed(m_choice.server.id, now());
+    }
+}
+
+void Exchange::clientGone()
+{
+    if (m_isEnded || m_isClientGone) {
+        return;
+    }
+    m_isClientGone = true;
+    noteMuteServer();
+    // Work that must not be repeated goes on to its end; nobody can tell otherwise whether it was done.
+    if (m_link && m_link->wasSent() && m_route.repetition == Repetition::NonIdempotent) {
+        return;
+    }
+    if (m_link) {
+        m_link->abandon();
+        m_link.reset();
+        endAttempt();
+    }
+    end(0, Outcome::ClientGone);
+}
+
+void Exchange::settleTokens()
+{
+    if (m_tokensHeld != 0) {
+        m_proxy.ledger.settle(m_request.facts.program, m_tokensHeld, m_eventsOut * m_tokensPerEvent);
+        m_tokensHeld = 0;
+    }
+}
+
+void Exchange::end(unsigned status, Outcome outcome)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_isEnded = true;
+    const auto self = shared_from_this();
+    m_limitTimer.cancel();
+    m_waitTimer.cancel();
+    settleTokens();
+    const auto &facts = m_request.facts;
+    const auto ended = now();
+    std::ostringstream line;
+    line << "request=" << facts.requestId << " program=" << facts.program << " session=" << facts.session << " route=" << m_route.name
+         << " config=" << m_configVersion << " status=" << status << " outcome=" << outcomeName(outcome) << " servers=" << m_servers
+         << " tries=" << m_tries << " placed_ms=" << (m_placedAt ? ms(*m_placedAt - m_request.arrived) : -1)
+         << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
+         << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
+         << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens << " prompt=" << facts.promptTokens
+         << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
+         << " program_left_ms=" << (facts.programTimeLeft ? ms(*facts.programTimeLeft) : -1);
+    m_proxy.log(LogLevel::Info, EventNumber::RequestEnded, line.str());
+    m_proxy.metrics.count("vanillahall_requests_total", {"outcome", std::string(outcomeName(outcome))});
+    m_proxy.metrics.observe("vanillahall_request_seconds", {"route", m_route.name}, ended - m_request.arrived);
+    if (m_session) {
+        m_proxy.exchangeEnded(*m_session);
+    }
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -0,0 +1,174 @@
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration CleanInterval = std::chrono::seconds(5); ///< Between two looks for rows of programs that have ended.
+constexpr std::size_t MaxRemoved = 100;                     ///< Rows of one transaction.
+
+} // namespace
+
+void ProxyState::waitForTokens(const std::string &program, const std::shared_ptr<Exchange> &exchange)
+{
+    m_tokenWaiters[program].push_back(exchange);
+}
+
+void ProxyState::waitForStore(const std::shared_ptr<Exchange> &exchange)
+{
+    m_storeWaiters.push_back(exchange);
+}
+
+void ProxyState::writeTokens(const TokenWrite &write)
+{
+    metrics.count("vanillahall_token_writes_total", {"kind", "reserve"});
+    store.call(Platform::writeTokensCall(write, storeNowMs()),
+               StoreLimit,
+               false,
+               [weak = weak_from_this(), write](const auto &reply, const Error &reason) {
+                   if (const auto self = weak.lock()) {
+                       self->tokensWritten(write, reply, reason);
+                   }
+               });
+}
+
+void ProxyState::tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    bool isStoreAway = false;
+    const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
+    if (!answer) {
+        ledger.notWritten(write.program);
+        storeFailed(ec.message);
+        isStoreAway = true;
+    } else if (const auto *done = std::get_if<Platform::TransactionDone>(&*answer)) {
+        storeAnswered();
+        ledger.written(write.program, done->version);
+    } else {
+        storeAnswered();
+        TokenRow row;
+        for (const auto &it : std::get<Platform::TransactionRefused>(*answer).rows) {
+            const auto decoded = it.key == write.program ? Platform::decodeTokens(it, ec) : std::nullopt;
+            row = decoded.value_or(row);
+        }
+        ledger.changed(write.program, row);
+    }
+    const auto waiters = std::move(m_tokenWaiters[write.program]);
+    m_tokenWaiters.erase(write.program);
+    for (const auto &it : waiters) {
+        if (const auto exchange = it.lock()) {
+            exchange->tokensChanged(isStoreAway);
+        }
+    }
+}
+
+void ProxyState::removeOldRows()
+{
+    const auto present = now();
+    if (present < m_cleanAt) {
+        return;
+    }
+    m_cleanAt = present + CleanInterval;
+    removeCrashes(crashes.forget(present));
+    removeTokens(ledger.forget(present - TokenRowLife));
+    sweepTokens();
+}
+
+void ProxyState::removeTokens(const std::vector<TokenWrite> &rows)
+{
+    std::map<std::string, std::vector<TokenWrite>> byPart;
+    for (const auto &it : rows) {
+        auto &part = byPart[Platform::tokenPart(it.program)];
+        if (part.size() < MaxRemoved) {
+            part.push_back(it);
+        }
+    }
+    for (const auto &[part, list] : byPart) {
+        callStore(Platform::removeTokensCall(list));
+    }
+}
+
+void ProxyState::sweepTokens()
+{
+    // Rows of proxies that are gone; each proxy looks at one part at a time.
+    store.call(
+        Platform::readTokensCall(m_sweptPart++), StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
+            if (const auto self = weak.lock()) {
+                self->tokensRead(reply, reason);
+            }
+        });
+}
+
+void ProxyState::tokensRead(const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!rows) {
+        storeFailed(ec.message);
+        return;
+    }
+    removeTokens(Platform::oldTokens(*rows, TokenRowLife));
+}
+
+void ProxyState::contentBroke(std::uint64_t content)
+{
+    const bool wasRefused = crashes.isRefused(content);
+    callStore(Platform::writeCrashCall(settings.name, crashes.broke(content, now())));
+    if (!wasRefused && crashes.isRefused(content)) {
+        log(LogLevel::Warning, EventNumber::ContentQuarantined, "content=" + std::to_string(content));
+    }
+}
+
+void ProxyState::contentWorked(std::uint64_t content)
+{
+    if (crashes.worked(content)) {
+        removeCrashes({content});
+    }
+}
+
+void ProxyState::removeCrashes(const std::vector<std::uint64_t> &contents)
+{
+    if (!contents.empty()) {
+        callStore(Platform::removeCrashesCall(settings.name, contents));
+    }
+}
+
+void ProxyState::readCrashes(const std::string &after, std::vector<CrashCount> list)
+{
+    store.call(Platform::readCrashesCall(after),
+               StoreLimit,
+               false,
+               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
+                   if (const auto proxy = weak.lock()) {
+                       proxy->crashesCame(reply, reason, std::move(list));
+                   }
+               });
+}
+
+void ProxyState::crashesCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<CrashCount> list)
+{
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!rows) {
+        storeFailed(ec.message);
+        return;
+    }
+    for (const auto &it : rows->rows) {
+        std::string writer;
+        const auto count = Platform::decodeCrash(it, writer, ec);
+        if (!count) {
+            rowFaulty(ec, it.version);
+        } else if (writer != settings.name) {
+            list.push_back(*count);
+        }
+    }
+    if (rows->hasMore && !rows->rows.empty()) {
+        readCrashes(rows->rows.back().key, std::move(list));
+        return;
+    }
+    crashes.share(list);
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -105,6 +105,10 @@
     void rowFaulty(const Error &reason, std::uint64_t version);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
+    void sweepTokens();
+    void tokensRead(const std::optional<StoreReply> &reply, const Error &reason);
+    void removeTokens(const std::vector<TokenWrite> &rows);
+    [[nodiscard]] std::uint64_t storeNowMs() const;
     void stopStep();
     void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
 
@@ -125,6 +129,9 @@
     TimePoint m_stopAt{};
     TimePoint m_cleanAt{};
     TimePoint m_beatAt{};
+    TimePoint m_storeClockAt{};
+    std::uint64_t m_storeClockMs = 0;
+    std::uint64_t m_sweptPart = 0;
     TimePoint m_crashesAt{};
     std::function<void()> m_stopped;
     unsigned m_openPolls = 0;
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "request_reader.h"
 
+#include "http_status.h"
+
 #include "vanillahall/platform/wire_header_func.h"
 
 #include <algorithm>
@@ -10,9 +12,6 @@
 
 namespace Http = boost::beast::http;
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusTooLarge = 413;
-constexpr unsigned StatusHeadersTooLarge = 431;
 constexpr unsigned Version10 = 10;
 
 /** @return Why a head can't be trusted, or null: anything that two readers could frame differently. */
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -1,5 +1,6 @@
 #include "store_path.h"
 
+#include "http_status.h"
 #include "proxy_clock.h"
 
 #include <boost/asio/post.hpp>
@@ -11,8 +12,6 @@
 /** @return True if the store did or refused what was asked, so that another way wouldn't change the answer. */
 bool isAnswer(const std::optional<StoreReply> &reply)
 {
-    constexpr unsigned StatusServerError = 500;
-    constexpr unsigned StatusTooManyRequests = 429;
     return reply && reply->status < StatusServerError && reply->status != StatusTooManyRequests;
 }
 
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -9,6 +9,9 @@
 
 namespace Vanillahall::Forward {
 
+/** Wait for an answer of the store; slow ones take 400 ms. */
+inline constexpr Duration StoreLimit = std::chrono::milliseconds(900);
+
 /** The ways to the store. */
 class StorePath
 {
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -145,6 +145,36 @@
     EXPECT_EQ(rows.row("p").reserved, write.row.reserved);
 }
 
+TEST(TokenLedger, TokensHeldForLongNeedTheRowWrittenAgain)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    ASSERT_TRUE(isGranted(askThrough(ledger, rows, {"p", Budget, Most})));
+    const auto reserved = rows.row("p").reserved;
+    EXPECT_TRUE(isGranted(ledger.ask({"p", Budget, Most}, Start + TokenRowRefresh)));
+    const auto answer = ledger.ask({"p", Budget, Most}, Start + TokenRowRefresh + 1s);
+    const auto *needed = std::get_if<TokenNeedsWrite>(&answer);
+    ASSERT_NE(needed, nullptr);
+    EXPECT_EQ(needed->write.row.reserved, reserved);
+    ledger.written("p", *rows.write(needed->write));
+    EXPECT_TRUE(isGranted(ledger.ask({"p", Budget, Most}, Start + TokenRowRefresh + 1s)));
+    EXPECT_LT(TokenRowRefresh, TokenRowLife);
+}
+
+TEST(TokenLedger, ARemovedRowTakesWhatIsHeldAlong)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    ASSERT_TRUE(isGranted(askThrough(ledger, rows, {"p", Budget, Most})));
+    const auto answer = ledger.ask({"p", Budget, Most}, Start + TokenRowRefresh + 1s);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsWrite>(answer));
+    ledger.changed("p", {});
+    const auto again = ledger.ask({"p", Budget, Most}, Start + TokenRowRefresh + 1s);
+    const auto *needed = std::get_if<TokenNeedsWrite>(&again);
+    ASSERT_NE(needed, nullptr);
+    EXPECT_GE(needed->write.row.reserved, Most);
+}
+
 TEST(TokenLedger, OldProgramsAreForgottenWithTheirRows)
 {
     RowModel rows;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -209,7 +209,7 @@
 TEST(StoreCalls, TokenRowsGoThereAndBack)
 {
     const Forward::TokenWrite write{"p1", {300, "a/1", 12}};
-    const auto call = writeTokensCall(write);
+    const auto call = writeTokensCall(write, 7000);
     const auto body = nlohmann::json::parse(call.body);
     EXPECT_EQ(call.method, "POST");
     EXPECT_EQ(body["expect"][0]["ver"], 12);
@@ -227,6 +227,20 @@
     EXPECT_EQ(tokens->version, 13U);
 }
 
+TEST(StoreCalls, RowsOfProgramsThatAreGoneAreFound)
+{
+    StoreRows rows;
+    rows.nowMs = 200000;
+    rows.rows = {{"new", R"({"reserved":1,"writer":"a","at":199000})", 4},
+                 {"old", R"({"reserved":1,"writer":"a","at":40000})", 5},
+                 {"broken", "x", 6}};
+    const auto old = oldTokens(rows, 150s);
+    ASSERT_EQ(old.size(), 2U);
+    EXPECT_EQ(old[0].program, "old");
+    EXPECT_EQ(old[0].row.version, 5U);
+    EXPECT_EQ(old[1].program, "broken");
+}
+
 /** An answer to a transaction. */
 struct TransactionCase
 {
