--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -65,45 +65,45 @@
     [[nodiscard]] Duration left() const;
     [[nodiscard]] bool isLastTry() const;
 
-    ProxyState &m_proxy;
-    std::shared_ptr<ClientSession> m_session;
-    ClientRequest m_request;
-    Route m_route;
-    std::string m_service;
-    std::uint32_t m_maxConnections = 0;
-    std::uint32_t m_tokensPerEvent = 1;
-    boost::asio::steady_timer m_limitTimer;
-    boost::asio::steady_timer m_waitTimer;
-    TimePoint m_limitAt{};
-    std::optional<TimePoint> m_placedAt;
-    std::optional<TimePoint> m_firstByteAt;
-    std::uint64_t m_configVersion = 0;
-    std::uint64_t m_content = 0;
-    std::uint64_t m_tokensHeld = 0;
-    std::uint64_t m_eventsOut = 0;
-    std::uint32_t m_attemptEvents = 0;
-    TimePoint m_attemptAt{};
-    TimePoint m_attemptFirstAt{};
-    std::optional<std::uint64_t> m_lastEvent;
-    std::shared_ptr<ServerLink> m_link;
-    std::set<std::string> m_avoided;
-    Choice m_choice;
-    AttemptFailure m_failure = AttemptFailure::Broken;
-    std::string m_failureText;
-    unsigned m_refusalStatus = 0;
-    std::uint32_t m_tries = 0;
-    std::uint32_t m_mayHaveRun = 0;
-    AnswerHead m_head;
-    std::string m_held;
-    EventSplitter m_events;
-    std::string m_servers;
-    bool m_isStreaming = false;
-    bool m_hasBegunAnswer = false;
-    bool m_hadFirstEvent = false;
-    bool m_isRefusal = false;
-    bool m_isEnded = false;
-    bool m_isClientGone = false;
-    bool m_waitsForTokens = false;
+    ProxyState &m_proxy;                               ///< The proxy; outlives this.
+    std::shared_ptr<ClientSession> m_session;          ///< The client's connection.
+    ClientRequest m_request;                           ///< The request.
+    Route m_route;                                     ///< Its route, as it was at arrival.
+    std::string m_service;                             ///< Service that the weights chose.
+    std::uint32_t m_maxConnections = 0;                ///< Connections that one server of it takes.
+    std::uint32_t m_tokensPerEvent = 1;                ///< Generated tokens in one event.
+    boost::asio::steady_timer m_limitTimer;            ///< Ends the request at its limit.
+    boost::asio::steady_timer m_waitTimer;             ///< Between two looks for tokens or a server.
+    TimePoint m_limitAt{};                             ///< Deadline or time limit, whichever is first.
+    std::optional<TimePoint> m_placedAt;               ///< When a server was first chosen.
+    std::optional<TimePoint> m_firstByteAt;            ///< When the answer began.
+    std::uint64_t m_configVersion = 0;                 ///< Configuration in force at arrival.
+    std::uint64_t m_content = 0;                       ///< Hash of path and body.
+    std::uint64_t m_tokensHeld = 0;                    ///< Tokens granted and not settled.
+    std::uint64_t m_eventsOut = 0;                     ///< Events handed to the client.
+    std::uint32_t m_attemptEvents = 0;                 ///< Events of the present attempt.
+    TimePoint m_attemptAt{};                           ///< When the present attempt began.
+    TimePoint m_attemptFirstAt{};                      ///< When its first event came.
+    std::optional<std::uint64_t> m_lastEvent;          ///< Last event handed to the client.
+    std::shared_ptr<ServerLink> m_link;                ///< Connection of the present attempt.
+    std::set<std::string> m_avoided;                   ///< Servers that refused or failed this request.
+    Choice m_choice;                                   ///< Server of the present attempt.
+    AttemptFailure m_failure = AttemptFailure::Broken; ///< How the attempt counts if its connection ends now.
+    std::string m_failureText;                         ///< Why its answer was dropped.
+    unsigned m_refusalStatus = 0;                      ///< Status of the server's refusal.
+    std::uint32_t m_tries = 0;                         ///< Attempts so far.
+    std::uint32_t m_mayHaveRun = 0;                    ///< Attempts that may have run.
+    AnswerHead m_head;                                 ///< Head of the answer that is passed on.
+    std::string m_held;                                ///< Body that is held back until it is whole.
+    EventSplitter m_events;                            ///< Cuts the stream into events.
+    std::string m_servers;                             ///< Servers asked, for the log.
+    bool m_isStreaming = false;                        ///< True if the attempt's answer is a stream.
+    bool m_hasBegunAnswer = false;                     ///< True if the head went to the client.
+    bool m_hadFirstEvent = false;                      ///< True if the attempt's stream has begun.
+    bool m_isRefusal = false;                          ///< True if the server says that it didn't run the request.
+    bool m_isEnded = false;                            ///< True after the end.
+    bool m_isClientGone = false;                       ///< True if nobody waits for the answer.
+    bool m_waitsForTokens = false;                     ///< True while tokens are asked for.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -112,32 +112,33 @@
     void stopStep();
     void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
 
-    ProxyLog m_log;
-    boost::asio::steady_timer m_pollTimer;
-    boost::asio::steady_timer m_stopTimer;
-    boost::asio::steady_timer m_acceptTimer;
-    std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;
-    std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;
-    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks;
-    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>> m_tokenWaiters;
-    std::vector<std::weak_ptr<Exchange>> m_storeWaiters;
-    std::map<std::string, std::uint64_t> m_faultyRows;
-    std::uint64_t m_nextSession = 1;
-    std::size_t m_heldBytes = 0;
-    std::optional<TimePoint> m_serversAt;
-    std::optional<TimePoint> m_storeAt;
-    TimePoint m_stopAt{};
-    TimePoint m_cleanAt{};
-    TimePoint m_beatAt{};
-    TimePoint m_storeClockAt{};
-    std::uint64_t m_storeClockMs = 0;
-    std::uint64_t m_sweptPart = 0;
-    TimePoint m_crashesAt{};
-    std::function<void()> m_stopped;
-    unsigned m_openPolls = 0;
-    bool m_isStopping = false;
-    bool m_isShutDown = false;
-    bool m_isStoreAway = false;
+    ProxyLog m_log;                                                                        ///< Takes log lines.
+    boost::asio::steady_timer m_pollTimer;                                                 ///< Before the next read of the rows.
+    boost::asio::steady_timer m_stopTimer;                                                 ///< Between two looks at a stop.
+    boost::asio::steady_timer m_acceptTimer;                                               ///< After a failed accept.
+    std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;          ///< Connections of clients.
+    std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;              ///< Requests under way, by session.
+    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks; ///< Idle connections, by server.
+    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
+        m_tokenWaiters;                                  ///< Requests that wait for a token write, by program.
+    std::vector<std::weak_ptr<Exchange>> m_storeWaiters; ///< Requests that wait for the store's return.
+    std::map<std::string, std::uint64_t> m_faultyRows;   ///< Version of each faulty row that was logged.
+    std::uint64_t m_nextSession = 1;                     ///< Number of the next session.
+    std::size_t m_heldBytes = 0;                         ///< Bytes of bodies held.
+    std::optional<TimePoint> m_serversAt;                ///< When the list of servers was last read.
+    std::optional<TimePoint> m_storeAt;                  ///< When the store last answered.
+    TimePoint m_stopAt{};                                ///< When the stop began.
+    TimePoint m_cleanAt{};                               ///< When old rows are next removed.
+    TimePoint m_beatAt{};                                ///< When the next sign of life is due.
+    TimePoint m_storeClockAt{};                          ///< When the store's clock was read.
+    std::uint64_t m_storeClockMs = 0;                    ///< The store's clock at that time.
+    std::uint64_t m_sweptPart = 0;                       ///< Part of the token table that is swept next.
+    TimePoint m_crashesAt{};                             ///< When shared counts are next read.
+    std::function<void()> m_stopped;                     ///< Told when the stop is complete.
+    unsigned m_openPolls = 0;                            ///< Reads under way.
+    bool m_isStopping = false;                           ///< True after stop().
+    bool m_isShutDown = false;                           ///< True after shutDown().
+    bool m_isStoreAway = false;                          ///< True from event 1501 to 1502.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/server_link.h
+++ b/packages/proxy/src/server_link.h
@@ -95,29 +95,29 @@
     void release(bool isReusable);
     void closeSocket();
 
-    boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_connectTimer;
-    Server m_server;
-    Released m_released;
-    LinkUser *m_user = nullptr;
-    std::string m_out;
-    std::string m_requestId;
-    std::string m_in;
-    std::array<char, 16384> m_buf{};
-    std::unique_ptr<Parser> m_parser;
-    AnswerHead m_head;
-    TimePoint m_idleSince{};
-    std::optional<Duration> m_keepAlive;
-    bool m_isOpen = false;
-    bool m_isClosed = false;
-    bool m_isHead = false;
-    bool m_isWriting = false;
-    bool m_isReading = false;
-    bool m_isPaused = false;
-    bool m_wasSent = false;
-    bool m_isStale = false;
-    bool m_isDone = false;
-    bool m_isParsing = false;
+    boost::asio::ip::tcp::socket m_socket;    ///< The connection.
+    boost::asio::steady_timer m_connectTimer; ///< Ends a connection that doesn't come about.
+    Server m_server;                          ///< The server.
+    Released m_released;                      ///< Told when the connection is free or closed.
+    LinkUser *m_user = nullptr;               ///< Who waits for the present answer; null when idle.
+    std::string m_out;                        ///< Request under way.
+    std::string m_requestId;                  ///< Id of the present request.
+    std::string m_in;                         ///< Bytes that aren't parsed yet.
+    std::array<char, 16384> m_buf{};          ///< Takes what is read.
+    std::unique_ptr<Parser> m_parser;         ///< Parser of the present answer.
+    AnswerHead m_head;                        ///< Head of the present answer.
+    TimePoint m_idleSince{};                  ///< When the last answer ended.
+    std::optional<Duration> m_keepAlive;      ///< For how long the server keeps it idle.
+    bool m_isOpen = false;                    ///< True once connected.
+    bool m_isClosed = false;                  ///< True after the end.
+    bool m_isHead = false;                    ///< True if the answer has no body by its method.
+    bool m_isWriting = false;                 ///< True while the request is sent.
+    bool m_isReading = false;                 ///< True while a read is open.
+    bool m_isPaused = false;                  ///< True while the user takes no more.
+    bool m_wasSent = false;                   ///< True if any byte of the request may have left.
+    bool m_isStale = false;                   ///< True while an answer to another request is skipped.
+    bool m_isDone = false;                    ///< True between the end of an answer and the next request.
+    bool m_isParsing = false;                 ///< True inside parse(), which callbacks may reach again.
 };
 
 } // namespace Vanillahall::Forward
