Rows of the store are read by one function, part by part

Servers, proxies, broken contents and swept tokens each had their own loop over the parts of a list.

--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -17,23 +17,67 @@
 
 } // namespace
 
+void ProxyState::readAll(ReadCall call, bool isProbe, RowsHandler done)
+{
+    readPart(std::make_shared<RowReading>(RowReading{std::move(call), isProbe, std::move(done), {}}), {});
+}
+
+void ProxyState::readPart(const std::shared_ptr<RowReading> &reading, const std::string &after)
+{
+    store.call(
+        reading->call(after), StoreLimit, reading->isProbe, [weak = weak_from_this(), reading](const auto &reply, const Error &reason) {
+            if (const auto self = weak.lock()) {
+                self->partCame(reading, reply, reason);
+            }
+        });
+}
+
+void ProxyState::partCame(const std::shared_ptr<RowReading> &reading, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    auto part = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!part) {
+        storeFailed(reply && reply->status != StatusOk ? "status " + std::to_string(reply->status) : ec.message);
+        reading->done(std::nullopt);
+        return;
+    }
+    storeAnswered();
+    m_storeClockMs = part->nowMs;
+    m_storeClockAt = now();
+    auto &rows = reading->rows.rows;
+    reading->rows.nowMs = part->nowMs;
+    std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
+    if (part->hasMore && !rows.empty()) {
+        readPart(reading, rows.back().key);
+        return;
+    }
+    reading->done(reading->rows);
+}
+
 void ProxyState::poll()
 {
     if (m_isShutDown) {
         return;
     }
-    m_openPolls = 2;
     beat();
     if (now() >= m_crashesAt) {
         m_crashesAt = now() + CrashRead;
-        readCrashes({}, {});
+        readCrashes();
     }
-    store.call(Platform::readConfigCall(), StoreLimit, true, [weak = weak_from_this()](const auto &reply, const Error &reason) {
-        if (const auto self = weak.lock()) {
-            self->configCame(reply, reason);
-        }
+    m_openPolls = 2;
+    readAll(
+        [](const std::string &) {
+            return Platform::readConfigCall();
+        },
+        true,
+        [this](const auto &rows) {
+            takeConfig(rows);
+            pollAgain();
+        });
+    readAll(Platform::readServersCall, true, [this](const auto &rows) {
+        takeServerRows(rows);
+        pollAgain();
     });
-    readServers({}, {});
 }
 
 void ProxyState::pollAgain()
@@ -51,6 +95,81 @@
     });
 }
 
+void ProxyState::takeConfig(const std::optional<Platform::StoreRows> &rows)
+{
+    if (!rows) {
+        return;
+    }
+    for (const auto &it : rows->rows) {
+        Error ec;
+        auto config = Platform::decodeConfig(it.value, ec);
+        if (!config) {
+            rowFaulty(ec, it.version);
+            continue;
+        }
+        const auto version = config->version;
+        if (routes.apply(std::move(*config))) {
+            log(LogLevel::Info,
+                EventNumber::ConfigInForce,
+                "config=" + std::to_string(version) + " routes=" + std::to_string(routes.config().routes.size()));
+        }
+    }
+}
+
+void ProxyState::takeServerRows(const std::optional<Platform::StoreRows> &rows)
+{
+    if (!rows) {
+        return;
+    }
+    std::vector<Server> list;
+    for (const auto &it : rows->rows) {
+        Error ec;
+        if (auto server = Platform::decodeServer(it.key, it.value, ec)) {
+            list.push_back(std::move(*server));
+        } else {
+            rowFaulty(ec, it.version);
+        }
+    }
+    takeServers(list);
+}
+
+void ProxyState::takeMembers(const std::optional<Platform::StoreRows> &rows)
+{
+    if (!rows) {
+        return;
+    }
+    std::vector<Member> list;
+    for (const auto &it : rows->rows) {
+        Error ec;
+        if (auto member = Platform::decodeMember(it, ec)) {
+            list.push_back(std::move(*member));
+        } else {
+            rowFaulty(ec, it.version);
+        }
+    }
+    members.update(list, now());
+    book.setEntries(members.count(now()));
+}
+
+void ProxyState::beat()
+{
+    const auto present = now();
+    if (!settings.peerListen || present < m_beatAt) {
+        return;
+    }
+    m_beatAt = present + MemberBeat;
+    const Member self{settings.name, settings.peerListen->address, peerServer.port(), 0};
+    callStore(Platform::writeMemberCall(settings.region, self));
+    readAll(
+        [region = settings.region](const std::string &after) {
+            return Platform::readMembersCall(region, after);
+        },
+        false,
+        [this](const auto &rows) {
+            takeMembers(rows);
+        });
+}
+
 void ProxyState::storeAnswered()
 {
     m_storeAt = now();
@@ -106,75 +225,6 @@
     });
 }
 
-void ProxyState::configCame(const std::optional<StoreReply> &reply, const Error &reason)
-{
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (!rows) {
-        storeFailed(reply ? "status " + std::to_string(reply->status) : ec.message);
-        pollAgain();
-        return;
-    }
-    storeAnswered();
-    m_storeClockMs = rows->nowMs;
-    m_storeClockAt = now();
-    for (const auto &it : rows->rows) {
-        if (it.key != "config") {
-            continue;
-        }
-        auto config = Platform::decodeConfig(it.value, ec);
-        if (!config) {
-            rowFaulty(ec, it.version);
-            continue;
-        }
-        const auto version = config->version;
-        if (routes.apply(std::move(*config))) {
-            log(LogLevel::Info,
-                EventNumber::ConfigInForce,
-                "config=" + std::to_string(version) + " routes=" + std::to_string(routes.config().routes.size()));
-        }
-    }
-    pollAgain();
-}
-
-void ProxyState::readServers(const std::string &after, std::vector<Server> list)
-{
-    store.call(Platform::readServersCall(after),
-               StoreLimit,
-               true,
-               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
-                   if (const auto self = weak.lock()) {
-                       self->serversCame(reply, reason, std::move(list));
-                   }
-               });
-}
-
-void ProxyState::serversCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Server> list)
-{
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (!rows) {
-        storeFailed(reply ? "status " + std::to_string(reply->status) : ec.message);
-        pollAgain();
-        return;
-    }
-    storeAnswered();
-    for (const auto &it : rows->rows) {
-        auto server = Platform::decodeServer(it.key, it.value, ec);
-        if (server) {
-            list.push_back(std::move(*server));
-        } else {
-            rowFaulty(ec, it.version);
-        }
-    }
-    if (rows->hasMore && !rows->rows.empty()) {
-        readServers(rows->rows.back().key, std::move(list));
-        return;
-    }
-    takeServers(list);
-    pollAgain();
-}
-
 void ProxyState::takeServers(const std::vector<Server> &list)
 {
     const auto present = now();
@@ -191,51 +241,4 @@
     m_serversAt = present;
 }
 
-void ProxyState::beat()
-{
-    const auto present = now();
-    if (!settings.peerListen || present < m_beatAt) {
-        return;
-    }
-    m_beatAt = present + MemberBeat;
-    const Member self{settings.name, settings.peerListen->address, peerServer.port(), 0};
-    callStore(Platform::writeMemberCall(settings.region, self));
-    readMembers({}, {});
-}
-
-void ProxyState::readMembers(const std::string &after, std::vector<Member> list)
-{
-    store.call(Platform::readMembersCall(settings.region, after),
-               StoreLimit,
-               false,
-               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
-                   if (const auto proxy = weak.lock()) {
-                       proxy->membersCame(reply, reason, std::move(list));
-                   }
-               });
-}
-
-void ProxyState::membersCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Member> list)
-{
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (!rows) {
-        storeFailed(ec.message);
-        return;
-    }
-    for (const auto &it : rows->rows) {
-        if (auto member = Platform::decodeMember(it, ec)) {
-            list.push_back(std::move(*member));
-        } else {
-            rowFaulty(ec, it.version);
-        }
-    }
-    if (rows->hasMore && !rows->rows.empty()) {
-        readMembers(rows->rows.back().key, std::move(list));
-        return;
-    }
-    members.update(list, now());
-    book.setEntries(members.count(now()));
-}
-
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -90,28 +90,6 @@
     }
 }
 
-void ProxyState::sweepTokens()
-{
-    // Rows of proxies that are gone; each proxy looks at one part at a time.
-    store.call(
-        Platform::readTokensCall(m_sweptPart++), StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
-            if (const auto self = weak.lock()) {
-                self->tokensRead(reply, reason);
-            }
-        });
-}
-
-void ProxyState::tokensRead(const std::optional<StoreReply> &reply, const Error &reason)
-{
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (!rows) {
-        storeFailed(ec.message);
-        return;
-    }
-    removeTokens(Platform::oldTokens(*rows, TokenRowLife));
-}
-
 void ProxyState::contentBroke(std::uint64_t content)
 {
     const bool wasRefused = crashes.isRefused(content);
@@ -135,40 +113,40 @@
     }
 }
 
-void ProxyState::readCrashes(const std::string &after, std::vector<CrashCount> list)
+void ProxyState::sweepTokens()
 {
-    store.call(Platform::readCrashesCall(after),
-               StoreLimit,
-               false,
-               [weak = weak_from_this(), list = std::move(list)](const auto &reply, const Error &reason) mutable {
-                   if (const auto proxy = weak.lock()) {
-                       proxy->crashesCame(reply, reason, std::move(list));
-                   }
-               });
+    // Rows of proxies that are gone; each proxy looks at one part at a time.
+    readAll(
+        [n = m_sweptPart++](const std::string &after) {
+            return Platform::readTokensCall(n, after);
+        },
+        false,
+        [this](const auto &rows) {
+            if (rows) {
+                removeTokens(Platform::oldTokens(*rows, TokenRowLife));
+            }
+        });
 }
 
-void ProxyState::crashesCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<CrashCount> list)
+void ProxyState::readCrashes()
 {
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (!rows) {
-        storeFailed(ec.message);
-        return;
-    }
-    for (const auto &it : rows->rows) {
-        std::string writer;
-        const auto count = Platform::decodeCrash(it, writer, ec);
-        if (!count) {
-            rowFaulty(ec, it.version);
-        } else if (writer != settings.name) {
-            list.push_back(*count);
+    readAll(Platform::readCrashesCall, false, [this](const auto &rows) {
+        if (!rows) {
+            return;
         }
-    }
-    if (rows->hasMore && !rows->rows.empty()) {
-        readCrashes(rows->rows.back().key, std::move(list));
-        return;
-    }
-    crashes.share(list);
+        std::vector<CrashCount> list;
+        for (const auto &it : rows->rows) {
+            Error ec;
+            std::string writer;
+            const auto count = Platform::decodeCrash(it, writer, ec);
+            if (!count) {
+                rowFaulty(ec, it.version);
+            } else if (writer != settings.name) {
+                list.push_back(*count);
+            }
+        }
+        crashes.share(list);
+    });
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -82,23 +82,36 @@
     MessageServer peerServer;
 
 private:
+    using ReadCall = std::function<Platform::StoreRequest(const std::string &after)>; ///< The call for the rows after a key.
+    using RowsHandler
+        = std::function<void(const std::optional<Platform::StoreRows> &rows)>; ///< Gets all rows, or nothing without an answer.
+
+    /** Rows that are read part by part. */
+    struct RowReading
+    {
+        ReadCall call;            ///< The call for the next part.
+        bool isProbe;             ///< True to try the direct way to the store first.
+        RowsHandler done;         ///< Gets the rows.
+        Platform::StoreRows rows; ///< Rows so far.
+    };
+
+    void readAll(ReadCall call, bool isProbe, RowsHandler done);
+    void readPart(const std::shared_ptr<RowReading> &reading, const std::string &after);
+    void partCame(const std::shared_ptr<RowReading> &reading, const std::optional<StoreReply> &reply, const Error &reason);
+    void takeConfig(const std::optional<Platform::StoreRows> &rows);
+    void takeServerRows(const std::optional<Platform::StoreRows> &rows);
+    void takeMembers(const std::optional<Platform::StoreRows> &rows);
+    void readCrashes();
     void acceptClients();
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void beat();
-    void readCrashes(const std::string &after, std::vector<CrashCount> list);
-    void crashesCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<CrashCount> list);
     void removeCrashes(const std::vector<std::uint64_t> &contents);
     /** Makes a call whose answer doesn't matter but for a failure. */
     void callStore(const Platform::StoreRequest &request);
-    void membersCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Member> list);
-    void readMembers(const std::string &after, std::vector<Member> list);
     void poll();
     void pollAgain();
-    void configCame(const std::optional<StoreReply> &reply, const Error &reason);
-    void readServers(const std::string &after, std::vector<Server> list);
-    void serversCame(const std::optional<StoreReply> &reply, const Error &reason, std::vector<Server> list);
     void takeServers(const std::vector<Server> &list);
     void storeAnswered();
     void storeFailed(const std::string &message);
@@ -106,7 +119,6 @@
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
     void sweepTokens();
-    void tokensRead(const std::optional<StoreReply> &reply, const Error &reason);
     void removeTokens(const std::vector<TokenWrite> &rows);
     [[nodiscard]] std::uint64_t storeNowMs() const;
     void stopStep();
