An event without end is dropped with its connection and doesn't fill the memory

Found while reading: the beginning of an event was held without bound until its end came. Tests EventSplitter.NoticesAnEventWithoutEnd and ProxyStream.AnEventWithoutEndIsDropped (the latter saw no such line before).

--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -58,6 +58,11 @@
     return events;
 }
 
+bool EventSplitter::isOverlong() const
+{
+    return m_rest.size() > MaxEventBytes;
+}
+
 std::string EventSplitter::takeRest()
 {
     return std::exchange(m_rest, {});
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -8,6 +8,9 @@
 
 namespace Vanillahall::Forward {
 
+/** Longest event; a model's event holds a few tokens, a few hundred bytes. */
+inline constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
+
 /** One or more whole events, as sent. */
 struct WholeEvents
 {
@@ -28,8 +31,13 @@
     /** @return Bytes after the last whole event; they end a stream that is complete. */
     std::string takeRest();
 
+    // Queries.
+
+    /** @return True if an event has become longer than any real one; the rest of the stream can't be trusted. */
+    [[nodiscard]] bool isOverlong() const;
+
 private:
-    std::string m_rest;
+    std::string m_rest; ///< Beginning of an event whose end hasn't come.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -38,7 +38,7 @@
     // Events of the connection to the server.
 
     bool linkHead(const AnswerHead &head) override;
-    bool linkBody(std::string_view piece) override;
+    BodyUse linkBody(std::string_view piece) override;
     void linkDone() override;
     void linkFailed(const LinkFailure &failure) override;
 
@@ -55,6 +55,7 @@
     void answerNotRun(Outcome outcome);
     void beginAnswer();
     void passOn(std::string_view bytes);
+    [[nodiscard]] BodyUse flow();
     void passEvents(const WholeEvents &events);
     void finishAnswer();
     void timeOut();
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -62,24 +62,34 @@
     return true;
 }
 
-bool Exchange::linkBody(std::string_view piece)
+BodyUse Exchange::flow()
+{
+    return m_isClientGone || m_session->write({}) ? BodyUse::More : BodyUse::Pause;
+}
+
+BodyUse Exchange::linkBody(std::string_view piece)
 {
     if (m_isRefusal) {
-        return true;
+        return BodyUse::More;
     }
     if (m_isStreaming) {
         passEvents(m_events.take(piece, m_hasBegunAnswer ? m_lastEvent : std::nullopt));
-        return m_isClientGone || m_session->write({});
+        if (m_events.isOverlong()) {
+            m_failure = AttemptFailure::BadAnswer;
+            m_failureText = "event without end";
+            return BodyUse::Drop;
+        }
+        return flow();
     }
     m_held.append(piece);
     if (m_held.size() <= MaxHeld && !m_hasBegunAnswer) {
-        return true;
+        return BodyUse::More;
     }
     if (!m_hasBegunAnswer) {
         beginAnswer();
     }
     passOn(std::exchange(m_held, {}));
-    return m_isClientGone || m_session->write({});
+    return flow();
 }
 
 void Exchange::passEvents(const WholeEvents &events)
--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -255,9 +255,13 @@
             fail("answer: " + ec.message());
             return false;
         }
-        if (got != 0 && !m_isStale && m_user != nullptr && !m_user->linkBody(std::string_view(piece.data(), got))) {
-            m_isPaused = true;
+        const bool isWanted = got != 0 && !m_isStale && m_user != nullptr;
+        const auto use = isWanted ? m_user->linkBody(std::string_view(piece.data(), got)) : BodyUse::More;
+        if (use == BodyUse::Drop) {
+            fail("answer refused");
+            return false;
         }
+        m_isPaused = use == BodyUse::Pause;
         if (m_isClosed || m_isPaused) {
             return false;
         }
--- a/packages/proxy/src/server_link.h
+++ b/packages/proxy/src/server_link.h
@@ -32,6 +32,13 @@
     std::string message;  ///< For the log.
 };
 
+/** What to do after a piece of a body. */
+enum class BodyUse {
+    More,  ///< Read on.
+    Pause, ///< Wait for ServerLink::resume().
+    Drop,  ///< End the connection; linkFailed() follows.
+};
+
 /** Who waits for an answer. */
 class LinkUser
 {
@@ -39,8 +46,8 @@
     virtual ~LinkUser() = default;
     /** The head came. @return False to drop the connection. */
     virtual bool linkHead(const AnswerHead &head) = 0;
-    /** A piece of the body came. @return False to stop reading until ServerLink::resume(). */
-    virtual bool linkBody(std::string_view piece) = 0;
+    /** A piece of the body came. */
+    virtual BodyUse linkBody(std::string_view piece) = 0;
     /** The answer is whole. */
     virtual void linkDone() = 0;
     /** The connection ended before that. */
@@ -65,7 +72,7 @@
      * @param requestId Answers to other requests are skipped.
      */
     void send(LinkUser *user, std::string text, std::string requestId, bool isHead);
-    /** Reads on after linkBody() returned false. */
+    /** Reads on after a pause. */
     void resume();
     /** Closes the connection; nobody is called back any more. */
     void abandon();
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -245,6 +245,21 @@
     EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST(ProxyStream, AnEventWithoutEndIsDropped)
+{
+    const std::string endless(std::size_t{300} * 1024, 'x');
+    ProxyWorld world([&endless](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "4b000\r\n" + endless + "\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
+    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
+    EXPECT_EQ(answer.find("xxx"), std::string::npos);
+    EXPECT_TRUE(std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
+        return it.find("event without end") != std::string::npos;
+    }));
+}
+
 TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
 {
     ProxyWorld world([](const std::string &) {
--- a/tests/proxy/request_reader_test.cpp
+++ b/tests/proxy/request_reader_test.cpp
@@ -92,6 +92,15 @@
     RC_ASSERT(splitter.takeRest().empty());
 }
 
+TEST(EventSplitter, NoticesAnEventWithoutEnd)
+{
+    EventSplitter splitter;
+    splitter.take(std::string(MaxEventBytes, 'x'), std::nullopt);
+    EXPECT_FALSE(splitter.isOverlong());
+    splitter.take("x", std::nullopt);
+    EXPECT_TRUE(splitter.isOverlong());
+}
+
 TEST(EventSplitter, LeavesOutWhatTheClientHas)
 {
     EventSplitter splitter;
