A timer that was stopped or set again acts no more, even if it was due already

Cause: an expired timer's handler is queued without an error; cancelling afterwards doesn't take it back. A turn whose tokens came in the same pass of the loop as its waiting timer would have been asked and sent a second time, an idle connection to the store could fail the next call, a client's next request could get 408. Found by reading; no run showed it. ProxyClient.OneThatDoesNotReadItsAnswerIsLeft passes as it stands: TCP_USER_TIMEOUT ends it.

--- a/packages/proxy/include/vanillahall/proxy/proxy_base.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_base.h
@@ -46,6 +46,8 @@
     [[nodiscard]] std::uint16_t readyPort() const;
     /** @return True if new connections are welcome. */
     [[nodiscard]] bool isReady() const;
+    /** @return Number of clients' connections. */
+    [[nodiscard]] std::size_t clientCount() const;
     /** @return Counters and histograms. */
     [[nodiscard]] const Metrics &metrics() const;
 
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -4,6 +4,7 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "socket_option_func.h"
+#include "timer_func.h"
 
 #include <boost/asio/write.hpp>
 
@@ -101,7 +102,7 @@
         break;
     }
     m_isAnswering = true;
-    m_timer.cancel();
+    stopTimer(m_timer);
     m_handler.requestCame(shared_from_this(), m_reader.take());
 }
 
@@ -152,10 +153,7 @@
     m_handler.takesBody(m_bodyHeld, 0);
     m_bodyHeld = 0;
     if (!keepsAlive) {
-        m_isClosing = true;
-        if (m_sending.empty()) {
-            closeGently();
-        }
+        beginClose();
         return;
     }
     setTimer();
@@ -171,6 +169,11 @@
         return;
     }
     m_isAnswering = false;
+    beginClose();
+}
+
+void ClientSession::beginClose()
+{
     m_isClosing = true;
     if (m_sending.empty()) {
         closeGently();
@@ -194,21 +197,14 @@
 void ClientSession::setTimer()
 {
     const auto &limits = m_handler.limits();
-    m_timer.expires_after(m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout);
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self) {
-            self->timeOut();
-        }
+    runAfter(m_timer, m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout, *this, [](ClientSession &self) {
+        self.timeOut();
     });
 }
 
 void ClientSession::timeOut()
 {
-    if (m_isAnswering || m_isClosed) {
-        return;
-    }
-    if (m_isClosing || !m_reader.hasBegun()) {
+    if (!m_reader.hasBegun()) {
         close();
         return;
     }
@@ -220,12 +216,8 @@
     // Unread bytes would turn the close into a reset, which may overtake the answer.
     boost::system::error_code ec;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-    m_timer.expires_after(LingerLimit);
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-            self->close();
-        }
+    runAfter(m_timer, LingerLimit, *this, [](ClientSession &self) {
+        self.close();
     });
     read();
 }
@@ -238,7 +230,7 @@
     m_isClosed = true;
     m_handler.takesBody(m_bodyHeld, 0);
     m_bodyHeld = 0;
-    m_timer.cancel();
+    stopTimer(m_timer);
     boost::system::error_code ec;
     m_socket.close(ec);
     m_handler.sessionClosed(shared_from_this());
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -71,6 +71,7 @@
     void setTimer();
     void timeOut();
     void refuse(const RequestFault &fault);
+    void beginClose();
     void closeGently();
     void close();
 
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -3,6 +3,7 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "proxy_state.h"
+#include "timer_func.h"
 
 #include "vanillahall/core/urgency_func.h"
 #include "vanillahall/platform/wire_header_func.h"
@@ -62,12 +63,8 @@
     m_maxConnections = service->second.maxConnections;
     m_tokensPerEvent = service->second.tokensPerEvent;
     m_limitAt = m_request.arrived + std::min(facts.deadline.value_or(m_route.timeLimit), m_route.timeLimit);
-    m_limitTimer.expires_after(std::max(Duration::zero(), left() + AnswerMargin));
-    m_limitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self && !self->m_isEnded) {
-            self->timeOut();
-        }
+    runAfter(m_limitTimer, std::max(Duration::zero(), left() + AnswerMargin), *this, [](Exchange &self) {
+        self.timeOut();
     });
     m_content = contentHash(m_request.method, target, facts.program, m_request.body);
     if (m_proxy.crashes.isRefused(m_content)) {
@@ -117,16 +114,11 @@
 
 void Exchange::setTokenTimer(Duration span)
 {
-    m_waitTimer.expires_after(std::max(Duration::zero(), span));
-    m_waitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (ec || !self || self->m_isEnded) {
-            return;
-        }
-        if (now() - self->m_request.arrived >= TokenPatience) {
-            self->answer(StatusUnavailable, BackLater, Outcome::NoStoreForBudget);
+    runAfter(m_waitTimer, std::max(Duration::zero(), span), *this, [](Exchange &self) {
+        if (now() - self.m_request.arrived >= TokenPatience) {
+            self.answer(StatusUnavailable, BackLater, Outcome::NoStoreForBudget);
         } else {
-            self->askTokens();
+            self.askTokens();
         }
     });
 }
@@ -136,7 +128,7 @@
     if (m_isEnded || !m_waitsForTokens) {
         return;
     }
-    m_waitTimer.cancel();
+    stopTimer(m_waitTimer);
     if (!isStoreAway) {
         askTokens();
         return;
@@ -167,12 +159,8 @@
         return;
     }
     m_avoided.clear();
-    m_waitTimer.expires_after(PlaceWait);
-    m_waitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self && !self->m_isEnded) {
-            self->place();
-        }
+    runAfter(m_waitTimer, PlaceWait, *this, [](Exchange &self) {
+        self.place();
     });
 }
 
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -3,6 +3,7 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "proxy_state.h"
+#include "timer_func.h"
 
 #include <sstream>
 
@@ -160,8 +161,8 @@
     }
     m_isEnded = true;
     const auto self = shared_from_this();
-    m_limitTimer.cancel();
-    m_waitTimer.cancel();
+    stopTimer(m_limitTimer);
+    stopTimer(m_waitTimer);
     settleTokens();
     const auto &facts = m_request.facts;
     const auto ended = now();
--- a/packages/proxy/src/message_server.cpp
+++ b/packages/proxy/src/message_server.cpp
@@ -1,8 +1,9 @@
 #include "message_server.h"
 
+#include "timer_func.h"
+
 #include <memory>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,13 +30,9 @@
 
     void read()
     {
-        m_timer.expires_after(IdleLimit);
-        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-            const auto self = weak.lock();
-            if (!ec && self) {
-                boost::system::error_code ignored;
-                self->m_socket.close(ignored);
-            }
+        runAfter(m_timer, IdleLimit, *this, [](MessageConnection &self) {
+            boost::system::error_code ignored;
+            self.m_socket.close(ignored);
         });
         m_parser = std::make_unique<Http::request_parser<Http::string_body>>();
         m_parser->body_limit(MaxBody);
@@ -43,7 +40,7 @@
             if (!ec) {
                 self->serve();
             } else {
-                self->m_timer.cancel();
+                stopTimer(self->m_timer);
             }
         });
     }
@@ -73,7 +70,7 @@
             if (!ec && self->m_answer.keep_alive()) {
                 self->read();
             } else {
-                self->m_timer.cancel();
+                stopTimer(self->m_timer);
             }
         });
     }
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -44,6 +44,11 @@
     return m_state->isReady();
 }
 
+std::size_t Proxy::clientCount() const
+{
+    return m_state->clientCount();
+}
+
 const Metrics &Proxy::metrics() const
 {
     return m_state->metrics;
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -1,6 +1,7 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "proxy_state.h"
+#include "timer_func.h"
 
 #include <algorithm>
 
@@ -86,13 +87,10 @@
         return;
     }
     removeOldRows();
-    m_pollTimer.expires_after(isStoreNear() ? settings.pollInterval : std::min(settings.pollInterval, PollWhenAway));
-    m_pollTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self) {
-            self->poll();
-        }
-    });
+    runAfter(
+        m_pollTimer, isStoreNear() ? settings.pollInterval : std::min(settings.pollInterval, PollWhenAway), *this, [](ProxyState &self) {
+            self.poll();
+        });
 }
 
 void ProxyState::takeConfig(const std::optional<Platform::StoreRows> &rows)
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -2,6 +2,7 @@
 
 #include "http_status.h"
 #include "proxy_clock.h"
+#include "timer_func.h"
 
 #include "vanillahall/platform/wire_header_func.h"
 
@@ -12,6 +13,7 @@
 namespace {
 
 using boost::asio::ip::tcp;
+
 constexpr Duration TakeTime
     = std::chrono::milliseconds(3500); ///< After a stop began: two missed questions for readiness and a connection under way.
 constexpr Duration AcceptPause = std::chrono::milliseconds(50); ///< After a connection couldn't be taken, as when no descriptor is free.
@@ -85,11 +87,8 @@
             return;
         }
         self->log(LogLevel::Warning, EventNumber::DependencyLost, "peer=clients why=\"accept: " + ec.message() + '"');
-        self->m_acceptTimer.expires_after(AcceptPause);
-        self->m_acceptTimer.async_wait([self](const boost::system::error_code &error) {
-            if (!error && self->clientAcceptor.is_open()) {
-                self->acceptClients();
-            }
+        runAfter(self->m_acceptTimer, AcceptPause, *self, [](ProxyState &proxy) {
+            proxy.acceptClients();
         });
     });
 }
@@ -159,6 +158,11 @@
     return routes.isLoaded() && m_serversAt.has_value() && !m_isStopping;
 }
 
+std::size_t ProxyState::clientCount() const
+{
+    return m_sessions.size();
+}
+
 Duration ProxyState::listAge() const
 {
     return m_serversAt ? now() - *m_serversAt : Duration::zero();
@@ -272,12 +276,8 @@
         }
         return;
     }
-    m_stopTimer.expires_after(StopStep);
-    m_stopTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-        const auto self = weak.lock();
-        if (!ec && self) {
-            self->stopStep();
-        }
+    runAfter(m_stopTimer, StopStep, *this, [](ProxyState &self) {
+        self.stopStep();
     });
 }
 
@@ -289,9 +289,9 @@
     readyServer.close();
     metricsServer.close();
     peerServer.close();
-    m_pollTimer.cancel();
-    m_stopTimer.cancel();
-    m_acceptTimer.cancel();
+    stopTimer(m_pollTimer);
+    stopTimer(m_stopTimer);
+    stopTimer(m_acceptTimer);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -62,6 +62,8 @@
     void log(LogLevel level, EventNumber event, const std::string &fields);
 
     [[nodiscard]] bool isReady() const;
+    /** @return Number of clients' connections. */
+    [[nodiscard]] std::size_t clientCount() const;
     /** @return Age of the list of servers. */
     [[nodiscard]] Duration listAge() const;
     /** @return True if the store has answered a moment ago. */
--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy_clock.h"
 #include "socket_option_func.h"
+#include "timer_func.h"
 
 #include "vanillahall/platform/wire_header_func.h"
 
@@ -15,11 +16,11 @@
 namespace Http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr std::chrono::milliseconds ConnectLimit{400};          ///< A few round trips to the farthest zone and a full accept queue.
-constexpr std::size_t MaxAnswerHead = std::size_t{64} * 1024;   ///< Longest head of an answer.
-constexpr Duration IdleUnknown = std::chrono::seconds(2);       ///< Use of an idle connection whose server doesn't tell for how long.
-constexpr Duration IdleMargin = std::chrono::milliseconds(700); ///< Before a server's own limit: a round trip and late timers.
-constexpr unsigned StatusInformational = 200;                   ///< Statuses below it are no answers.
+constexpr Duration ConnectLimit = std::chrono::milliseconds(400); ///< A few round trips to the farthest zone and a full accept queue.
+constexpr std::size_t MaxAnswerHead = std::size_t{64} * 1024;     ///< Longest head of an answer.
+constexpr Duration IdleUnknown = std::chrono::seconds(2);         ///< Use of an idle connection whose server doesn't tell for how long.
+constexpr Duration IdleMargin = std::chrono::milliseconds(700);   ///< Before a server's own limit: a round trip and late timers.
+constexpr unsigned StatusInformational = 200;                     ///< Statuses below it are no answers.
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
@@ -81,18 +82,14 @@
         });
         return;
     }
-    m_connectTimer.expires_after(ConnectLimit);
-    m_connectTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->m_isOpen) {
-            self->fail("no connection in time");
-        }
+    runAfter(m_connectTimer, ConnectLimit, *this, [](ServerLink &self) {
+        self.fail("no connection in time");
     });
     m_socket.async_connect(tcp::endpoint(address, m_server.port), [self = shared_from_this()](const boost::system::error_code &error) {
         if (self->m_isClosed) {
             return;
         }
-        self->m_connectTimer.cancel();
+        stopTimer(self->m_connectTimer);
         if (error) {
             self->fail("connect: " + error.message());
             return;
@@ -344,7 +341,7 @@
 void ServerLink::closeSocket()
 {
     m_isClosed = true;
-    m_connectTimer.cancel();
+    stopTimer(m_connectTimer);
     boost::system::error_code ec;
     m_socket.close(ec);
 }
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -1,10 +1,10 @@
 #include "store_caller.h"
 
 #include "socket_option_func.h"
+#include "timer_func.h"
 
 #include <algorithm>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -55,12 +55,8 @@
         }
         m_request.prepare_payload();
         m_wasSent = false;
-        m_timer.expires_after(limit);
-        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &ec) {
-            const auto self = weak.lock();
-            if (!ec && self) {
-                self->fail("no answer in time");
-            }
+        runAfter(m_timer, limit, *this, [](StoreConnection &self) {
+            self.fail("no answer in time");
         });
         if (m_isOpen) {
             write();
@@ -73,7 +69,7 @@
     {
         m_isClosed = true;
         m_isOpen = false;
-        m_timer.cancel();
+        stopTimer(m_timer);
         boost::system::error_code ec;
         m_socket.close(ec);
     }
@@ -136,7 +132,7 @@
 
     void finish()
     {
-        m_timer.cancel();
+        stopTimer(m_timer);
         StoreReply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
         if (!m_parser->keep_alive() || m_buffer.size() != 0) {
             close();
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -203,6 +203,17 @@
     EXPECT_EQ(chosen(book, plain, {}, Start + 3s), "a");
 }
 
+TEST(ServerBook, AServerListedAgainWhileRequestsRunThereIsUsedAgain)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a")}, false, Start);
+    book.began("a", 0, RequestFacts{}, Start);
+    book.update({}, false, Start + 1s);
+    EXPECT_FALSE(book.hasServer("svc"));
+    book.update({serverOf("a")}, false, Start + 2s);
+    EXPECT_TRUE(book.hasServer("svc"));
+}
+
 TEST(ServerBook, ConnectionsAreSharedAmongEntries)
 {
     ChoiceSettings settings;
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -133,6 +133,24 @@
     EXPECT_EQ(writes, 1);
 }
 
+TEST(TokenLedger, TurnsThatWaitThroughFailedWritesAreCountedOnce)
+{
+    constexpr std::uint64_t Large = 100000;
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    constexpr int Turns = 6;
+    for (int failure = 0; failure < 5; failure++) {
+        for (int n = 0; n < Turns; n++) {
+            (void)ledger.ask({"p", Large, Most}, Start);
+        }
+        ledger.notWritten("p");
+    }
+    for (int n = 0; n < Turns; n++) {
+        EXPECT_TRUE(isGranted(askThrough(ledger, rows, {"p", Large, Most})));
+    }
+    EXPECT_LE(rows.row("p").reserved, (Turns + TurnsAhead) * Most);
+}
+
 TEST(TokenLedger, LostAnswerIsFoundDone)
 {
     RowModel rows;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -382,6 +382,75 @@
                              return it.param.name;
                          });
 
+TEST(ProxyBudgetRow, AnUnreadableRowIsLoggedAndNotWrittenInALoop)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+    });
+    world.rows.tokens["p"] = {"bm8ganNvbg==", 9};
+    ASSERT_TRUE(world.start());
+    const auto answer
+        = world.ask(ProxyWorld::request("POST", "/stream/1", "r1", "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 900\r\n"));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_LE(world.rows.writes, 20U);
+    EXPECT_TRUE(std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
+        return it.find("peer=p ") != std::string::npos;
+    }));
+}
+
+TEST(ProxyEarly, AnAnswerThatComesBeforeTheBodyIsSentIsHeard)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{"HTTP/1.1 413 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 0\r\n\r\n", true};
+    });
+    world.first.answersEarly = true;
+    world.second.answersEarly = true;
+    const std::string limit = "\"maxBodyBytes\":20000";
+    world.rows.config.replace(world.rows.config.find(limit), limit.size(), "\"maxBodyBytes\":20000000");
+    ASSERT_TRUE(world.start());
+    const std::string large(std::size_t{16} * 1024 * 1024, 'x');
+    for (int n = 0; n < 5; n++) {
+        TestClient client(world.loop, world.proxy->port());
+        client.sendLater(ProxyWorld::request("POST", "/once/1", "r" + std::to_string(n), {}, large));
+        EXPECT_TRUE(world.run([&client] {
+            return client.received.find("\r\n\r\n") != std::string::npos || client.isClosed;
+        }));
+        EXPECT_EQ(statusOf(client.received), 413U);
+    }
+}
+
+TEST(ProxyStream, ATornStreamIsResetForAClientWithoutChunks)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1), true};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send("POST /stream/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
+    ASSERT_TRUE(world.run([&client] {
+        return client.isClosed;
+    }));
+    EXPECT_TRUE(client.isReset);
+}
+
+TEST(ProxyClient, OneThatDoesNotReadItsAnswerIsLeft)
+{
+    const std::string large(std::size_t{8} * 1024 * 1024, 'x');
+    ProxyWorld world([&large](const std::string &) {
+        return Script{goodAnswer(large)};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.stopReading();
+    client.send(ProxyWorld::request("GET", "/call/1", "r1", "Connection: close\r\n"));
+    ASSERT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 1;
+    }));
+    EXPECT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 0;
+    }));
+}
+
 TEST(ProxyCrash, ContentThatBreaksItsServersIsRefusedBeforeItReachesMore)
 {
     ProxyWorld world([](const std::string &request) {
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -143,6 +143,17 @@
     boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
 }
 
+void TestClient::sendLater(std::string bytes)
+{
+    m_out = std::move(bytes);
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_out), [](const boost::system::error_code &, std::size_t) {});
+}
+
+void TestClient::stopReading()
+{
+    m_socket.cancel();
+}
+
 void TestClient::close()
 {
     m_socket.close();
@@ -153,6 +164,7 @@
     m_socket.async_read_some(boost::asio::buffer(m_buf), [this](const boost::system::error_code &ec, std::size_t n) {
         if (ec) {
             isClosed = true;
+            isReset = ec == boost::asio::error::connection_reset;
             return;
         }
         received.append(m_buf.data(), n);
@@ -189,6 +201,7 @@
     if (body["expect"].empty()) {
         return {json({{"ver", ++version}, {"nowMs", 1}})};
     }
+    writes++;
     const std::string key = body["expect"][0]["key"];
     const auto row = tokens.find(key);
     if ((row == tokens.end() ? 0 : row->second.second) != body["expect"][0]["ver"].get<int>()) {
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -57,15 +57,21 @@
     TestClient(boost::asio::io_context &loop, std::uint16_t port);
 
     void send(const std::string &bytes);
+    /** Sends bytes while the loop runs; for more than a socket holds. */
+    void sendLater(std::string bytes);
     void close();
+    /** Leaves what comes in the socket from now on. */
+    void stopReading();
 
     std::string received;  ///< Everything so far.
+    bool isReset = false;  ///< True if it was closed by a reset.
     bool isClosed = false; ///< True once the proxy has closed the connection.
 
 private:
     void read();
 
     tcp::socket m_socket;
+    std::string m_out;
     std::array<char, 4096> m_buf{};
 };
 
@@ -76,6 +82,7 @@
     std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
     std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
     int version = 10;                                          ///< Newest version.
+    std::size_t writes = 0;                                    ///< Token rows written or refused so far.
     bool refusesWrites = false;                                ///< True to answer writes with 503.
     bool refusesAll = false;                                   ///< True to answer everything with 503.
 
