A server that is listed again while requests still run there is used again

Cause: a vanished server is kept unusable until its last request has ended; if its row came back before, as after a lapse of its entry, nothing made it usable, and this proxy never sent to it again. Change: it is marked as gone, and a new listing ends that. Found by reading. Test: ServerBook.AServerListedAgainWhileRequestsRunThereIsUsedAgain failed, passes now.

--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -112,6 +112,7 @@
         TimePoint othersAt{};             ///< Age of `others`.
         TimePoint coldUntil{};            ///< Slow until then after its start.
         std::optional<TimePoint> lapseAt; ///< Given up then if it is still missing in the list.
+        bool isGone = false;              ///< True while it isn't listed any more.
         bool isUsable = true;             ///< False once it drains, is gone or has lost its address.
     };
 
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -46,9 +46,10 @@
             continue;
         }
         auto &place = known->second;
-        if (it.isDraining != place.server.isDraining) {
+        if (it.isDraining != place.server.isDraining || place.isGone) {
             changed.push_back(it.id);
             place.isUsable = !it.isDraining;
+            place.isGone = false;
         }
         place.server = it;
         place.lapseAt.reset();
@@ -66,9 +67,10 @@
             ++it;
             continue;
         }
-        if (place.isUsable) {
+        if (!place.isGone) {
             changed.push_back(it->first);
         }
+        place.isGone = true;
         place.isUsable = false;
         it = place.running == 0 ? m_places.erase(it) : std::next(it);
     }
