Turns that wait through failed token writes reserve once; the last event of a stream counts without its empty line

Cause: each turn that found a write under way added its tokens to what the next write reserves, again after every failed write: six turns and five failures reserved 2,900 tokens where 600 were wanted, up to the whole budget, so that other proxies found it spent. And a last event without an empty line was passed on and not counted. Both found by reading. Change: what waits is dropped with a failed write (all ask again) and shrinks with each grant; such an event counts.

--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -99,7 +99,7 @@
         TimePoint writeBegan{};              ///< When the open write was asked for.
         TimePoint written{};                 ///< When the row was last written from here.
         bool isWriting = false;              ///< True if the open write is under way.
-        TimePoint lastUse{};                 ///< Last ask or end of a turn.
+        TimePoint lastUse{};                 ///< Last ask.
     };
 
     std::string m_writer;
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -17,6 +17,7 @@
     const bool isStale = now - account.written > TokenRowRefresh;
     if (account.here >= ask.most && !isStale) {
         account.here -= ask.most;
+        account.waiting -= std::min(account.waiting, ask.most);
         return TokenGranted{};
     }
     if (account.isWriting) {
@@ -90,6 +91,8 @@
 {
     const auto it = m_accounts.find(program);
     if (it != m_accounts.end()) {
+        // Whoever waited asks again.
+        it->second.waiting = 0;
         it->second.isWriting = false;
     }
 }
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -179,6 +179,10 @@
         }
         beginAnswer();
     }
+    if (!rest.empty()) {
+        // The last event may lack its empty line; its tokens count all the same.
+        m_eventsOut++;
+    }
     passOn(m_isStreaming ? rest : m_held);
     if (!m_head.length && m_head.hasBody && !m_request.isHttp10 && !m_isClientGone) {
         m_session->write(LastChunk);
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -373,6 +373,20 @@
     EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), GetParam().attempts);
 }
 
+TEST(ProxyBudget, CountsAnEventWithoutItsEmptyLine)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "e\r\nid: 2\ndata: e\n\r\n0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 40\r\n";
+    std::vector<unsigned> statuses;
+    for (int n = 0; n < 4; n++) {
+        statuses.push_back(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers))));
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 200, 402}));
+}
+
 INSTANTIATE_TEST_SUITE_P(All,
                          ProxyBudget,
                          ::testing::Values(BudgetCase{"holds", 1000, false, 200, 3},
