An unreadable token row is logged and waited for; each token write leaves a line

Cause: a row that can't be decoded counted as missing, so each write expected none, was refused and made again at once: 98,109 writes in 1.2 s for one turn in the test. Change: it counts as a failed write (80 ms, then 1.2 s in all, then 503) with an event 1802; and each end of a write is event 1104, since it changes what the process believes of a budget. Test: ProxyBudgetRow.AnUnreadableRowIsLoggedAndNotWrittenInALoop failed (98,109 writes), passes now (20 or fewer).

--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -20,6 +20,7 @@
     RequestRefused = 1101,     ///< A caller's request was refused.
     RequestEnded = 1102,       ///< A forwarded request has ended.
     AttemptFailed = 1103,      ///< An attempt of a forwarded request at one server failed.
+    TokensReserved = 1104,     ///< A write of a program's token row has ended.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -25,6 +25,7 @@
     {EventNumber::RequestRefused, "request_refused"},
     {EventNumber::RequestEnded, "request_ended"},
     {EventNumber::AttemptFailed, "attempt_failed"},
+    {EventNumber::TokensReserved, "tokens_reserved"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -23,7 +23,6 @@
 
 void ProxyState::writeTokens(const TokenWrite &write)
 {
-    metrics.count("vanillahall_token_writes_total", {"kind", "reserve"});
     store.call(Platform::writeTokensCall(write, storeNowMs()),
                StoreLimit,
                false,
@@ -37,31 +36,56 @@
 void ProxyState::tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason)
 {
     Error ec = reason;
-    bool isStoreAway = false;
     const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
+    const auto outcome = answer ? takeTokenAnswer(write, *answer) : TokenOutcome::Failed;
     if (!answer) {
-        ledger.notWritten(write.program);
         storeFailed(ec.message);
-        isStoreAway = true;
-    } else if (const auto *done = std::get_if<Platform::TransactionDone>(&*answer)) {
-        storeAnswered();
-        ledger.written(write.program, done->version);
-    } else {
-        storeAnswered();
-        TokenRow row;
-        for (const auto &it : std::get<Platform::TransactionRefused>(*answer).rows) {
-            const auto decoded = it.key == write.program ? Platform::decodeTokens(it, ec) : std::nullopt;
-            row = decoded.value_or(row);
-        }
-        ledger.changed(write.program, row);
     }
+    if (outcome == TokenOutcome::Failed) {
+        ledger.notWritten(write.program);
+    }
+    logTokens(write, outcome);
     const auto waiters = std::move(m_tokenWaiters[write.program]);
     m_tokenWaiters.erase(write.program);
     for (const auto &it : waiters) {
         if (const auto exchange = it.lock()) {
-            exchange->tokensChanged(isStoreAway);
+            exchange->tokensChanged(outcome == TokenOutcome::Failed);
+        }
+    }
+}
+
+ProxyState::TokenOutcome ProxyState::takeTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer)
+{
+    storeAnswered();
+    if (const auto *done = std::get_if<Platform::TransactionDone>(&answer)) {
+        ledger.written(write.program, done->version);
+        return TokenOutcome::Written;
+    }
+    TokenRow row;
+    for (const auto &it : std::get<Platform::TransactionRefused>(answer).rows) {
+        if (it.key != write.program) {
+            continue;
         }
+        Error ec;
+        const auto decoded = Platform::decodeTokens(it, ec);
+        if (!decoded) {
+            rowFaulty(ec, it.version);
+            return TokenOutcome::Failed;
+        }
+        row = *decoded;
     }
+    ledger.changed(write.program, row);
+    return TokenOutcome::Changed;
+}
+
+void ProxyState::logTokens(const TokenWrite &write, TokenOutcome outcome)
+{
+    const char *name = outcome == TokenOutcome::Written ? "written" : (outcome == TokenOutcome::Changed ? "changed_by_another" : "failed");
+    metrics.count("vanillahall_token_writes_total", {"outcome", name});
+    log(LogLevel::Info,
+        EventNumber::TokensReserved,
+        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved)
+            + " expected_version=" + std::to_string(write.row.version) + " outcome=" + name);
 }
 
 void ProxyState::removeOldRows()
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -118,6 +118,15 @@
     void storeAnswered();
     void storeFailed(const std::string &message);
     void rowFaulty(const Error &reason, std::uint64_t version);
+    /** What became of a write of a token row. */
+    enum class TokenOutcome {
+        Written, ///< Done.
+        Changed, ///< Another proxy wrote first; the row is known now.
+        Failed,  ///< No answer, or a row that can't be read.
+    };
+
+    TokenOutcome takeTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer);
+    void logTokens(const TokenWrite &write, TokenOutcome outcome);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
     void sweepTokens();
