A torn stream is reset for a client that knows no chunks

Cause: to an HTTP/1.0 client a stream is ended by the close alone, so one that its server broke off looked whole. Change: such a connection is reset. Test: ProxyStream.ATornStreamIsResetForAClientWithoutChunks failed, passes now.

--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -163,12 +163,19 @@
     });
 }
 
-void ClientSession::breakOff()
+void ClientSession::breakOff(bool endsByClose)
 {
     if (m_isClosed) {
         return;
     }
     m_isAnswering = false;
+    if (endsByClose) {
+        // An ordinary close would make the answer look whole.
+        boost::system::error_code ec;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+        close();
+        return;
+    }
     beginClose();
 }
 
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -51,8 +51,8 @@
     bool write(std::string_view bytes);
     /** The answer is whole. @param keepsAlive True if another request may follow. */
     void finish(bool keepsAlive);
-    /** Closes in the middle of an answer so that it doesn't look whole. */
-    void breakOff();
+    /** Closes in the middle of an answer so that it doesn't look whole. @param endsByClose True if only the close ends its body. */
+    void breakOff(bool endsByClose);
     /** Closes if no request is in progress. */
     void closeIdle();
 
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -94,7 +94,7 @@
 void Exchange::breakOff(Outcome outcome)
 {
     if (!m_isClientGone) {
-        m_session->breakOff();
+        m_session->breakOff(m_hasBegunAnswer && m_request.isHttp10 && !m_head.length);
     }
     end(0, outcome);
 }
