No refusal of the store without its reason; a client beyond a limit leaves a line or gets a time to come back

Cause: found by reading: answers of the store other than 200 to calls whose result isn't needed were dropped without a line; a failed direct call was reported as "no other proxy known" when there was none, which hid the direct reason; connections beyond max-clients were closed without a line; a 503 for held bodies had no time to come back.

Tests (failed before): ProxyLimit (2), ProxyStore.ARefusedWriteLeavesALineWithItsReason; proxy_test 66 of 66.

--- a/packages/proxy/src/answer_text_func.h
+++ b/packages/proxy/src/answer_text_func.h
@@ -8,6 +8,9 @@
 
 namespace Vanillahall::Forward {
 
+/** Time to come back when nothing can take the request now: a turn's length. */
+inline constexpr Duration BackSoon = std::chrono::milliseconds(250);
+
 /** An answer of the proxy itself. */
 struct OwnAnswer
 {
--- a/packages/proxy/src/client_request.h
+++ b/packages/proxy/src/client_request.h
@@ -25,8 +25,9 @@
 /** Why a request was refused while it was read. */
 struct RequestFault
 {
-    unsigned status = 400; ///< HTTP status of the answer.
-    std::string message;   ///< For the log.
+    unsigned status = 400;                             ///< HTTP status of the answer.
+    std::string message;                               ///< For the log.
+    std::optional<Duration> retryAfter = std::nullopt; ///< When to come back, if that helps.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -82,7 +82,7 @@
     const bool hadBegun = m_reader.hasBegun();
     const auto progress = m_reader.read(m_in, m_handler.limits(), now());
     if (!m_handler.takesBody(m_bodyHeld, m_reader.bodySize())) {
-        refuse({StatusUnavailable, "too many bytes of bodies held"});
+        refuse({StatusUnavailable, "too many bytes of bodies held", BackSoon});
         return;
     }
     m_bodyHeld = m_reader.bodySize();
@@ -197,7 +197,7 @@
 void ClientSession::refuse(const RequestFault &fault)
 {
     m_handler.requestFaulty(fault);
-    write(ownAnswer({fault.status, {}, {}, false}));
+    write(ownAnswer({fault.status, {}, fault.retryAfter, false}));
     finish(false);
 }
 
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -1,5 +1,6 @@
 #include "exchange.h"
 
+#include "answer_text_func.h"
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "proxy_state.h"
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -15,9 +15,6 @@
 
 class ProxyState;
 
-/** Time to come back when nothing can take the request now: a turn's length. */
-inline constexpr Duration BackSoon = std::chrono::milliseconds(250);
-
 /** Finds a server for the request, sends it, and passes the answer back. */
 class Exchange : public LinkUser, public std::enable_shared_from_this<Exchange>
 {
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -157,7 +157,7 @@
     }
     m_beatAt = present + MemberBeat;
     const Member self{settings.name, settings.peerListen->address, peerServer.port(), 0};
-    callStore(Platform::writeMemberCall(settings.region, self));
+    callStore(Platform::writeMemberCall(settings.region, self), "sign_of_life");
     readAll(
         [region = settings.region](const std::string &after) {
             return Platform::readMembersCall(region, after);
@@ -183,7 +183,7 @@
 
 void ProxyState::storeFailed(const std::string &message)
 {
-    metrics.count("vanillahall_store_failures_total", {"call", "any"});
+    metrics.count("vanillahall_store_failures_total", {"reason", message});
     if (!isStoreNear() && !std::exchange(m_isStoreAway, true)) {
         log(LogLevel::Warning, EventNumber::StoreAway, "peer=store why=\"" + message + '"');
     }
@@ -213,13 +213,17 @@
     log(LogLevel::Warning, EventNumber::ConfigRefused, "peer=" + reason.peer + " why=\"" + reason.message + '"');
 }
 
-void ProxyState::callStore(const Platform::StoreRequest &request)
+void ProxyState::callStore(const Platform::StoreRequest &request, const char *name)
 {
-    store.call(request, StoreLimit, false, [weak = weak_from_this()](const auto &reply, const Error &reason) {
-        const auto proxy = weak.lock();
-        if (proxy && !reply) {
-            proxy->storeFailed(reason.message);
+    store.call(request, StoreLimit, false, [weak = weak_from_this(), name](const auto &reply, const Error &reason) {
+        const auto self = weak.lock();
+        const bool isDone = reply && (reply->status == StatusOk || reply->status == StatusConditionFailed);
+        if (!self || isDone) {
+            return;
         }
+        const auto why = reply ? "status " + std::to_string(reply->status) : reason.message;
+        self->storeFailed(why);
+        self->log(LogLevel::Warning, EventNumber::DependencyLost, std::string("peer=store call=") + name + " why=\"" + why + '"');
     });
 }
 
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -44,7 +44,7 @@
     if (outcome == TokenOutcome::Failed) {
         ledger.notWritten(write.program);
     }
-    logTokens(write, outcome);
+    logTokens(write, outcome, ec.message);
     const auto waiters = std::move(m_tokenWaiters[write.program]);
     m_tokenWaiters.erase(write.program);
     for (const auto &it : waiters) {
@@ -78,14 +78,14 @@
     return TokenOutcome::Changed;
 }
 
-void ProxyState::logTokens(const TokenWrite &write, TokenOutcome outcome)
+void ProxyState::logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why)
 {
     const char *name = outcome == TokenOutcome::Written ? "written" : (outcome == TokenOutcome::Changed ? "changed_by_another" : "failed");
     metrics.count("vanillahall_token_writes_total", {"outcome", name});
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved)
-            + " expected_version=" + std::to_string(write.row.version) + " outcome=" + name);
+        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved) + " expected_version="
+            + std::to_string(write.row.version) + " outcome=" + name + (outcome == TokenOutcome::Failed ? " why=\"" + why + '"' : ""));
 }
 
 void ProxyState::removeOldRows()
@@ -110,14 +110,14 @@
         }
     }
     for (const auto &[part, list] : byPart) {
-        callStore(Platform::removeTokensCall(list));
+        callStore(Platform::removeTokensCall(list), "remove_tokens");
     }
 }
 
 void ProxyState::contentBroke(std::uint64_t content)
 {
     const bool wasRefused = crashes.isRefused(content);
-    callStore(Platform::writeCrashCall(settings.name, crashes.broke(content, now())));
+    callStore(Platform::writeCrashCall(settings.name, crashes.broke(content, now())), "share_break");
     if (!wasRefused && crashes.isRefused(content)) {
         log(LogLevel::Warning, EventNumber::ContentQuarantined, "content=" + std::to_string(content));
     }
@@ -133,7 +133,7 @@
 void ProxyState::removeCrashes(const std::vector<std::uint64_t> &contents)
 {
     if (!contents.empty()) {
-        callStore(Platform::removeCrashesCall(settings.name, contents));
+        callStore(Platform::removeCrashesCall(settings.name, contents), "remove_breaks");
     }
 }
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -77,12 +77,8 @@
         if (!self->clientAcceptor.is_open()) {
             return;
         }
-        if (!ec && self->m_sessions.size() < self->settings.maxClients) {
-            const auto session = std::make_shared<ClientSession>(std::move(socket), *self, self->m_nextSession++);
-            self->m_sessions[session->number()] = session;
-            session->start();
-        }
         if (!ec) {
+            self->takeClient(std::move(socket));
             self->acceptClients();
             return;
         }
@@ -93,6 +89,24 @@
     });
 }
 
+void ProxyState::takeClient(tcp::socket socket)
+{
+    const bool isFull = m_sessions.size() >= settings.maxClients;
+    if (isFull && !m_isFull) {
+        log(LogLevel::Warning,
+            EventNumber::DependencyLost,
+            "peer=clients why=\"" + std::to_string(m_sessions.size()) + " connections, further ones are closed\"");
+    }
+    m_isFull = isFull;
+    if (isFull) {
+        metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
+        return;
+    }
+    const auto session = std::make_shared<ClientSession>(std::move(socket), *this, m_nextSession++);
+    m_sessions[session->number()] = session;
+    session->start();
+}
+
 void ProxyState::requestCame(const std::shared_ptr<ClientSession> &session, ClientRequest request)
 {
     const auto exchange = std::make_shared<Exchange>(*this, session, std::move(request));
@@ -170,10 +184,10 @@
 
 std::shared_ptr<ServerLink> ProxyState::takeLink(const Server &server)
 {
-    auto &idle = m_idleLinks[server.id];
-    while (!idle.empty()) {
-        auto link = idle.back();
-        idle.pop_back();
+    const auto idle = m_idleLinks.find(server.id);
+    while (idle != m_idleLinks.end() && !idle->second.empty()) {
+        auto link = idle->second.back();
+        idle->second.pop_back();
         if (link->isFresh(now()) && link->server().address == server.address && link->server().port == server.port) {
             return link;
         }
@@ -238,7 +252,11 @@
         return;
     }
     metrics.count("vanillahall_store_calls_for_peers_total", {"call", request.method});
-    store.callFor(wanted, StoreLimit, [answer](const auto &reply, const Error &) {
+    store.callFor(wanted, StoreLimit, [answer, weak = weak_from_this()](const auto &reply, const Error &reason) {
+        const auto self = weak.lock();
+        if (!reply && self) {
+            self->storeFailed(reason.message);
+        }
         answer(reply ? MessageReply{reply->status, "application/json", reply->body} : MessageReply{StatusGatewayTimeout, {}, {}});
     });
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -105,13 +105,14 @@
     void takeMembers(const std::optional<Platform::StoreRows> &rows);
     void readCrashes();
     void acceptClients();
+    void takeClient(boost::asio::ip::tcp::socket socket);
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void beat();
     void removeCrashes(const std::vector<std::uint64_t> &contents);
-    /** Makes a call whose answer doesn't matter but for a failure. */
-    void callStore(const Platform::StoreRequest &request);
+    /** Makes a call whose answer doesn't matter but for a failure. @param name For the log. */
+    void callStore(const Platform::StoreRequest &request, const char *name);
     void poll();
     void pollAgain();
     void takeServers(const std::vector<Server> &list);
@@ -126,7 +127,7 @@
     };
 
     TokenOutcome takeTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer);
-    void logTokens(const TokenWrite &write, TokenOutcome outcome);
+    void logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
     void sweepTokens();
@@ -159,6 +160,7 @@
     TimePoint m_crashesAt{};                             ///< When shared counts are next read.
     std::function<void()> m_stopped;                     ///< Told when the stop is complete.
     unsigned m_openPolls = 0;                            ///< Reads under way.
+    bool m_isFull = false;                               ///< True while clients are turned away.
     bool m_isStopping = false;                           ///< True after stop().
     bool m_isShutDown = false;                           ///< True after shutDown().
     bool m_isStoreAway = false;                          ///< True from event 1501 to 1502.
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -55,7 +55,7 @@
 
 RequestReader::Progress RequestReader::refuse(unsigned status, std::string message)
 {
-    m_fault = {status, std::move(message)};
+    m_fault = {status, std::move(message), std::nullopt};
     return Progress::Faulty;
 }
 
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -187,7 +187,6 @@
 
 void StoreCaller::call(const Platform::StoreRequest &request, Duration limit, Handler handler)
 {
-    m_calls++;
     m_connections.erase(std::remove_if(m_connections.begin(),
                                        m_connections.end(),
                                        [](const auto &it) {
@@ -218,9 +217,11 @@
     m_store = std::move(store);
 }
 
-std::uint64_t StoreCaller::calls() const
+bool StoreCaller::isIdle() const
 {
-    return m_calls;
+    return std::none_of(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        return !it->isClosed() && !it->isIdle();
+    });
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/store_caller.h
+++ b/packages/proxy/src/store_caller.h
@@ -43,13 +43,12 @@
 
     // Queries.
 
-    /** @return Calls so far. */
-    [[nodiscard]] std::uint64_t calls() const;
+    /** @return True if no call is under way. */
+    [[nodiscard]] bool isIdle() const;
 
 private:
     boost::asio::io_context &m_loop;
     ProxyAddress m_store;
-    std::uint64_t m_calls = 0;
     std::vector<std::shared_ptr<StoreConnection>> m_connections;
 };
 
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -3,12 +3,12 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 
-#include <boost/asio/post.hpp>
-
 namespace Vanillahall::Forward {
 
 namespace {
 
+constexpr std::size_t MaxCallers = 16; ///< Proxies whose connections are kept.
+
 /** @return True if the store did or refused what was asked, so that another way wouldn't change the answer. */
 bool isAnswer(const std::optional<StoreReply> &reply)
 {
@@ -34,76 +34,74 @@
     m_direct.setStore(store);
 }
 
-void StorePath::callDirect(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler)
+void StorePath::callDirect(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
-    m_direct.call(
-        request, limit, [this, alive = std::weak_ptr(m_isAlive), handler = std::move(handler)](const auto &reply, const Error &reason) {
-            if (alive.expired()) {
-                return;
-            }
-            m_isDirectAway = !isAnswer(reply);
-            handler(reply, reason);
-        });
+    m_direct.call(request, limit, [this, alive = std::weak_ptr(m_isAlive), handler](const auto &reply, const Error &reason) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isDirectAway = !isAnswer(reply);
+        handler(reply, reason);
+    });
 }
 
-void StorePath::callThroughMember(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler)
+bool StorePath::callThroughMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
     const Member *member = m_members.pick(m_turn++, now());
     if (member == nullptr) {
-        Error reason;
-        reason.code = ErrorCode::StoreUnavailable;
-        reason.step = Step::Reserve;
-        reason.peer = "store";
-        reason.message = "no other proxy known";
-        boost::asio::post(m_loop, [handler = std::move(handler), reason] {
-            handler(std::nullopt, reason);
+        return false;
+    }
+    if (m_callers.size() > MaxCallers) {
+        // Proxies come and go; connections to those that are gone aren't worth keeping.
+        std::erase_if(m_callers, [](const auto &it) {
+            return it.second->isIdle();
         });
-        return;
     }
     auto &caller = m_callers[member->address + ":" + std::to_string(member->port)];
     if (!caller) {
         caller = std::make_unique<StoreCaller>(m_loop, ProxyAddress{member->address, member->port});
     }
-    caller->call(request,
-                 limit,
-                 [this, alive = std::weak_ptr(m_isAlive), name = member->name, handler = std::move(handler)](const auto &reply,
-                                                                                                             const Error &reason) {
-                     if (alive.expired()) {
-                         return;
-                     }
-                     if (!isAnswer(reply)) {
-                         m_members.failed(name, now());
-                     }
-                     handler(reply, reason);
-                 });
+    caller->call(
+        request, limit, [this, alive = std::weak_ptr(m_isAlive), name = member->name, handler](const auto &reply, const Error &reason) {
+            if (alive.expired()) {
+                return;
+            }
+            if (!isAnswer(reply)) {
+                m_members.failed(name, now());
+            }
+            handler(reply, reason);
+        });
+    return true;
 }
 
-void StorePath::call(const Platform::StoreRequest &request, Duration limit, bool isProbe, StoreCaller::Handler handler)
+void StorePath::call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler)
 {
     const bool isDirectFirst = !m_isDirectAway || isProbe;
-    auto second = [this, alive = std::weak_ptr(m_isAlive), request, limit, isDirectFirst, handler = std::move(handler)](
-                      const auto &reply, const Error &reason) {
-        if (alive.expired()) {
-            return;
-        }
-        if (isAnswer(reply)) {
+    if (isDirectFirst) {
+        callDirect(
+            request, limit, [this, alive = std::weak_ptr(m_isAlive), request, limit, handler](const auto &reply, const Error &reason) {
+                const bool isDone = alive.expired() || isAnswer(reply);
+                if (isDone || !callThroughMember(request, limit, handler)) {
+                    handler(reply, reason);
+                }
+            });
+        return;
+    }
+    const auto second = [this, alive = std::weak_ptr(m_isAlive), request, limit, handler](const auto &reply, const Error &reason) {
+        if (alive.expired() || isAnswer(reply)) {
             handler(reply, reason);
-        } else if (isDirectFirst) {
-            callThroughMember(request, limit, handler);
         } else {
             callDirect(request, limit, handler);
         }
     };
-    if (isDirectFirst) {
-        callDirect(request, limit, std::move(second));
-    } else {
-        callThroughMember(request, limit, std::move(second));
+    if (!callThroughMember(request, limit, second)) {
+        callDirect(request, limit, handler);
     }
 }
 
-void StorePath::callFor(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler)
+void StorePath::callFor(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
-    callDirect(request, limit, std::move(handler));
+    callDirect(request, limit, handler);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -25,9 +25,9 @@
      * Makes a call. Each call is made twice at most, once directly and once through another proxy; writes have to be conditional.
      * @param isProbe True to try the direct way first even if it failed a moment ago.
      */
-    void call(const Platform::StoreRequest &request, Duration limit, bool isProbe, StoreCaller::Handler handler);
+    void call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler);
     /** Makes a call for another proxy, directly. */
-    void callFor(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler);
+    void callFor(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** Calls another store from now on. */
     void setStore(const ProxyAddress &store);
 
@@ -37,8 +37,9 @@
     [[nodiscard]] bool isDirectAway() const;
 
 private:
-    void callDirect(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler);
-    void callThroughMember(const Platform::StoreRequest &request, Duration limit, StoreCaller::Handler handler);
+    void callDirect(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
+    /** @return False if no other proxy is known; nothing is called then. */
+    bool callThroughMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
 
     boost::asio::io_context &m_loop;
     StoreCaller m_direct;
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -255,9 +255,7 @@
     const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
     EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
     EXPECT_EQ(answer.find("xxx"), std::string::npos);
-    EXPECT_TRUE(std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
-        return it.find("event without end") != std::string::npos;
-    }));
+    EXPECT_TRUE(world.hasLine("event without end"));
 }
 
 TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
@@ -336,9 +334,7 @@
     world.rows.config = "{";
     world.rows.version++;
     EXPECT_TRUE(world.run([&world] {
-        return std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
-            return it.find("peer=configuration") != std::string::npos;
-        });
+        return world.hasLine("peer=configuration");
     }));
     EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
 }
@@ -381,6 +377,7 @@
     ASSERT_TRUE(world.start());
     const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 40\r\n";
     std::vector<unsigned> statuses;
+    statuses.reserve(4);
     for (int n = 0; n < 4; n++) {
         statuses.push_back(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers))));
     }
@@ -407,9 +404,7 @@
         = world.ask(ProxyWorld::request("POST", "/stream/1", "r1", "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 900\r\n"));
     EXPECT_EQ(statusOf(answer), 503U);
     EXPECT_LE(world.rows.writes, 20U);
-    EXPECT_TRUE(std::any_of(world.lines.begin(), world.lines.end(), [](const auto &it) {
-        return it.find("peer=p ") != std::string::npos;
-    }));
+    EXPECT_TRUE(world.hasLine("peer=p "));
 }
 
 TEST(ProxyEarly, AnAnswerThatComesBeforeTheBodyIsSentIsHeard)
@@ -469,6 +464,63 @@
     }));
 }
 
+TEST(ProxyLimit, BodiesBeyondTheMemoryAreRefusedWithATimeToComeBack)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.maxBufferedBytes = 1000;
+        });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/call/1", "r1", {}, std::string(2000, 'x')));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "r2", {}, "small"))), 200U);
+}
+
+TEST(ProxyLimit, ClientsBeyondTheLimitAreTurnedAwayWithALine)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.maxClients = 1;
+        });
+    ASSERT_TRUE(world.start());
+    TestClient kept(world.loop, world.proxy->port());
+    ASSERT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 1;
+    }));
+    TestClient turnedAway(world.loop, world.proxy->port());
+    EXPECT_TRUE(world.run([&turnedAway] {
+        return turnedAway.isClosed;
+    }));
+    EXPECT_TRUE(world.hasLine("peer=clients"));
+    kept.close();
+    EXPECT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 0;
+    }));
+}
+
+TEST(ProxyStore, ARefusedWriteLeavesALineWithItsReason)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.peerListen = ProxyAddress{"127.0.0.1", 0};
+        });
+    world.rows.refusesWrites = true;
+    ASSERT_TRUE(world.start());
+    EXPECT_TRUE(world.run([&world] {
+        return world.hasLine("peer=store call=") && world.hasLine("status 503");
+    }));
+}
+
 TEST(ProxyCrash, ContentThatBreaksItsServersIsRefusedBeforeItReachesMore)
 {
     ProxyWorld world([](const std::string &request) {
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -167,15 +167,19 @@
 
 void TestClient::read()
 {
-    m_socket.async_read_some(boost::asio::buffer(m_buf), [this](const boost::system::error_code &ec, std::size_t n) {
-        if (ec) {
-            isClosed = true;
-            isReset = ec == boost::asio::error::connection_reset;
-            return;
-        }
-        received.append(m_buf.data(), n);
-        read();
-    });
+    m_socket.async_read_some(boost::asio::buffer(m_buf),
+                             [this, alive = std::weak_ptr(m_alive)](const boost::system::error_code &ec, std::size_t n) {
+                                 if (alive.expired()) {
+                                     return;
+                                 }
+                                 if (ec) {
+                                     isClosed = true;
+                                     isReset = ec == boost::asio::error::connection_reset;
+                                     return;
+                                 }
+                                 received.append(m_buf.data(), n);
+                                 read();
+                             });
 }
 
 Script StoreModel::answer(const std::string &request)
@@ -221,7 +225,7 @@
     return {json({{"ver", version}, {"nowMs", 1}})};
 }
 
-ProxyWorld::ProxyWorld(const ScriptedPeer::Answer &answer)
+ProxyWorld::ProxyWorld(const ScriptedPeer::Answer &answer, const std::function<void(ProxySettings &)> &adjust)
     : first(loop, answer)
     , second(loop, answer)
     , store(loop, [this](const std::string &request) {
@@ -263,6 +267,9 @@
     settings.readyListen = {"127.0.0.1", 0};
     settings.store = {"127.0.0.1", store.port()};
     settings.pollInterval = 5ms;
+    if (adjust) {
+        adjust(settings);
+    }
     proxy = std::make_unique<Proxy>(loop, settings, [this](LogLevel, EventNumber event, const std::string &fields) {
         lines.push_back(std::to_string(static_cast<int>(event)) + " " + fields);
     });
@@ -288,6 +295,13 @@
     return true;
 }
 
+bool ProxyWorld::hasLine(const std::string &text) const
+{
+    return std::any_of(lines.begin(), lines.end(), [&text](const auto &it) {
+        return it.find(text) != std::string::npos;
+    });
+}
+
 bool ProxyWorld::start()
 {
     Error reason;
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -74,6 +74,7 @@
     tcp::socket m_socket;
     std::string m_out;
     std::array<char, 4096> m_buf{};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 /** The store's rows and how it behaves. */
@@ -95,7 +96,11 @@
 class ProxyWorld
 {
 public:
-    explicit ProxyWorld(const ScriptedPeer::Answer &answer);
+    /** @param answer What both servers do. @param adjust Changes the proxy's settings. */
+    explicit ProxyWorld(const ScriptedPeer::Answer &answer, const std::function<void(ProxySettings &)> &adjust = {});
+
+    /** @return True if a log line holds a text. */
+    [[nodiscard]] bool hasLine(const std::string &text) const;
     ~ProxyWorld();
 
     /** Runs the loop until a condition holds. @return False if it doesn't within a long while. */
