--- a/packages/core/include/vanillahall/core/attempt_rule_func.h
+++ b/packages/core/include/vanillahall/core/attempt_rule_func.h
@@ -7,6 +7,8 @@
 
 #include "vanillahall/core/forward_type.h"
 
+#include <string_view>
+
 namespace Vanillahall::Forward {
 
 /** How an attempt failed. */
@@ -17,6 +19,22 @@
     BadAnswer,    ///< The answer can't be passed on.
 };
 
+/** @return Name of a failure in logs and metrics. */
+constexpr std::string_view failureName(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NoConnection:
+        return "no_connection";
+    case AttemptFailure::Refused:
+        return "refused";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::BadAnswer:
+        return "bad_answer";
+    }
+    return "unnamed";
+}
+
 /** What is known of a request when an attempt has failed. */
 struct AttemptHistory
 {
@@ -37,6 +55,22 @@
     BreakOff,     ///< Close the client's connection, since part of an answer is out.
 };
 
+/** @return Name of a step in logs. */
+constexpr std::string_view stepName(NextStep step)
+{
+    switch (step) {
+    case NextStep::TryAnother:
+        return "try_another";
+    case NextStep::AnswerNotRun:
+        return "answer_not_run";
+    case NextStep::AnswerFailed:
+        return "answer_failed";
+    case NextStep::BreakOff:
+        return "break_off";
+    }
+    return "unnamed";
+}
+
 /** Most servers that one request is offered to; the rest of a burst is better refused than carried around. */
 inline constexpr std::uint32_t MaxTries = 6;
 /** Less time than this is not enough for another attempt: a round trip to another zone and a short run. */
--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -14,12 +14,15 @@
 
 namespace Vanillahall::Forward {
 
-/** Figures of the choice. */
+/**
+ * Figures of the choice. Those of engines and links come from the users' sheets; the prices are those with the best mean worth of the
+ * trials in docs/design/05 or, where it names none, a multiple of the wait that such a server has caused on the bench.
+ */
 struct ChoiceSettings
 {
     double promptTokensPerMs = 60.0; ///< Prompt tokens that an engine reads in a millisecond.
     double otherZoneMs = 4.0;        ///< Price of a server in another availability zone, in milliseconds.
-    double fullMs = 12.0;            ///< Wait for each request beyond a server's slots, in milliseconds.
+    double turnMs = 288.0;           ///< Time for which a request holds one of a server's slots, in milliseconds.
     double busyMs = 2.0;             ///< Wait for each request that a server has already, in milliseconds.
     double homeMs = 150.0;           ///< Gain of a program's home server, where later turns at other entries are sent too, in milliseconds.
     std::uint32_t newTokens = 500;   ///< Prompt tokens that a turn adds to its line, where the line isn't known here.
@@ -44,7 +47,7 @@
 {
     Server server;                  ///< The server.
     std::uint32_t unreadTokens = 0; ///< Prompt tokens that it has to read, as far as known.
-    double expectedMs = 0;          ///< Weight of the choice, in milliseconds.
+    double expectedMs = 0;          ///< Expected wait at the server and its prices, in milliseconds.
 };
 
 /** Servers, load, and choice. */
@@ -63,7 +66,7 @@
      */
     std::vector<std::string> update(const std::vector<Server> &list, bool wasAway, TimePoint now);
     /** A request was sent to a server. */
-    void began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts, TimePoint now);
+    void began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts);
     /** The first event of a stream came. */
     void firstEvent(const std::string &id, std::uint32_t unreadTokens);
     /** A request has ended at a server. @param hadFirstEvent True if firstEvent() was called for it. */
@@ -99,6 +102,7 @@
     struct Place
     {
         Server server;                    ///< As listed.
+        std::uint64_t run = 0;            ///< Hash of id and start: another run of a server has read nothing yet.
         std::uint32_t running = 0;        ///< Requests of this entry there.
         std::uint64_t unread = 0;         ///< Prompt tokens of this entry's requests that have no first event yet.
         std::uint32_t others = 0;         ///< Requests of other entries, as last told.
@@ -119,7 +123,7 @@
     /** Where a part of a prompt was read last, and how much of it. */
     struct PartPlace
     {
-        std::string server;       ///< Server.
+        std::uint64_t run = 0;    ///< Run of a server.
         std::uint32_t tokens = 0; ///< Tokens of the part there.
     };
     /** One part of prompts. */
@@ -129,24 +133,37 @@
         std::list<std::uint64_t>::iterator lastUse; ///< Place in the order of use.
     };
 
-    void remember(const std::string &id, const RequestFacts &facts);
-    [[nodiscard]] std::uint32_t readTokens(const Place &place, const RequestFacts &facts) const;
+    void remember(std::uint64_t run, const RequestFacts &facts);
+    void indexServices();
+    /** What is looked up once for a request, before its servers are compared. */
+    struct Lookup
+    {
+        std::vector<const Part *> parts; ///< The first parts of the prompt that are known here.
+        const Place *home = nullptr;     ///< Server where the program's turns meet.
+        double usualPaceMs = 0;          ///< Usual time between two events of the service; 0 if unknown.
+    };
+
+    [[nodiscard]] Lookup lookUp(const ChoiceRequest &request) const;
+    [[nodiscard]] static std::uint32_t readTokens(const Place &place, const Lookup &lookup, const RequestFacts &facts);
+    /** @return Servers of a service that may be used, and some that stopped being usable since the last list. */
+    [[nodiscard]] const std::vector<const Place *> &placesOf(const std::string &service) const;
     [[nodiscard]] const Place *home(const ChoiceRequest &request) const;
     [[nodiscard]] static double troubleOf(const Place &place, TimePoint now);
-    [[nodiscard]] std::uint32_t unreadTokens(const Place &place, const Place *home, const RequestFacts &facts) const;
-    [[nodiscard]] double slowness(const Place &place, TimePoint now) const;
-    [[nodiscard]] double expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const;
+    [[nodiscard]] std::uint32_t unreadTokens(const Place &place, const Lookup &lookup, const RequestFacts &facts) const;
+    [[nodiscard]] static double slowness(const Place &place, double usualPaceMs, TimePoint now);
+    [[nodiscard]] double expectedMs(const Place &place, std::uint32_t unread, double usualPaceMs, TimePoint now) const;
 
     std::string m_zone;
     ChoiceSettings m_settings;
     std::unordered_map<std::string, Place> m_places;
+    std::unordered_map<std::string, std::vector<const Place *>> m_byService; ///< Usable entries of `m_places`, as of the last list.
     std::unordered_map<std::uint64_t, Part> m_parts;
     std::unordered_map<std::string, double> m_paceMs; ///< Usual time between two events, by service.
     std::list<std::uint64_t> m_partUse;               ///< Least recently used first.
 };
 
 inline constexpr Duration LapseGrace = std::chrono::milliseconds(1900); ///< Servers that live are listed again within 2 s.
-inline constexpr std::size_t MaxParts = 20000;                          ///< Parts remembered; about 3 MB.
+inline constexpr std::size_t MaxParts = 20000;                          ///< Parts remembered; 3.1 MB by `make bench-capacity`.
 inline constexpr std::size_t MaxPartPlaces = 16;                        ///< Servers remembered for one part.
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -39,6 +41,7 @@
             Place place;
             place.running = known == m_places.end() ? 0 : known->second.running;
             place.server = it;
+            place.run = XXH3_64bits_withSeed(it.id.data(), it.id.size(), it.startedMs);
             place.coldUntil = now + it.coldLeft;
             place.isUsable = !it.isDraining;
             m_places[it.id] = std::move(place);
@@ -74,19 +77,29 @@
         place.isUsable = false;
         it = place.running == 0 ? m_places.erase(it) : std::next(it);
     }
+    indexServices();
     return changed;
 }
 
-void ServerBook::began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts, TimePoint now)
+void ServerBook::indexServices()
+{
+    m_byService.clear();
+    for (const auto &[id, place] : m_places) {
+        if (place.isUsable) {
+            m_byService[place.server.service].push_back(&place);
+        }
+    }
+}
+
+void ServerBook::began(const std::string &id, std::uint32_t unreadTokens, const RequestFacts &facts)
 {
-    (void)now;
     const auto it = m_places.find(id);
     if (it == m_places.end()) {
         return;
     }
     it->second.running++;
     it->second.unread += unreadTokens;
-    remember(id, facts);
+    remember(it->second.run, facts);
 }
 
 void ServerBook::firstEvent(const std::string &id, std::uint32_t unreadTokens)
@@ -182,7 +195,7 @@
     }
 }
 
-void ServerBook::remember(const std::string &id, const RequestFacts &facts)
+void ServerBook::remember(std::uint64_t run, const RequestFacts &facts)
 {
     for (const auto &it : facts.promptParts) {
         auto found = m_parts.find(it.id);
@@ -193,15 +206,15 @@
         auto &part = found->second;
         m_partUse.splice(m_partUse.end(), m_partUse, part.lastUse);
         auto &places = part.places;
-        const auto old = std::find_if(places.begin(), places.end(), [&id](const PartPlace &place) {
-            return place.server == id;
+        const auto old = std::find_if(places.begin(), places.end(), [run](const PartPlace &place) {
+            return place.run == run;
         });
         if (old != places.end()) {
             places.erase(old);
         } else if (places.size() >= MaxPartPlaces) {
             places.erase(places.begin());
         }
-        places.push_back({id, it.tokens});
+        places.push_back({run, it.tokens});
     }
     while (m_parts.size() > MaxParts) {
         m_parts.erase(m_partUse.front());
--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -15,10 +15,15 @@
 constexpr double OrdinarySpread = 1.6;                             ///< Crowding alone makes events this many times slower than usual.
 constexpr std::uint32_t MinConnections = 4;                        ///< Connections an entry may always hold to one server.
 
+std::uint64_t keyHash(const std::string &key)
+{
+    return XXH3_64bits(key.data(), key.size());
+}
+
 /** @return Rank of a server for a key, the same at each entry, so that turns of a program meet again without any talk. */
-std::uint64_t homeRank(const std::string &key, const std::string &server)
+std::uint64_t homeRank(std::uint64_t keyHash, std::uint64_t run)
 {
-    return XXH3_64bits_withSeed(server.data(), server.size(), XXH3_64bits(key.data(), key.size()));
+    return XXH3_64bits_withSeed(&run, sizeof run, keyHash);
 }
 
 bool hasModel(const Server &server, const std::string &model)
@@ -28,23 +33,36 @@
 
 } // namespace
 
-std::uint32_t ServerBook::readTokens(const Place &place, const RequestFacts &facts) const
+ServerBook::Lookup ServerBook::lookUp(const ChoiceRequest &request) const
 {
-    std::uint32_t sum = 0;
-    for (const auto &it : facts.promptParts) {
+    Lookup lookup;
+    for (const auto &it : request.facts->promptParts) {
         const auto part = m_parts.find(it.id);
         if (part == m_parts.end()) {
             break;
         }
-        const auto &places = part->second.places;
+        lookup.parts.push_back(&part->second);
+    }
+    lookup.home = home(request);
+    const auto usual = m_paceMs.find(request.service);
+    lookup.usualPaceMs = usual == m_paceMs.end() ? 0 : usual->second;
+    return lookup;
+}
+
+std::uint32_t ServerBook::readTokens(const Place &place, const Lookup &lookup, const RequestFacts &facts)
+{
+    std::uint32_t sum = 0;
+    for (std::size_t n = 0; n < lookup.parts.size(); n++) {
+        const auto &places = lookup.parts[n]->places;
+        const auto wanted = facts.promptParts[n].tokens;
         const auto found = std::find_if(places.begin(), places.end(), [&place](const PartPlace &seen) {
-            return seen.server == place.server.id;
+            return seen.run == place.run;
         });
         if (found == places.end()) {
             break;
         }
-        sum += std::min(found->tokens, it.tokens);
-        if (found->tokens < it.tokens) {
+        sum += std::min(found->tokens, wanted);
+        if (found->tokens < wanted) {
             break;
         }
     }
@@ -53,20 +71,22 @@
 
 double ServerBook::troubleOf(const Place &place, TimePoint now)
 {
+    if (place.trouble == 0) {
+        return 0;
+    }
     const double age = std::chrono::duration<double>(now - place.troubleAt).count();
     return place.trouble * std::exp2(-age / TroubleHalfLifeSeconds);
 }
 
-double ServerBook::slowness(const Place &place, TimePoint now) const
+double ServerBook::slowness(const Place &place, double usualPaceMs, TimePoint now)
 {
-    const auto usual = m_paceMs.find(place.server.service);
-    if (usual == m_paceMs.end() || usual->second <= 0 || now - place.paceAt > PaceTrusted) {
+    if (usualPaceMs <= 0 || now - place.paceAt > PaceTrusted) {
         return 0;
     }
-    return std::max(0.0, place.paceMs / usual->second - OrdinarySpread);
+    return std::max(0.0, place.paceMs / usualPaceMs - OrdinarySpread);
 }
 
-double ServerBook::expectedMs(const Place &place, std::uint32_t unread, TimePoint now) const
+double ServerBook::expectedMs(const Place &place, std::uint32_t unread, double usualPaceMs, TimePoint now) const
 {
     double ms = (static_cast<double>(place.unread) + unread) / m_settings.promptTokensPerMs;
     const double others = now - place.othersAt < OthersTrusted ? place.others : place.others / 2.0;
@@ -74,12 +94,12 @@
     ms += load * m_settings.busyMs;
     const double slots = std::max(1U, place.server.slots);
     if (load >= slots) {
-        ms += (load - slots + 1) * m_settings.fullMs * (24.0 / slots);
+        ms += (load - slots + 1) * m_settings.turnMs / slots;
     }
     if (place.server.zone != m_zone) {
         ms += m_settings.otherZoneMs;
     }
-    ms += slowness(place, now) * m_settings.slowMs + troubleOf(place, now) * m_settings.troubleMs;
+    ms += slowness(place, usualPaceMs, now) * m_settings.slowMs + troubleOf(place, now) * m_settings.troubleMs;
     if (now < place.coldUntil) {
         ms += m_settings.coldMs;
     }
@@ -94,6 +114,13 @@
     return std::max(MinConnections, maxConnections / std::max(1U, m_settings.entries));
 }
 
+const std::vector<const ServerBook::Place *> &ServerBook::placesOf(const std::string &service) const
+{
+    static const std::vector<const Place *> None;
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? None : it->second;
+}
+
 const ServerBook::Place *ServerBook::home(const ChoiceRequest &request) const
 {
     const Place *best = nullptr;
@@ -101,24 +128,21 @@
     if (request.facts->program.empty() || request.facts->promptParts.empty()) {
         return nullptr;
     }
-    for (const auto &[id, place] : m_places) {
-        if (!place.isUsable || place.server.service != request.service) {
-            continue;
-        }
-        const auto rank = homeRank(request.facts->program, id);
-        if (best == nullptr || rank > bestRank) {
-            best = &place;
+    const auto key = keyHash(request.facts->program);
+    for (const auto *place : placesOf(request.service)) {
+        const auto rank = homeRank(key, place->run);
+        if (place->isUsable && (best == nullptr || rank > bestRank)) {
+            best = place;
             bestRank = rank;
         }
     }
     return best;
 }
 
-std::uint32_t ServerBook::unreadTokens(const Place &place, const Place *home, const RequestFacts &facts) const
+std::uint32_t ServerBook::unreadTokens(const Place &place, const Lookup &lookup, const RequestFacts &facts) const
 {
-    const std::uint32_t known = readTokens(place, facts);
-    std::uint32_t read = known;
-    if (&place == home) {
+    std::uint32_t read = readTokens(place, lookup, facts);
+    if (&place == lookup.home) {
         // The other entries send this program's turns there, too.
         const auto &last = facts.promptParts.back();
         const std::uint32_t fresh = std::min(last.tokens, m_settings.newTokens);
@@ -131,36 +155,39 @@
 {
     const auto &facts = *request.facts;
     const auto share = connectionShare(request.maxConnections);
-    const Place *homePlace = home(request);
+    const auto lookup = lookUp(request);
+    const auto key = keyHash(facts.program);
     const Place *best = nullptr;
-    double bestMs = 0;
-    std::uint64_t bestRank = 0;
-    std::uint32_t bestUnread = 0;
-    for (const auto &[id, place] : m_places) {
-        if (!place.isUsable || place.server.service != request.service || place.running >= share || request.avoided->count(id) != 0
-            || !hasModel(place.server, facts.model)) {
+    double bestWeight = 0;
+    Choice choice;
+    for (const auto *place : placesOf(request.service)) {
+        if (!place->isUsable || place->running >= share || request.avoided->count(place->server.id) != 0
+            || !hasModel(place->server, facts.model)) {
             continue;
         }
-        const std::uint32_t unread = unreadTokens(place, homePlace, facts);
-        const double ms = expectedMs(place, unread, now) - (&place == homePlace ? m_settings.homeMs : 0.0);
-        const auto rank = homeRank(facts.program, id);
-        if (best == nullptr || ms < bestMs || (ms == bestMs && rank > bestRank)) {
-            best = &place;
-            bestMs = ms;
-            bestRank = rank;
-            bestUnread = unread;
+        const std::uint32_t unread = unreadTokens(*place, lookup, facts);
+        const double ms = expectedMs(*place, unread, lookup.usualPaceMs, now);
+        const double weight = ms - (place == lookup.home ? m_settings.homeMs : 0.0);
+        const bool isTie = best != nullptr && weight == bestWeight;
+        if (best == nullptr || weight < bestWeight || (isTie && homeRank(key, place->run) > homeRank(key, best->run))) {
+            best = place;
+            bestWeight = weight;
+            choice.unreadTokens = unread;
+            choice.expectedMs = ms;
         }
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    return Choice{best->server, bestUnread, bestMs};
+    choice.server = best->server;
+    return choice;
 }
 
 bool ServerBook::hasServer(const std::string &service) const
 {
-    return std::any_of(m_places.begin(), m_places.end(), [&service](const auto &it) {
-        return it.second.isUsable && it.second.server.service == service;
+    const auto &places = placesOf(service);
+    return std::any_of(places.begin(), places.end(), [](const auto *it) {
+        return it->isUsable;
     });
 }
 
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -204,7 +204,7 @@
         m_placedAt = now();
     }
     m_servers += (m_servers.empty() ? "" : ",") + choice.server.id;
-    m_proxy.book.began(choice.server.id, choice.unreadTokens, m_request.facts, now());
+    m_proxy.book.began(choice.server.id, choice.unreadTokens, m_request.facts);
     m_link = m_proxy.takeLink(choice.server);
     m_link->send(this, requestText(choice.server), m_request.facts.requestId, m_request.method == "HEAD");
 }
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -49,10 +49,10 @@
     const auto step = m_isClientGone ? NextStep::BreakOff : nextStep(history, failure);
     std::ostringstream line;
     line << "request=" << m_request.facts.requestId << " program=" << m_request.facts.program << " server=" << m_choice.server.id
-         << " failure=" << static_cast<unsigned>(failure) << " may_have_run=" << m_mayHaveRun << " tries=" << m_tries
-         << " step=" << static_cast<unsigned>(step) << " why=\"" << message << '"';
+         << " failure=" << failureName(failure) << " may_have_run=" << m_mayHaveRun << " tries=" << m_tries << " step=" << stepName(step)
+         << " why=\"" << message << '"';
     m_proxy.log(LogLevel::Warning, EventNumber::AttemptFailed, line.str());
-    m_proxy.metrics.count("vanillahall_attempt_failures_total", {"failure", std::to_string(static_cast<unsigned>(failure))});
+    m_proxy.metrics.count("vanillahall_attempt_failures_total", {"failure", std::string(failureName(failure))});
     switch (step) {
     case NextStep::TryAnother:
         place();
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -182,12 +182,23 @@
     return m_serversAt ? now() - *m_serversAt : Duration::zero();
 }
 
+std::shared_ptr<ServerLink> ProxyState::popIdleLink(const std::string &server)
+{
+    const auto it = m_idleLinks.find(server);
+    if (it == m_idleLinks.end()) {
+        return nullptr;
+    }
+    auto link = std::move(it->second.back());
+    it->second.pop_back();
+    if (it->second.empty()) {
+        m_idleLinks.erase(it);
+    }
+    return link;
+}
+
 std::shared_ptr<ServerLink> ProxyState::takeLink(const Server &server)
 {
-    const auto idle = m_idleLinks.find(server.id);
-    while (idle != m_idleLinks.end() && !idle->second.empty()) {
-        auto link = idle->second.back();
-        idle->second.pop_back();
+    while (auto link = popIdleLink(server.id)) {
         if (link->isFresh(now()) && link->server().address == server.address && link->server().port == server.port) {
             return link;
         }
@@ -203,11 +214,14 @@
 
 void ProxyState::linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable)
 {
-    auto &idle = m_idleLinks[link->server().id];
     if (!isReusable) {
-        idle.erase(std::remove(idle.begin(), idle.end(), link), idle.end());
+        const auto it = m_idleLinks.find(link->server().id);
+        if (it != m_idleLinks.end() && std::erase(it->second, link) != 0 && it->second.empty()) {
+            m_idleLinks.erase(it);
+        }
         return;
     }
+    auto &idle = m_idleLinks[link->server().id];
     idle.push_back(link);
     if (idle.size() > MaxIdleLinks || m_isShutDown) {
         const auto oldest = idle.front();
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -105,6 +105,8 @@
     void takeMembers(const std::optional<Platform::StoreRows> &rows);
     void readCrashes();
     void acceptClients();
+    /** @return An idle connection to a server, or null. */
+    std::shared_ptr<ServerLink> popIdleLink(const std::string &server);
     void takeClient(boost::asio::ip::tcp::socket socket);
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
@@ -142,7 +144,7 @@
     boost::asio::steady_timer m_acceptTimer;                                               ///< After a failed accept.
     std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;          ///< Connections of clients.
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;              ///< Requests under way, by session.
-    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks; ///< Idle connections, by server.
+    std::unordered_map<std::string, std::vector<std::shared_ptr<ServerLink>>> m_idleLinks; ///< Idle connections, by server; none is empty.
     std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
         m_tokenWaiters;                                  ///< Requests that wait for a token write, by program.
     std::vector<std::weak_ptr<Exchange>> m_storeWaiters; ///< Requests that wait for the store's return.
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -3,6 +3,7 @@
 
 #include "vanillahall/adapters/row_codec_func.h"
 #include "vanillahall/core/program_book_base.h"
+#include "vanillahall/core/server_book_base.h"
 #include "vanillahall/core/store_budget_base.h"
 #include "vanillahall/core/worker_book_base.h"
 
@@ -23,7 +24,8 @@
 
 constexpr std::size_t TurnTextBytes = 1200; ///< Input and answer of one turn together.
 constexpr std::uint32_t TurnsPerProgram = 20;
-constexpr int Repeats = 2000; ///< Calls of a function that one timing covers.
+constexpr int Repeats = 2000;    ///< Calls of a function that one timing covers.
+constexpr int ListRepeats = 100; ///< Lists of servers that one timing covers.
 
 /** One measured size and its cost. */
 struct Sample
@@ -191,6 +193,69 @@
     printLine("memory_per_known_worker", memory, "bytes");
 }
 
+/** Servers of a proxy: 8 services of equal size, each server with part of a prompt's ten parts read. */
+void measureProxyServers()
+{
+    std::vector<Sample> memory;
+    for (const std::uint32_t servers : {100, 370, 1100, 2200}) {
+        std::vector<Forward::Server> list;
+        for (std::uint32_t n = 0; n < servers; n++) {
+            Forward::Server it;
+            it.id = "i-" + std::to_string(n) + "0123456789";
+            it.service = "service-" + std::to_string(n % 8);
+            it.address = "10.20.30.40";
+            it.zone = "zone-" + std::to_string(n % 20);
+            it.slots = 24;
+            it.models = {"m"};
+            list.push_back(it);
+        }
+        const double before = allocatedBytes();
+        Forward::ServerBook book("zone-1", {});
+        book.update(list, false, TimePoint(1s));
+        memory.push_back({static_cast<double>(servers), allocatedBytes() - before});
+        Forward::RequestFacts facts;
+        facts.program = "program";
+        facts.model = "m";
+        for (std::uint64_t n = 0; n < 10; n++) {
+            facts.promptParts.push_back({n, 500});
+            facts.promptTokens += 500;
+        }
+        const std::set<std::string> none;
+        const Forward::ChoiceRequest request{"service-1", &facts, 210, &none};
+        const double choice = microseconds([&] {
+            for (int n = 0; n < Repeats; n++) {
+                facts.program = "program-" + std::to_string(n);
+                const auto chosen = book.choose(request, TimePoint(2s));
+                book.began(chosen->server.id, 0, facts);
+                book.ended(chosen->server.id, 0, true);
+            }
+        });
+        print("proxy_choice_among_" + std::to_string(servers) + "_servers", choice / Repeats, "us");
+        const double update = microseconds([&] {
+            for (int n = 0; n < ListRepeats; n++) {
+                book.update(list, false, TimePoint(2s));
+            }
+        });
+        print("proxy_list_of_" + std::to_string(servers) + "_servers", update / ListRepeats, "us");
+    }
+    printLine("memory_per_server_of_a_proxy", memory, "bytes");
+    Forward::ServerBook book("zone-1", {});
+    Forward::Server server;
+    server.id = "i-0123456789";
+    book.update({server}, false, TimePoint(1s));
+    std::vector<Sample> parts;
+    const double before = allocatedBytes();
+    for (std::uint64_t n = 0; n < Forward::MaxParts; n++) {
+        Forward::RequestFacts facts;
+        facts.promptParts = {{n, 500}};
+        book.began(server.id, 0, facts);
+        if ((n + 1) % (Forward::MaxParts / 4) == 0) {
+            parts.push_back({static_cast<double>(n + 1), allocatedBytes() - before});
+        }
+    }
+    printLine("memory_per_prompt_part_of_a_proxy", parts, "bytes");
+}
+
 void measureMessages()
 {
     Probe probe;
@@ -267,6 +332,7 @@
 {
     Vanillahall::measurePrograms();
     Vanillahall::measureWorkers();
+    Vanillahall::measureProxyServers();
     Vanillahall::measureMessages();
     Vanillahall::measureRows();
     Vanillahall::measureBudget();
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -113,7 +113,7 @@
     const auto facts = turnOf("p", {{1, 500}, {2, 300}});
     const auto home = chosen(book, facts);
     for (int n = 0; n < 9; n++) {
-        book.began(home, 800, facts, Start);
+        book.began(home, 800, facts);
     }
     EXPECT_NE(chosen(book, facts), home);
 }
@@ -128,7 +128,7 @@
     const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
     const auto home = chosen(book, facts);
     const std::string other = home == "a" ? "b" : "a";
-    book.began(other, 3500, facts, Start);
+    book.began(other, 3500, facts);
     book.ended(other, 3500, false);
     EXPECT_EQ(chosen(book, turnOf("p", {{1, 500}, {2, 3400}})), other);
 }
@@ -140,7 +140,7 @@
     const auto facts = turnOf("p", {{1, 500}, {2, 3000}});
     const auto home = chosen(book, facts);
     const std::string other = home == "a" ? "b" : "a";
-    book.began(other, 3500, facts, Start);
+    book.began(other, 3500, facts);
     book.ended(other, 3500, false);
     // The other entries send this program's turns to its home, too.
     EXPECT_EQ(chosen(book, turnOf("p", {{1, 500}, {2, 3400}})), home);
@@ -191,6 +191,34 @@
     EXPECT_EQ(chosen(book, facts, {}, Start + 10s), home);
 }
 
+TEST(ServerBook, AServerThatStartedAgainHasReadNothing)
+{
+    ServerBook book("z1", {});
+    const auto facts = turnOf("p", {{1, 600}, {2, 900}});
+    const std::set<std::string> none;
+    const auto unread = [&] {
+        return book.choose({"svc", &facts, 110, &none}, Start)->unreadTokens;
+    };
+    book.update({serverOf("a")}, false, Start);
+    book.began("a", 0, facts);
+    book.ended("a", 0, false);
+    EXPECT_EQ(unread(), 0U);
+    book.update({changedServer(false, 7)}, false, Start + 1s);
+    // The newest 500 tokens are what no earlier turn of the program can have left at its home.
+    EXPECT_EQ(unread(), 500U);
+}
+
+TEST(ServerBook, TheExpectedTimeOfAHomeIsATime)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a"), serverOf("b"), serverOf("c")}, false, Start);
+    const auto facts = turnOf("p", {{1, 600}});
+    const std::set<std::string> none;
+    const auto choice = book.choose({"svc", &facts, 110, &none}, Start);
+    ASSERT_TRUE(choice.has_value());
+    EXPECT_GE(choice->expectedMs, 0);
+}
+
 TEST(ServerBook, ColdServersWarmUpBeforeTheyAreChosen)
 {
     ServerBook book("z1", {});
@@ -198,7 +226,7 @@
     cold.coldLeft = 2s;
     book.update({cold, serverOf("b")}, false, Start);
     const RequestFacts plain;
-    book.began("b", 0, plain, Start);
+    book.began("b", 0, plain);
     EXPECT_EQ(chosen(book, plain), "b");
     EXPECT_EQ(chosen(book, plain, {}, Start + 3s), "a");
 }
@@ -207,7 +235,7 @@
 {
     ServerBook book("z1", {});
     book.update({serverOf("a")}, false, Start);
-    book.began("a", 0, RequestFacts{}, Start);
+    book.began("a", 0, RequestFacts{});
     book.update({}, false, Start + 1s);
     EXPECT_FALSE(book.hasServer("svc"));
     book.update({serverOf("a")}, false, Start + 2s);
@@ -223,7 +251,7 @@
     const RequestFacts plain;
     for (std::uint32_t n = 0; n < 12; n++) {
         EXPECT_EQ(chosen(book, plain), "a");
-        book.began("a", 0, plain, Start);
+        book.began("a", 0, plain);
     }
     EXPECT_EQ(chosen(book, plain), "");
     book.ended("a", 0, false);
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_request_test.cpp
@@ -1,3 +1,4 @@
+/** Single requests through a proxy: framing, answers, attempts, limits. */
 #include "proxy_world.h"
 
 #include <gtest/gtest.h>
@@ -8,18 +9,6 @@
 
 namespace {
 
-unsigned statusOf(const std::string &answer)
-{
-    constexpr std::size_t StatusAt = 9;
-    return answer.size() > StatusAt + 3 ? static_cast<unsigned>(std::stoul(answer.substr(StatusAt, 3))) : 0;
-}
-
-std::string bodyOf(const std::string &answer)
-{
-    const auto at = answer.find("\r\n\r\n");
-    return at == std::string::npos ? std::string() : answer.substr(at + 4);
-}
-
 constexpr const char *NotRun = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr const char *Plain503 = "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n";
 constexpr const char *OtherServer = "HTTP/1.1 421 X\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
@@ -180,6 +169,16 @@
         return it.param.name;
     });
 
+TEST(ProxyAttempt, FailuresAreLoggedWithTheirKindAndWhatFollows)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{Torn, true};
+    });
+    ASSERT_TRUE(world.start());
+    world.ask(ProxyWorld::request("POST", "/once/1", "r1", {}, "body"));
+    EXPECT_TRUE(world.hasLine("failure=broken may_have_run=1 tries=1 step=answer_failed"));
+}
+
 TEST(ProxyRequest, MayComeInPiecesAndInARow)
 {
     ProxyWorld world([](const std::string &) {
@@ -201,80 +200,6 @@
     EXPECT_EQ(bodies, 2U);
 }
 
-TEST(ProxyStream, PassesWholeEventsAndNeverATornOne)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
-    });
-    ASSERT_TRUE(world.start());
-    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
-    EXPECT_NE(answer.find("id: 2\n"), std::string::npos);
-    EXPECT_EQ(answer.find("id: 3"), std::string::npos);
-    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
-}
-
-TEST(ProxyStream, GoesOnAtAnotherServerAfterTheLastWholeEvent)
-{
-    std::size_t asked = 0;
-    std::string resumed;
-    ProxyWorld world([&](const std::string &request) {
-        if (asked++ == 0) {
-            return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
-        }
-        resumed = request;
-        return Script{streamHead() + eventChunk(2) + eventChunk(3) + "0\r\n\r\n"};
-    });
-    ASSERT_TRUE(world.start());
-    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
-    EXPECT_NE(resumed.find("\r\nLast-Event-Id: 2\r\n"), std::string::npos);
-    EXPECT_NE(answer.find("id: 3\n"), std::string::npos);
-    EXPECT_EQ(answer.find("id: 2\n"), answer.rfind("id: 2\n"));
-    EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
-}
-
-TEST(ProxyStream, EndsWithoutASecondHeadIfNoServerGoesOn)
-{
-    std::size_t asked = 0;
-    ProxyWorld world([&](const std::string &) {
-        return asked++ == 0 ? Script{streamHead() + eventChunk(1), true} : Script{NotRun};
-    });
-    ASSERT_TRUE(world.start());
-    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
-    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
-    EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
-    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
-}
-
-TEST(ProxyStream, AnEventWithoutEndIsDropped)
-{
-    const std::string endless(std::size_t{300} * 1024, 'x');
-    ProxyWorld world([&endless](const std::string &) {
-        return Script{streamHead() + eventChunk(1) + "4b000\r\n" + endless + "\r\n"};
-    });
-    ASSERT_TRUE(world.start());
-    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
-    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
-    EXPECT_EQ(answer.find("xxx"), std::string::npos);
-    EXPECT_TRUE(world.hasLine("event without end"));
-}
-
-TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1)};
-    });
-    ASSERT_TRUE(world.start());
-    TestClient client(world.loop, world.proxy->port());
-    client.send(ProxyWorld::request("POST", "/stream/1", "r1"));
-    ASSERT_TRUE(world.run([&client] {
-        return client.received.find("id: 1") != std::string::npos;
-    }));
-    client.close();
-    EXPECT_TRUE(world.run([&world] {
-        return world.first.closed + world.second.closed == 1;
-    }));
-}
-
 TEST(ProxyOnce, WorkGoesOnWhenItsClientLeaves)
 {
     bool mayAnswer = false;
@@ -307,163 +232,6 @@
     EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/brief/1", "r1"))), 504U);
 }
 
-TEST(ProxyStart, WithoutConfigurationNothingRunsAndItIsNotReady)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{goodAnswer("ok")};
-    });
-    const auto config = std::exchange(world.rows.config, {});
-    Error reason;
-    ASSERT_TRUE(world.proxy->start(reason)) << reason.message;
-    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 503U);
-    EXPECT_FALSE(world.proxy->isReady());
-    world.rows.config = config;
-    EXPECT_TRUE(world.run([&world] {
-        return world.proxy->isReady();
-    }));
-    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r2"))), 200U);
-}
-
-TEST(ProxyConfig, BrokenRowsLeaveTheLastGoodState)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{goodAnswer("ok")};
-    });
-    world.rows.servers["s3"] = "broken";
-    ASSERT_TRUE(world.start());
-    world.rows.config = "{";
-    world.rows.version++;
-    EXPECT_TRUE(world.run([&world] {
-        return world.hasLine("peer=configuration");
-    }));
-    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
-}
-
-/** A turn of a program with a budget, and what the store does. */
-struct BudgetCase
-{
-    const char *name;     ///< For the test's name.
-    unsigned budget;      ///< Tokens of the program.
-    bool isStoreAway;     ///< True if the store refuses writes.
-    unsigned status;      ///< Expected status of the third turn.
-    std::size_t attempts; ///< Expected requests at servers.
-};
-
-class ProxyBudget : public ::testing::TestWithParam<BudgetCase>
-{
-};
-
-TEST_P(ProxyBudget, IsKept)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
-    });
-    world.rows.refusesWrites = GetParam().isStoreAway;
-    ASSERT_TRUE(world.start());
-    const auto headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: " + std::to_string(GetParam().budget) + "\r\n";
-    std::string answer;
-    for (int n = 0; n < 3; n++) {
-        answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers));
-    }
-    EXPECT_EQ(statusOf(answer), GetParam().status);
-    EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), GetParam().attempts);
-}
-
-TEST(ProxyBudget, CountsAnEventWithoutItsEmptyLine)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1) + "e\r\nid: 2\ndata: e\n\r\n0\r\n\r\n"};
-    });
-    ASSERT_TRUE(world.start());
-    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 40\r\n";
-    std::vector<unsigned> statuses;
-    statuses.reserve(4);
-    for (int n = 0; n < 4; n++) {
-        statuses.push_back(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers))));
-    }
-    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 200, 402}));
-}
-
-INSTANTIATE_TEST_SUITE_P(All,
-                         ProxyBudget,
-                         ::testing::Values(BudgetCase{"holds", 1000, false, 200, 3},
-                                           BudgetCase{"spent", 20, false, 402, 2},
-                                           BudgetCase{"storeAway", 1000, true, 503, 0}),
-                         [](const auto &it) {
-                             return it.param.name;
-                         });
-
-TEST(ProxyBudgetRow, AnUnreadableRowIsLoggedAndNotWrittenInALoop)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
-    });
-    world.rows.tokens["p"] = {"bm8ganNvbg==", 9};
-    ASSERT_TRUE(world.start());
-    const auto answer
-        = world.ask(ProxyWorld::request("POST", "/stream/1", "r1", "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 900\r\n"));
-    EXPECT_EQ(statusOf(answer), 503U);
-    EXPECT_LE(world.rows.writes, 20U);
-    EXPECT_TRUE(world.hasLine("peer=p "));
-}
-
-TEST(ProxyEarly, AnAnswerThatComesBeforeTheBodyIsSentIsHeard)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{"HTTP/1.1 413 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 0\r\n\r\n", true, false, true};
-    });
-    world.first.answersEarly = true;
-    world.second.answersEarly = true;
-    const std::string limit = "\"maxBodyBytes\":20000";
-    world.rows.config.replace(world.rows.config.find(limit), limit.size(), "\"maxBodyBytes\":20000000");
-    ASSERT_TRUE(world.start());
-    const std::string large(std::size_t{16} * 1024 * 1024, 'x');
-    for (int n = 0; n < 5; n++) {
-        TestClient client(world.loop, world.proxy->port());
-        client.sendLater(ProxyWorld::request("POST", "/once/1", "r" + std::to_string(n), {}, large));
-        EXPECT_TRUE(world.run([&client] {
-            return client.received.find("\r\n\r\n") != std::string::npos || client.isClosed;
-        }));
-        EXPECT_EQ(statusOf(client.received), 413U);
-        client.close();
-        world.run([&client] {
-            return client.isClosed;
-        });
-    }
-}
-
-TEST(ProxyStream, ATornStreamIsResetForAClientWithoutChunks)
-{
-    ProxyWorld world([](const std::string &) {
-        return Script{streamHead() + eventChunk(1), true};
-    });
-    ASSERT_TRUE(world.start());
-    TestClient client(world.loop, world.proxy->port());
-    client.send("POST /stream/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
-    ASSERT_TRUE(world.run([&client] {
-        return client.isClosed;
-    }));
-    EXPECT_TRUE(client.isReset);
-}
-
-TEST(ProxyClient, OneThatDoesNotReadItsAnswerIsLeft)
-{
-    const std::string large(std::size_t{8} * 1024 * 1024, 'x');
-    ProxyWorld world([&large](const std::string &) {
-        return Script{goodAnswer(large)};
-    });
-    ASSERT_TRUE(world.start());
-    TestClient client(world.loop, world.proxy->port());
-    client.stopReading();
-    client.send(ProxyWorld::request("GET", "/call/1", "r1", "Connection: close\r\n"));
-    ASSERT_TRUE(world.run([&world] {
-        return world.proxy->clientCount() == 1;
-    }));
-    EXPECT_TRUE(world.run([&world] {
-        return world.proxy->clientCount() == 0;
-    }));
-}
-
 TEST(ProxyLimit, BodiesBeyondTheMemoryAreRefusedWithATimeToComeBack)
 {
     ProxyWorld world(
@@ -505,60 +273,4 @@
     }));
 }
 
-TEST(ProxyStore, ARefusedWriteLeavesALineWithItsReason)
-{
-    ProxyWorld world(
-        [](const std::string &) {
-            return Script{goodAnswer("ok")};
-        },
-        [](ProxySettings &settings) {
-            settings.peerListen = ProxyAddress{"127.0.0.1", 0};
-        });
-    world.rows.refusesWrites = true;
-    ASSERT_TRUE(world.start());
-    EXPECT_TRUE(world.run([&world] {
-        return world.hasLine("peer=store call=") && world.hasLine("status 503");
-    }));
-}
-
-TEST(ProxyCrash, ContentThatBreaksItsServersIsRefusedBeforeItReachesMore)
-{
-    ProxyWorld world([](const std::string &request) {
-        return request.find("poison") != std::string::npos ? Script{"", true} : Script{goodAnswer("ok")};
-    });
-    ASSERT_TRUE(world.start());
-    std::string answer;
-    for (int n = 0; n < 5; n++) {
-        answer = world.ask(ProxyWorld::request("POST", "/call/1", "r" + std::to_string(n), {}, "poison"));
-    }
-    EXPECT_EQ(statusOf(answer), 503U);
-    EXPECT_LE(world.first.requests.size() + world.second.requests.size(), 4U);
-    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "other", {}, "harmless"))), 200U);
-}
-
-TEST(ProxyStop, AnswersWhatItHasRead)
-{
-    bool mayAnswer = false;
-    ProxyWorld world([&mayAnswer](const std::string &) {
-        return mayAnswer ? Script{goodAnswer("ok")} : Script{};
-    });
-    ASSERT_TRUE(world.start());
-    bool isStopped = false;
-    TestClient client(world.loop, world.proxy->port());
-    client.send(ProxyWorld::request("GET", "/call/1", "r1"));
-    ASSERT_TRUE(world.run([&world] {
-        return world.first.requests.size() + world.second.requests.size() == 1;
-    }));
-    world.proxy->stop([&isStopped] {
-        isStopped = true;
-    });
-    EXPECT_FALSE(world.proxy->isReady());
-    mayAnswer = true;
-    // Connections that were on their way are still served, and closed with their answer.
-    const auto answer = world.ask(ProxyWorld::request("GET", "/call/2", "r2"));
-    EXPECT_EQ(statusOf(answer), 200U);
-    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
-    EXPECT_FALSE(isStopped);
-}
-
 } // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/proxy_store_test.cpp
@@ -0,0 +1,166 @@
+/** A proxy and the store: configuration, servers, token budgets, shared crash counts, and the stop. */
+#include "proxy_world.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+TEST(ProxyStart, WithoutConfigurationNothingRunsAndItIsNotReady)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    const auto config = std::exchange(world.rows.config, {});
+    Error reason;
+    ASSERT_TRUE(world.proxy->start(reason)) << reason.message;
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 503U);
+    EXPECT_FALSE(world.proxy->isReady());
+    world.rows.config = config;
+    EXPECT_TRUE(world.run([&world] {
+        return world.proxy->isReady();
+    }));
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r2"))), 200U);
+}
+
+TEST(ProxyConfig, BrokenRowsLeaveTheLastGoodState)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    world.rows.servers["s3"] = "broken";
+    ASSERT_TRUE(world.start());
+    world.rows.config = "{";
+    world.rows.version++;
+    EXPECT_TRUE(world.run([&world] {
+        return world.hasLine("peer=configuration");
+    }));
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
+}
+
+/** A turn of a program with a budget, and what the store does. */
+struct BudgetCase
+{
+    const char *name;     ///< For the test's name.
+    unsigned budget;      ///< Tokens of the program.
+    bool isStoreAway;     ///< True if the store refuses writes.
+    unsigned status;      ///< Expected status of the third turn.
+    std::size_t attempts; ///< Expected requests at servers.
+};
+
+class ProxyBudget : public ::testing::TestWithParam<BudgetCase>
+{
+};
+
+TEST_P(ProxyBudget, IsKept)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
+    });
+    world.rows.refusesWrites = GetParam().isStoreAway;
+    ASSERT_TRUE(world.start());
+    const auto headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: " + std::to_string(GetParam().budget) + "\r\n";
+    std::string answer;
+    for (int n = 0; n < 3; n++) {
+        answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers));
+    }
+    EXPECT_EQ(statusOf(answer), GetParam().status);
+    EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), GetParam().attempts);
+}
+
+TEST(ProxyBudget, CountsAnEventWithoutItsEmptyLine)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "e\r\nid: 2\ndata: e\n\r\n0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 40\r\n";
+    std::vector<unsigned> statuses;
+    statuses.reserve(4);
+    for (int n = 0; n < 4; n++) {
+        statuses.push_back(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers))));
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 200, 402}));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyBudget,
+                         ::testing::Values(BudgetCase{"holds", 1000, false, 200, 3},
+                                           BudgetCase{"spent", 20, false, 402, 2},
+                                           BudgetCase{"storeAway", 1000, true, 503, 0}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+TEST(ProxyBudgetRow, AnUnreadableRowIsLoggedAndNotWrittenInALoop)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+    });
+    world.rows.tokens["p"] = {"bm8ganNvbg==", 9};
+    ASSERT_TRUE(world.start());
+    const auto answer
+        = world.ask(ProxyWorld::request("POST", "/stream/1", "r1", "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 900\r\n"));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_LE(world.rows.writes, 20U);
+    EXPECT_TRUE(world.hasLine("peer=p "));
+}
+
+TEST(ProxyStore, ARefusedWriteLeavesALineWithItsReason)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.peerListen = ProxyAddress{"127.0.0.1", 0};
+        });
+    world.rows.refusesWrites = true;
+    ASSERT_TRUE(world.start());
+    EXPECT_TRUE(world.run([&world] {
+        return world.hasLine("peer=store call=") && world.hasLine("status 503");
+    }));
+}
+
+TEST(ProxyCrash, ContentThatBreaksItsServersIsRefusedBeforeItReachesMore)
+{
+    ProxyWorld world([](const std::string &request) {
+        return request.find("poison") != std::string::npos ? Script{"", true} : Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    std::string answer;
+    for (int n = 0; n < 5; n++) {
+        answer = world.ask(ProxyWorld::request("POST", "/call/1", "r" + std::to_string(n), {}, "poison"));
+    }
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_LE(world.first.requests.size() + world.second.requests.size(), 4U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "other", {}, "harmless"))), 200U);
+}
+
+TEST(ProxyStop, AnswersWhatItHasRead)
+{
+    bool mayAnswer = false;
+    ProxyWorld world([&mayAnswer](const std::string &) {
+        return mayAnswer ? Script{goodAnswer("ok")} : Script{};
+    });
+    ASSERT_TRUE(world.start());
+    bool isStopped = false;
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("GET", "/call/1", "r1"));
+    ASSERT_TRUE(world.run([&world] {
+        return world.first.requests.size() + world.second.requests.size() == 1;
+    }));
+    world.proxy->stop([&isStopped] {
+        isStopped = true;
+    });
+    EXPECT_FALSE(world.proxy->isReady());
+    mayAnswer = true;
+    // Connections that were on their way are still served, and closed with their answer.
+    const auto answer = world.ask(ProxyWorld::request("GET", "/call/2", "r2"));
+    EXPECT_EQ(statusOf(answer), 200U);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_FALSE(isStopped);
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/proxy_stream_test.cpp
@@ -0,0 +1,147 @@
+/** Streams and slow or leaving clients of a proxy. */
+#include "proxy_world.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *NotRun = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+TEST(ProxyStream, PassesWholeEventsAndNeverATornOne)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
+    EXPECT_NE(answer.find("id: 2\n"), std::string::npos);
+    EXPECT_EQ(answer.find("id: 3"), std::string::npos);
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST(ProxyStream, GoesOnAtAnotherServerAfterTheLastWholeEvent)
+{
+    std::size_t asked = 0;
+    std::string resumed;
+    ProxyWorld world([&](const std::string &request) {
+        if (asked++ == 0) {
+            return Script{streamHead() + eventChunk(1) + eventChunk(2) + "9\r\nid: 3\nda", true};
+        }
+        resumed = request;
+        return Script{streamHead() + eventChunk(2) + eventChunk(3) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_NE(resumed.find("\r\nLast-Event-Id: 2\r\n"), std::string::npos);
+    EXPECT_NE(answer.find("id: 3\n"), std::string::npos);
+    EXPECT_EQ(answer.find("id: 2\n"), answer.rfind("id: 2\n"));
+    EXPECT_NE(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST(ProxyStream, EndsWithoutASecondHeadIfNoServerGoesOn)
+{
+    std::size_t asked = 0;
+    ProxyWorld world([&](const std::string &) {
+        return asked++ == 0 ? Script{streamHead() + eventChunk(1), true} : Script{NotRun};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
+    EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST(ProxyStream, AnEventWithoutEndIsDropped)
+{
+    const std::string endless(std::size_t{300} * 1024, 'x');
+    ProxyWorld world([&endless](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "4b000\r\n" + endless + "\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1"));
+    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
+    EXPECT_EQ(answer.find("xxx"), std::string::npos);
+    EXPECT_TRUE(world.hasLine("event without end"));
+}
+
+TEST(ProxyStream, ClientsLeavingIsFeltAtTheServer)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1)};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("POST", "/stream/1", "r1"));
+    ASSERT_TRUE(world.run([&client] {
+        return client.received.find("id: 1") != std::string::npos;
+    }));
+    client.close();
+    EXPECT_TRUE(world.run([&world] {
+        return world.first.closed + world.second.closed == 1;
+    }));
+}
+
+TEST(ProxyEarly, AnAnswerThatComesBeforeTheBodyIsSentIsHeard)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{"HTTP/1.1 413 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 0\r\n\r\n", true, false, true};
+    });
+    world.first.answersEarly = true;
+    world.second.answersEarly = true;
+    const std::string limit = "\"maxBodyBytes\":20000";
+    world.rows.config.replace(world.rows.config.find(limit), limit.size(), "\"maxBodyBytes\":20000000");
+    ASSERT_TRUE(world.start());
+    const std::string large(std::size_t{16} * 1024 * 1024, 'x');
+    for (int n = 0; n < 5; n++) {
+        TestClient client(world.loop, world.proxy->port());
+        client.sendLater(ProxyWorld::request("POST", "/once/1", "r" + std::to_string(n), {}, large));
+        EXPECT_TRUE(world.run([&client] {
+            return client.received.find("\r\n\r\n") != std::string::npos || client.isClosed;
+        }));
+        EXPECT_EQ(statusOf(client.received), 413U);
+        client.close();
+        world.run([&client] {
+            return client.isClosed;
+        });
+    }
+}
+
+TEST(ProxyStream, ATornStreamIsResetForAClientWithoutChunks)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1), true};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send("POST /stream/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
+    ASSERT_TRUE(world.run([&client] {
+        return client.isClosed;
+    }));
+    EXPECT_TRUE(client.isReset);
+}
+
+TEST(ProxyClient, OneThatDoesNotReadItsAnswerIsLeft)
+{
+    const std::string large(std::size_t{8} * 1024 * 1024, 'x');
+    ProxyWorld world([&large](const std::string &) {
+        return Script{goodAnswer(large)};
+    });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.stopReading();
+    client.send(ProxyWorld::request("GET", "/call/1", "r1", "Connection: close\r\n"));
+    ASSERT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 1;
+    }));
+    EXPECT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 0;
+    }));
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -361,4 +361,16 @@
     return std::string(size.data()) + "\r\n" + event + "\r\n";
 }
 
+unsigned statusOf(const std::string &answer)
+{
+    constexpr std::size_t StatusAt = 9;
+    return answer.size() > StatusAt + 3 ? static_cast<unsigned>(std::stoul(answer.substr(StatusAt, 3))) : 0;
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const auto at = answer.find("\r\n\r\n");
+    return at == std::string::npos ? std::string() : answer.substr(at + 4);
+}
+
 } // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -125,6 +125,12 @@
     std::unique_ptr<Proxy> proxy;
 };
 
+/** @return Status of an answer; 0 if there is none. */
+unsigned statusOf(const std::string &answer);
+
+/** @return What follows the head of an answer. */
+std::string bodyOf(const std::string &answer);
+
 /** @return A whole, signed answer with a length. */
 std::string goodAnswer(const std::string &body, const std::string &headers = {});
 
