A request whose connection broke is repeated on a new connection

Change: takeLink() takes a LinkAge; after an attempt that may have run only new connections are used.

Test (failed before): ProxyAttempt.AfterABrokenConnectionTheNextOneIsNew.

--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -116,9 +116,9 @@
 
 const std::vector<const ServerBook::Place *> &ServerBook::placesOf(const std::string &service) const
 {
-    static const std::vector<const Place *> None;
+    static const std::vector<const Place *> none;
     const auto it = m_byService.find(service);
-    return it == m_byService.end() ? None : it->second;
+    return it == m_byService.end() ? none : it->second;
 }
 
 const ServerBook::Place *ServerBook::home(const ChoiceRequest &request) const
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -205,7 +205,8 @@
     }
     m_servers += (m_servers.empty() ? "" : ",") + choice.server.id;
     m_proxy.book.began(choice.server.id, choice.unreadTokens, m_request.facts);
-    m_link = m_proxy.takeLink(choice.server);
+    // What breaks one kept connection often breaks them all, and a request may be repeated only a few times.
+    m_link = m_proxy.takeLink(choice.server, m_mayHaveRun > 1 ? LinkAge::New : LinkAge::Any);
     m_link->send(this, requestText(choice.server), m_request.facts.requestId, m_request.method == "HEAD");
 }
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -196,9 +196,9 @@
     return link;
 }
 
-std::shared_ptr<ServerLink> ProxyState::takeLink(const Server &server)
+std::shared_ptr<ServerLink> ProxyState::takeLink(const Server &server, LinkAge age)
 {
-    while (auto link = popIdleLink(server.id)) {
+    while (auto link = age == LinkAge::New ? nullptr : popIdleLink(server.id)) {
         if (link->isFresh(now()) && link->server().address == server.address && link->server().port == server.port) {
             return link;
         }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -45,8 +45,8 @@
 
     // For exchanges.
 
-    /** @return A connection to a server: an idle one that is fresh, or a new one. */
-    std::shared_ptr<ServerLink> takeLink(const Server &server);
+    /** @return A connection to a server: an idle one that is fresh, if allowed, or a new one. */
+    std::shared_ptr<ServerLink> takeLink(const Server &server, LinkAge age);
     /** Writes a token row and tells the exchanges that wait for the program. */
     void writeTokens(const TokenWrite &write);
     /** Puts an exchange among those that wait for a program's tokens. */
--- a/packages/proxy/src/server_link.h
+++ b/packages/proxy/src/server_link.h
@@ -39,6 +39,12 @@
     Drop,  ///< End the connection; linkFailed() follows.
 };
 
+/** Which connections a request may use. */
+enum class LinkAge {
+    Any, ///< An idle one or a new one.
+    New, ///< A new one only.
+};
+
 /** Who waits for an answer. */
 class LinkUser
 {
--- a/tests/proxy/proxy_request_test.cpp
+++ b/tests/proxy/proxy_request_test.cpp
@@ -179,6 +179,28 @@
     EXPECT_TRUE(world.hasLine("failure=broken may_have_run=1 tries=1 step=answer_failed"));
 }
 
+TEST(ProxyAttempt, AfterABrokenConnectionTheNextOneIsNew)
+{
+    std::size_t asked = 0;
+    ProxyWorld world([&asked](const std::string &) {
+        // Kept connections break with the third request, as after a reset of all of them.
+        return ++asked == 3 ? Script{"", true} : Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    // Two requests at once, so that connections to both servers are kept.
+    TestClient one(world.loop, world.proxy->port());
+    TestClient two(world.loop, world.proxy->port());
+    one.send(ProxyWorld::request("POST", "/call/1", "r1"));
+    two.send(ProxyWorld::request("POST", "/call/1", "r2"));
+    ASSERT_TRUE(world.run([&] {
+        return statusOf(one.received) == 200 && statusOf(two.received) == 200;
+    }));
+    const auto opened = world.first.opened + world.second.opened;
+    ASSERT_EQ(opened, 2U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "r3"))), 200U);
+    EXPECT_EQ(world.first.opened + world.second.opened, opened + 1);
+}
+
 TEST(ProxyRequest, MayComeInPiecesAndInARow)
 {
     ProxyWorld world([](const std::string &) {
