A gate that missed the question of a new holder is asked again

A gate that is silent then, with its connection alive, loses the question; the holder waits for its answer before a turn that may still turn up there, for good. Traced by the states at the end of the shrunk schedule: shard 1 had adopted m1, s1, s2, not m2, whose link was ready. Ruled out: lease, directory, watch (all agreed on the holder).

Change: with each probe of a ready gate the question is repeated until it is answered.

Test (failed before): EntryTakeOverTest.AGateThatMissedTheQuestionIsAskedAgain.

--- a/packages/core/src/commands/entry_gate_cmd.cpp
+++ b/packages/core/src/commands/entry_gate_cmd.cpp
@@ -57,15 +57,21 @@
     tellGate(entry, server, ConfigUpdate{*entry.config});
 }
 
-void onReady(EntryState &entry, const ServerName &server, GateLink &link)
+/** Asks a gate about each shard taken over for which it hasn't answered. */
+void askMissingAdoptions(EntryState &entry, const ServerName &server)
 {
-    link.phase = LinkPhase::Ready;
-    link.lostSince.reset();
     for (auto &[id, shard] : entry.shards) {
         if (shard.loaded && shard.takenOver && !shard.adopted.contains(server)) {
             askAdoption(entry, shard, server);
         }
     }
+}
+
+void onReady(EntryState &entry, const ServerName &server, GateLink &link)
+{
+    link.phase = LinkPhase::Ready;
+    link.lostSince.reset();
+    askMissingAdoptions(entry, server);
     for (const CallKey &key : callsOf(link)) {
         if (LiveCall *call = findCall(entry, key)) {
             advanceCall(entry, *call);
@@ -263,6 +269,8 @@
     for (auto &[server, link] : entry.gates) {
         if (link.phase == LinkPhase::Ready) {
             probe(entry, server, link);
+            // A gate that was frozen when it was asked has lost the question, though its connection lives.
+            askMissingAdoptions(entry, server);
         }
     }
 }
--- a/tests/core/entry_holder_test.cpp
+++ b/tests/core/entry_holder_test.cpp
@@ -136,6 +136,30 @@
     EXPECT_TRUE(bench.gate(answered.server.text).ended.contains(program));
 }
 
+TEST(EntryTakeOverTest, AGateThatMissedTheQuestionIsAskedAgain)
+{
+    EntryBench bench;
+    addThree(bench);
+    const ProgramId program = createdProgram(bench, "a");
+    bench.await(bench.ask("a", modelTurn(program, 1)));
+    bench.run(500ms);
+    bench.kill("a");
+    // The gates are silent while the next holder asks what they keep; their connections last.
+    for (int n = 0; n < 1000 && !holds(bench, "b", program) && !holds(bench, "c", program); n++) {
+        bench.run(10ms);
+        for (auto &[name, gate] : bench.gates) {
+            gate.silent = n > 150;
+        }
+    }
+    bench.run(100ms);
+    for (auto &[name, gate] : bench.gates) {
+        gate.silent = false;
+    }
+    // Turn 3 waits for turn 2 as long as a gate may still keep that; once all have answered, it is a gap.
+    const CallerAnswer answer = bench.await(bench.ask("b", modelTurn(program, 3)));
+    EXPECT_EQ(errorIn(answer).code, ErrorCode::TurnGap);
+}
+
 TEST(EntryTakeOverTest, PausedHolderIsRefusedByTheGate)
 {
     EntryBench bench;
--- a/tests/matrix/fault_type.h
+++ b/tests/matrix/fault_type.h
@@ -98,6 +98,8 @@
     NamedFaults{MatrixFault::LinkSilent, MatrixFault::HolderPaused, "LinkSilentHolderPaused"},
     NamedFaults{MatrixFault::BackendRestarts, MatrixFault::HolderDies, "BackendRestartsHolderDies"},
     NamedFaults{MatrixFault::AnswerDoubled, MatrixFault::LinkCut, "AnswerDoubledLinkCut"},
+    NamedFaults{MatrixFault::OrderDelayed, MatrixFault::HolderDies, "OrderDelayedHolderDies"},
+    NamedFaults{MatrixFault::OrderDelayed, MatrixFault::HolderPaused, "OrderDelayedHolderPaused"},
 };
 
 } // namespace Vanillahall
