A store call without an answer is made again the other way before its time limit

A call that had begun before the last answered one also marked the direct way as away when it ended.

Change: StorePath makes a call up to three times: at once the other way if one way fails, and after four usual answers' times (60 to 400 ms) if no answer comes. An old call's end no longer says that the direct way is away.

Test (failed before): ProxyStore.LostAnswersCostATurnLittleTime.

--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -2,12 +2,19 @@
 
 #include "http_status.h"
 #include "proxy_clock.h"
+#include "timer_func.h"
+
+#include <algorithm>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
-constexpr std::size_t MaxCallers = 16; ///< Proxies whose connections are kept.
+constexpr std::size_t MaxCallers = 16;                           ///< Proxies whose connections are kept.
+constexpr int PatienceFactor = 4;                                ///< Usual answers' times after which no answer means a lost one.
+constexpr Duration MinPatience = std::chrono::milliseconds(60);  ///< Several times the slowest answer of a store that is well.
+constexpr Duration MaxPatience = std::chrono::milliseconds(400); ///< Leaves time for another try within StoreLimit.
+constexpr int TimeWeight = 4;                                    ///< An answer counts a quarter in the usual time.
 
 /** @return True if the store did or refused what was asked, so that another way wouldn't change the answer. */
 bool isAnswer(const std::optional<StoreReply> &reply)
@@ -17,6 +24,28 @@
 
 } // namespace
 
+/** One call and its tries. */
+struct StorePath::Trial : std::enable_shared_from_this<Trial>
+{
+    Trial(boost::asio::io_context &loop, Platform::StoreRequest wanted, TimePoint limitAt, StoreCaller::Handler answered)
+        : timer(loop)
+        , request(std::move(wanted))
+        , until(limitAt)
+        , handler(std::move(answered))
+    {
+    }
+
+    boost::asio::steady_timer timer; ///< Begins the next try.
+    Platform::StoreRequest request;  ///< What is asked.
+    TimePoint until;                 ///< When the last try ends.
+    StoreCaller::Handler handler;    ///< Gets the answer; null once it has.
+    std::optional<StoreReply> reply; ///< Of the first try that failed.
+    Error reason;                    ///< Of the first try that failed.
+    unsigned begun = 0;              ///< Tries so far.
+    unsigned open = 0;               ///< Tries under way.
+    bool isDirectNext = true;        ///< Way of the next try.
+};
+
 StorePath::StorePath(boost::asio::io_context &loop, const ProxyAddress &store, MemberBook &members)
     : m_loop(loop)
     , m_direct(loop, store)
@@ -36,15 +65,32 @@
 
 void StorePath::callDirect(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
-    m_direct.call(request, limit, [this, alive = std::weak_ptr(m_isAlive), handler](const auto &reply, const Error &reason) {
+    m_direct.call(request, limit, [this, alive = std::weak_ptr(m_isAlive), handler, begun = now()](const auto &reply, const Error &reason) {
         if (alive.expired()) {
             return;
         }
-        m_isDirectAway = !isAnswer(reply);
+        directEnded(isAnswer(reply), begun);
         handler(reply, reason);
     });
 }
 
+void StorePath::directEnded(bool isAnswered, TimePoint begun)
+{
+    if (isAnswered) {
+        m_usualTime += (now() - begun - m_usualTime) / TimeWeight;
+        m_directWorkedAt = std::max(m_directWorkedAt, begun);
+        m_isDirectAway = false;
+    } else if (begun >= m_directWorkedAt) {
+        // A call that began before one that was answered says nothing about now.
+        m_isDirectAway = true;
+    }
+}
+
+Duration StorePath::patience() const
+{
+    return std::clamp(PatienceFactor * m_usualTime, MinPatience, MaxPatience);
+}
+
 bool StorePath::callThroughMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
     const Member *member = m_members.pick(m_turn++, now());
@@ -76,26 +122,63 @@
 
 void StorePath::call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler)
 {
-    const bool isDirectFirst = !m_isDirectAway || isProbe;
-    if (isDirectFirst) {
-        callDirect(
-            request, limit, [this, alive = std::weak_ptr(m_isAlive), request, limit, handler](const auto &reply, const Error &reason) {
-                const bool isDone = alive.expired() || isAnswer(reply);
-                if (isDone || !callThroughMember(request, limit, handler)) {
-                    handler(reply, reason);
-                }
-            });
-        return;
-    }
-    const auto second = [this, alive = std::weak_ptr(m_isAlive), request, limit, handler](const auto &reply, const Error &reason) {
-        if (alive.expired() || isAnswer(reply)) {
-            handler(reply, reason);
-        } else {
-            callDirect(request, limit, handler);
+    const auto trial = std::make_shared<Trial>(m_loop, request, now() + limit, handler);
+    trial->isDirectNext = !m_isDirectAway || isProbe;
+    begin(trial, false);
+}
+
+void StorePath::begin(const std::shared_ptr<Trial> &trial, bool mustDiffer)
+{
+    const auto left = trial->until - now();
+    const auto answered = [this, alive = std::weak_ptr(m_isAlive), trial](const auto &reply, const Error &reason) {
+        if (!alive.expired()) {
+            ended(trial, reply, reason);
         }
     };
-    if (!callThroughMember(request, limit, second)) {
-        callDirect(request, limit, handler);
+    trial->begun++;
+    trial->open++;
+    if (trial->isDirectNext || !callThroughMember(trial->request, left, answered)) {
+        if (!trial->isDirectNext && mustDiffer) {
+            ended(trial, std::nullopt, trial->reason);
+            return;
+        }
+        callDirect(trial->request, left, answered);
+    }
+    trial->isDirectNext = !trial->isDirectNext;
+    if (trial->begun < MaxStoreTries && patience() < left) {
+        runAfter(trial->timer, patience(), *trial, [this, alive = std::weak_ptr(m_isAlive)](Trial &self) {
+            if (!alive.expired()) {
+                begin(self.shared_from_this(), false);
+            }
+        });
+    }
+}
+
+void StorePath::ended(const std::shared_ptr<Trial> &trial, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    trial->open--;
+    if (!trial->handler) {
+        return;
+    }
+    const bool isFirstFailure = !trial->reply && trial->reason.message.empty();
+    if (!isAnswer(reply) && isFirstFailure) {
+        trial->reply = reply;
+        trial->reason = reason;
+    }
+    // One way has failed: the other one is tried without waiting, once.
+    if (!isAnswer(reply) && trial->begun == 1) {
+        begin(trial, true);
+        return;
+    }
+    if (!isAnswer(reply) && trial->open != 0) {
+        return;
+    }
+    stopTimer(trial->timer);
+    const auto handler = std::exchange(trial->handler, nullptr);
+    if (isAnswer(reply)) {
+        handler(reply, reason);
+    } else {
+        handler(trial->reply, trial->reason);
     }
 }
 
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -1,4 +1,8 @@
-/** Calls the store directly or, while it turns this VM away, through another proxy. */
+/**
+ * Calls the store directly or, while it turns this VM away, through another proxy.
+ * Load pattern: a store that loses answers, answers some VMs late and others never. A call without an answer is made again the other way
+ * long before its time limit, so that a lost answer costs a turn a few answers' time and not the whole limit.
+ */
 #pragma once
 
 #include "store_caller.h"
@@ -12,6 +16,8 @@
 /** Wait for an answer of the store; slow ones take 400 ms. */
 inline constexpr Duration StoreLimit = std::chrono::milliseconds(900);
 
+inline constexpr unsigned MaxStoreTries = 3; ///< Of one call; of three writes that lose half of their answers seven in eight are known.
+
 /** The ways to the store. */
 class StorePath
 {
@@ -22,7 +28,8 @@
     // Commands.
 
     /**
-     * Makes a call. Each call is made twice at most, once directly and once through another proxy; writes have to be conditional.
+     * Makes a call, up to MaxStoreTries times: at once the other way if one way fails, and later if no answer comes. Writes have to be
+     * conditional.
      * @param isProbe True to try the direct way first even if it failed a moment ago.
      */
     void call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler);
@@ -37,6 +44,12 @@
     [[nodiscard]] bool isDirectAway() const;
 
 private:
+    struct Trial;
+
+    void begin(const std::shared_ptr<Trial> &trial, bool mustDiffer);
+    void ended(const std::shared_ptr<Trial> &trial, const std::optional<StoreReply> &reply, const Error &reason);
+    [[nodiscard]] Duration patience() const;
+    void directEnded(bool isAnswered, TimePoint begun);
     void callDirect(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** @return False if no other proxy is known; nothing is called then. */
     bool callThroughMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
@@ -46,6 +59,8 @@
     MemberBook &m_members;
     std::map<std::string, std::unique_ptr<StoreCaller>> m_callers; ///< By "address:port".
     std::uint64_t m_turn = 0;
+    Duration m_usualTime = std::chrono::milliseconds(10); ///< Time to an answer, the latest counting most.
+    TimePoint m_directWorkedAt{};                         ///< When the last direct call that was answered had begun.
     bool m_isDirectAway = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -107,6 +107,19 @@
     EXPECT_TRUE(world.hasLine("peer=p "));
 }
 
+TEST(ProxyStore, LostAnswersCostATurnLittleTime)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    // Two whole time limits of the store are longer than a turn waits for its tokens.
+    world.rows.lostAnswers = 2;
+    const auto headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 400\r\n";
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r1", headers))), 200U);
+    EXPECT_EQ(world.rows.lostAnswers, 0U);
+}
+
 TEST(ProxyStore, ARefusedWriteLeavesALineWithItsReason)
 {
     ProxyWorld world(
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -214,6 +214,10 @@
     writes++;
     const std::string key = body["expect"][0]["key"];
     const auto row = tokens.find(key);
+    if (lostAnswers != 0 && row != tokens.end()) {
+        lostAnswers--;
+        return {};
+    }
     if ((row == tokens.end() ? 0 : row->second.second) != body["expect"][0]["ver"].get<int>()) {
         Json list = Json::array();
         if (row != tokens.end()) {
@@ -222,6 +226,10 @@
         return {json({{"rows", list}}, 412)};
     }
     tokens[key] = {body["writes"][0]["value"], ++version};
+    if (lostAnswers != 0) {
+        lostAnswers--;
+        return {};
+    }
     return {json({{"ver", version}, {"nowMs", 1}})};
 }
 
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -85,6 +85,7 @@
     std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
     int version = 10;                                          ///< Newest version.
     std::size_t writes = 0;                                    ///< Token rows written or refused so far.
+    std::size_t lostAnswers = 0;                               ///< Writes still to come that are done without an answer.
     bool refusesWrites = false;                                ///< True to answer writes with 503.
     bool refusesAll = false;                                   ///< True to answer everything with 503.
 
