--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup configure build check test lint example demo up bench bench-capacity soak format
+.PHONY: setup configure build check test lint example demo up bench bench-capacity soak fuzz format
 
 setup:
 	tools/setup.sh
@@ -27,6 +27,11 @@
 soak: build
 	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/matrix_test --gtest_filter='Schedule.*'
 
+fuzz: build
+	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/proxy_test --gtest_filter='*Property*'
+	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/platform_test --gtest_filter='*Property*'
+	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/core_test --gtest_filter='TokenLedgerProperty*:AttemptRuleProperty*:RouteTableProperty*:ServerBookProperty*'
+
 example: build
 	tools/example.sh $(BUILD)
 
--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -117,7 +117,13 @@
         TimePoint coldUntil{};            ///< Slow until then after its start.
         std::optional<TimePoint> lapseAt; ///< Given up then if it is still missing in the list.
         bool isGone = false;              ///< True while it isn't listed any more.
-        bool isUsable = true;             ///< False once it drains, is gone or has lost its address.
+        bool hasLostAddress = false;      ///< True once another server answered at its address.
+
+        /** @return True if it may get new requests. */
+        [[nodiscard]] bool isUsable() const
+        {
+            return !isGone && !hasLostAddress && !server.isDraining;
+        }
     };
 
     /** Where a part of a prompt was read last, and how much of it. */
--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -43,7 +43,6 @@
             place.server = it;
             place.run = XXH3_64bits_withSeed(it.id.data(), it.id.size(), it.startedMs);
             place.coldUntil = now + it.coldLeft;
-            place.isUsable = !it.isDraining;
             m_places[it.id] = std::move(place);
             changed.push_back(it.id);
             continue;
@@ -51,7 +50,7 @@
         auto &place = known->second;
         if (it.isDraining != place.server.isDraining || place.isGone) {
             changed.push_back(it.id);
-            place.isUsable = !it.isDraining;
+            place.hasLostAddress = place.hasLostAddress && !place.isGone;
             place.isGone = false;
         }
         place.server = it;
@@ -74,7 +73,6 @@
             changed.push_back(it->first);
         }
         place.isGone = true;
-        place.isUsable = false;
         it = place.running == 0 ? m_places.erase(it) : std::next(it);
     }
     indexServices();
@@ -85,7 +83,7 @@
 {
     m_byService.clear();
     for (const auto &[id, place] : m_places) {
-        if (place.isUsable) {
+        if (place.isUsable()) {
             m_byService[place.server.service].push_back(&place);
         }
     }
@@ -191,7 +189,7 @@
 {
     const auto it = m_places.find(id);
     if (it != m_places.end()) {
-        it->second.isUsable = false;
+        it->second.hasLostAddress = true;
     }
 }
 
--- a/packages/core/src/queries/server_book_query.cpp
+++ b/packages/core/src/queries/server_book_query.cpp
@@ -131,7 +131,7 @@
     const auto key = keyHash(request.facts->program);
     for (const auto *place : placesOf(request.service)) {
         const auto rank = homeRank(key, place->run);
-        if (place->isUsable && (best == nullptr || rank > bestRank)) {
+        if (place->isUsable() && (best == nullptr || rank > bestRank)) {
             best = place;
             bestRank = rank;
         }
@@ -161,7 +161,7 @@
     double bestWeight = 0;
     Choice choice;
     for (const auto *place : placesOf(request.service)) {
-        if (!place->isUsable || place->running >= share || request.avoided->count(place->server.id) != 0
+        if (!place->isUsable() || place->running >= share || request.avoided->count(place->server.id) != 0
             || !hasModel(place->server, facts.model)) {
             continue;
         }
@@ -187,7 +187,7 @@
 {
     const auto &places = placesOf(service);
     return std::any_of(places.begin(), places.end(), [](const auto *it) {
-        return it->isUsable;
+        return it->isUsable();
     });
 }
 
--- a/tests/core/route_table_test.cpp
+++ b/tests/core/route_table_test.cpp
@@ -1,6 +1,9 @@
 #include "vanillahall/core/route_table_base.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace Vanillahall::Forward {
 
@@ -68,6 +71,36 @@
     EXPECT_EQ(table.find("a.example", "/"), nullptr);
 }
 
+RC_GTEST_PROP(RouteTableProperty, TheNewestVersionIsInForceWhateverTheOrder, ())
+{
+    const std::vector<std::string> prefixes{"/", "/a/", "/a/b/", "/a/c/", "/d/"};
+    RouteTable table;
+    Config newest;
+    const auto steps = *rc::gen::inRange(1, 12);
+    for (int n = 0; n < steps; n++) {
+        std::vector<std::pair<std::string, std::string>> routes;
+        for (const auto &it : prefixes) {
+            if (*rc::gen::arbitrary<bool>()) {
+                routes.emplace_back(*rc::gen::element<std::string>("x", "y"), it);
+            }
+        }
+        const auto config = configOf(*rc::gen::inRange<std::uint64_t>(1, 20), routes);
+        const bool isNewer = newest.version == 0 || config.version > newest.version;
+        RC_ASSERT(table.apply(config) == isNewer);
+        newest = isNewer ? config : newest;
+        RC_ASSERT(table.config().version == newest.version);
+        const auto path = *rc::gen::element<std::string>("/", "/a/1", "/a/b/1", "/a/c/1", "/d/", "/e");
+        const auto *found = table.find("x", path);
+        std::string best;
+        for (const auto &it : newest.routes) {
+            if (it.host == "x" && path.rfind(it.prefix, 0) == 0 && it.prefix.size() > best.size()) {
+                best = it.prefix;
+            }
+        }
+        RC_ASSERT((found == nullptr ? std::string() : found->prefix) == best);
+    }
+}
+
 TEST(PickService, SplitsByWeightAndStaysForAKey)
 {
     Route route;
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -1,6 +1,7 @@
 #include "vanillahall/core/server_book_base.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace Vanillahall::Forward {
 
@@ -242,6 +243,85 @@
     EXPECT_TRUE(book.hasServer("svc"));
 }
 
+namespace {
+
+/** A random list of the servers a to d. */
+std::vector<Server> someList()
+{
+    std::vector<Server> list;
+    for (const auto *it : {"a", "b", "c", "d"}) {
+        if (*rc::gen::inRange(0, 3) != 0) {
+            list.push_back(serverOf(it));
+            list.back().isDraining = *rc::gen::inRange(0, 4) == 0;
+            list.back().startedMs = *rc::gen::inRange<std::uint64_t>(0, 2);
+        }
+    }
+    return list;
+}
+
+/** What a list and the answers say of the servers, kept apart from the book. */
+struct ListModel
+{
+    std::map<std::string, Server> listed;               ///< The last list.
+    std::map<std::string, std::uint64_t> lostAddresses; ///< Runs whose address another server has, by server.
+
+    void update(const std::vector<Server> &list)
+    {
+        listed.clear();
+        for (const auto &it : list) {
+            listed[it.id] = it;
+        }
+        std::erase_if(lostAddresses, [this](const auto &it) {
+            return !listed.contains(it.first) || listed[it.first].startedMs != it.second;
+        });
+    }
+    [[nodiscard]] bool isUsable(const std::string &id) const
+    {
+        const auto it = listed.find(id);
+        return it != listed.end() && !it->second.isDraining && !lostAddresses.contains(id);
+    }
+    [[nodiscard]] bool hasOne() const
+    {
+        return isUsable("a") || isUsable("b") || isUsable("c") || isUsable("d");
+    }
+};
+
+} // namespace
+
+RC_GTEST_PROP(ServerBookProperty, OnlyListedServersThatDontDrainAreChosen, ())
+{
+    ServerBook book("z1", {});
+    ListModel model;
+    TimePoint at = Start;
+    std::map<std::string, int> running;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int n = 0; n < steps; n++) {
+        at += std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
+        const auto id = *rc::gen::element<std::string>("a", "b", "c", "d");
+        const auto what = *rc::gen::inRange(0, 7);
+        if (what == 0) {
+            const auto list = someList();
+            book.update(list, false, at);
+            model.update(list);
+        } else if (what == 1) {
+            book.failed(id, at);
+        } else if (what == 2 && model.listed.contains(id)) {
+            book.misdirected(id);
+            model.lostAddresses[id] = model.listed[id].startedMs;
+        } else if (what == 3) {
+            book.told(id, {3, 2, 8}, at);
+        } else if (what == 4 && running[id] > 0) {
+            running[id]--;
+            book.ended(id, 300, false);
+        } else if (const auto name = chosen(book, turnOf("p", {{1, 300}}), {}, at); !name.empty()) {
+            RC_ASSERT(model.isUsable(name));
+            running[name]++;
+            book.began(name, 300, turnOf("p", {{1, 300}}));
+        }
+        RC_ASSERT(book.hasServer("svc") == model.hasOne());
+    }
+}
+
 TEST(ServerBook, ConnectionsAreSharedAmongEntries)
 {
     ChoiceSettings settings;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 
 namespace Vanillahall::Platform {
 
@@ -164,6 +165,32 @@
                                            with(GoodServer, "/state", "sleeping"),
                                            with(GoodServer, "/zone", nullptr)));
 
+RC_GTEST_PROP(RowProperty, SpoiltRowsAreRefusedWithAReasonOrMeanAServer, ())
+{
+    const auto spoilt = [](std::string text) {
+        const auto spoils = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+            rc::gen::pair(rc::gen::inRange<std::size_t>(0, text.size()), rc::gen::arbitrary<char>()));
+        for (const auto &[at, byte] : spoils) {
+            text[at] = byte;
+        }
+        return text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size() + 1));
+    };
+    Error reason;
+    const auto server = decodeServer("i-1", spoilt(GoodServer), reason);
+    RC_ASSERT(server.has_value() != !reason.message.empty());
+    if (server) {
+        RC_ASSERT(!server->service.empty() && !server->address.empty() && server->port != 0 && server->slots != 0U);
+    }
+    Error why;
+    const auto config = decodeConfig(spoilt(GoodConfig), why);
+    RC_ASSERT(config.has_value() != !why.message.empty());
+    if (config) {
+        RC_ASSERT(std::all_of(config->routes.begin(), config->routes.end(), [](const auto &it) {
+            return !it.targets.empty() && it.prefix.front() == '/' && it.prefix.back() == '/' && it.maxAttempts != 0;
+        }));
+    }
+}
+
 TEST(ConfigRow, IsDecoded)
 {
     Error reason;
