A turn waits half of its time for tokens at most, so that its refusal reaches the client

Change: the wait for tokens ends after 1.2 s or half of the request's time, whichever is shorter; the 503 then says when to come back.

Test (failed before): ProxyStore.ATurnWithLittleTimeIsRefusedBeforeItsDeadline.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -19,6 +19,7 @@
 constexpr Duration PlaceWait = std::chrono::milliseconds(15);       ///< Between two looks for a free server.
 constexpr Duration TokenWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
 constexpr Duration TokenPatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
+constexpr int TokenShare = 2; ///< A request waits half of its time for tokens; the client needs the rest for another attempt.
 constexpr Duration BackLater
     = std::chrono::milliseconds(1300); ///< Time to come back when the store is away; clients use a third of their time at most.
 constexpr unsigned ObjectiveShare = 4; ///< A request waits for a place for a quarter of its objective.
@@ -100,7 +101,7 @@
     const auto *needed = std::get_if<TokenNeedsWrite>(&said);
     if (m_proxy.isStoreNear()) {
         m_proxy.waitForTokens(facts.program, shared_from_this());
-        setTokenTimer(TokenPatience - (now() - m_request.arrived));
+        setTokenTimer(tokenPatienceLeft());
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
         }
@@ -110,13 +111,19 @@
         m_proxy.ledger.notWritten(facts.program);
     }
     m_proxy.waitForStore(shared_from_this());
-    setTokenTimer(TokenPatience - (now() - m_request.arrived));
+    setTokenTimer(tokenPatienceLeft());
+}
+
+Duration Exchange::tokenPatienceLeft() const
+{
+    const auto patience = std::min(TokenPatience, (m_limitAt - m_request.arrived) / TokenShare);
+    return m_request.arrived + patience - now();
 }
 
 void Exchange::setTokenTimer(Duration span)
 {
     runAfter(m_waitTimer, std::max(Duration::zero(), span), *this, [](Exchange &self) {
-        if (now() - self.m_request.arrived >= TokenPatience) {
+        if (self.tokenPatienceLeft() <= Duration::zero()) {
             self.answer(StatusUnavailable, BackLater, Outcome::NoStoreForBudget);
         } else {
             self.askTokens();
@@ -134,7 +141,7 @@
         askTokens();
         return;
     }
-    setTokenTimer(std::min(TokenWait, TokenPatience - (now() - m_request.arrived)));
+    setTokenTimer(std::min(TokenWait, tokenPatienceLeft()));
 }
 
 void Exchange::place()
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -41,6 +41,8 @@
 
 private:
     void askTokens();
+    /** @return How much longer the request waits for tokens. */
+    [[nodiscard]] Duration tokenPatienceLeft() const;
     void setTokenTimer(Duration span);
     void place();
     void waitForPlace();
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -120,6 +120,21 @@
     EXPECT_EQ(world.rows.lostAnswers, 0U);
 }
 
+TEST(ProxyStore, ATurnWithLittleTimeIsRefusedBeforeItsDeadline)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    world.rows.refusesWrites = true;
+    const auto headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 400\r\nDeadline-Ms: 300\r\n";
+    const auto answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r1", headers));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    // Not by the deadline itself, at which the client has left.
+    EXPECT_TRUE(world.hasLine("outcome=no_store_for_budget"));
+}
+
 TEST(ProxyStore, ARefusedWriteLeavesALineWithItsReason)
 {
     ProxyWorld world(
--- a/tests/proxy/proxy_stream_property_test.cpp
+++ b/tests/proxy/proxy_stream_property_test.cpp
@@ -70,6 +70,7 @@
 RC_GTEST_PROP(ProxyStreamProperty, EachEventComesOnceInOrderAndOnlyAWholeStreamLooksWhole, ())
 {
     std::vector<Attempt> attempts;
+    attempts.reserve(4);
     for (int n = 0; n < 4; n++) {
         attempts.push_back(attemptOf());
     }
