--- a/packages/daemon/src/api_decode.cpp
+++ b/packages/daemon/src/api_decode.cpp
@@ -1,3 +1,4 @@
+#include "api_decoder.h"
 #include "api_func.h"
 
 #include "vanillahall/core/error_func.h"
@@ -20,153 +21,6 @@
 constexpr std::uint32_t MaxCallTokens = 1'000'000;
 constexpr std::uint32_t DefaultCallTokens = 1024;
 constexpr std::uint64_t MaxTargetMs = 366ULL * 24 * 3600 * 1000;
-constexpr std::size_t MaxNameLength = 200;
-
-/** @return True if arrays and objects of a JSON text are nested deeper than allowed. */
-bool isNestedTooDeep(std::string_view text)
-{
-    constexpr int MaxDepth = 64;
-    int depth = 0;
-    bool inText = false;
-    for (std::size_t n = 0; n < text.size(); n++) {
-        const char c = text[n];
-        if (inText && c == '\\') {
-            n++;
-        } else if (c == '"') {
-            inText = !inText;
-        } else if (!inText && (c == '[' || c == '{')) {
-            depth++;
-        } else if (!inText && (c == ']' || c == '}')) {
-            depth--;
-        }
-        if (depth > MaxDepth) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/** One request while it is being decoded; the first fault is kept. */
-class Decoder
-{
-public:
-    Decoder(const HttpRequest &request, Error &reason)
-        : m_request(request)
-        , m_reason(reason)
-    {
-    }
-
-    std::nullopt_t fail(ErrorCode code, const std::string &message)
-    {
-        if (!m_failed) {
-            m_reason = notRun(code, Step::Decode, m_request.peer, message);
-        }
-        m_failed = true;
-        return std::nullopt;
-    }
-
-    std::nullopt_t failField(const std::string &field, const std::string &expected)
-    {
-        return fail(ErrorCode::BadRequest, "'" + field + "': expected " + expected);
-    }
-
-    bool parseBody()
-    {
-        if (isNestedTooDeep(m_request.body)) {
-            fail(ErrorCode::BadRequest, "the body is nested too deep");
-            return false;
-        }
-        m_body = Json::parse(m_request.body, nullptr, false);
-        if (m_body.is_discarded()) {
-            fail(ErrorCode::BadRequest, "the body is not JSON");
-        } else if (!m_body.is_object()) {
-            fail(ErrorCode::BadRequest, "the body is not a JSON object");
-        }
-        return !m_failed;
-    }
-
-    std::uint64_t
-    number(const Json &object, const char *field, std::uint64_t least, std::uint64_t most, std::optional<std::uint64_t> absent)
-    {
-        const auto it = object.find(field);
-        if (it == object.end() && absent) {
-            return *absent;
-        }
-        if (it == object.end() || !it->is_number_unsigned() || it->get<std::uint64_t>() < least || it->get<std::uint64_t>() > most) {
-            failField(field, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
-            return 0;
-        }
-        return it->get<std::uint64_t>();
-    }
-
-    std::string text(const Json &object, const char *field)
-    {
-        const auto it = object.find(field);
-        if (it == object.end() || !it->is_string() || it->get_ref<const std::string &>().empty()
-            || it->get_ref<const std::string &>().size() > MaxNameLength) {
-            failField(field, "a non-empty text of at most " + std::to_string(MaxNameLength) + " bytes");
-            return {};
-        }
-        return it->get<std::string>();
-    }
-
-    bool flag(const Json &object, const char *field, std::optional<bool> absent)
-    {
-        const auto it = object.find(field);
-        if (it == object.end() && absent) {
-            return *absent;
-        }
-        if (it == object.end() || !it->is_boolean()) {
-            failField(field, "true or false");
-            return false;
-        }
-        return it->get<bool>();
-    }
-
-    std::vector<std::string> messages(const Json &object)
-    {
-        std::vector<std::string> list;
-        const auto it = object.find("messages");
-        if (it == object.end() || !it->is_array() || it->empty()) {
-            failField("messages", "a non-empty array of objects with role and content");
-            return list;
-        }
-        for (const auto &message : *it) {
-            if (!message.is_object() || !message.contains("role") || !message["role"].is_string() || !message.contains("content")) {
-                failField("messages", "a non-empty array of objects with role and content");
-                return list;
-            }
-            list.push_back(message.dump());
-        }
-        return list;
-    }
-
-    std::string header(std::string_view name) const
-    {
-        for (const auto &it : m_request.headers) {
-            if (it.name == name) {
-                return it.value;
-            }
-        }
-        return {};
-    }
-
-    [[nodiscard]] const Json &body() const
-    {
-        return m_body;
-    }
-
-    [[nodiscard]] bool failed() const
-    {
-        return m_failed;
-    }
-
-private:
-    const HttpRequest &m_request;
-    Error &m_reason;
-    Json m_body;
-    bool m_failed = false;
-};
 
 std::vector<std::string_view> splitPath(std::string_view path)
 {
@@ -201,7 +55,7 @@
     return CallKey{*id, Turn{static_cast<std::uint32_t>(*number)}};
 }
 
-std::optional<ApiRequest> decodeCreate(Decoder &decoder)
+std::optional<ApiRequest> decodeCreate(ApiDecoder &decoder)
 {
     if (!decoder.parseBody()) {
         return std::nullopt;
@@ -233,7 +87,7 @@
     return CallerApi{create, false};
 }
 
-ServiceCall decodeService(Decoder &decoder)
+ServiceCall decodeService(ApiDecoder &decoder)
 {
     const Json &body = decoder.body();
     ServiceCall call;
@@ -245,7 +99,7 @@
     return call;
 }
 
-ModelInput decodeModel(Decoder &decoder, const char *tokensField)
+ModelInput decodeModel(ApiDecoder &decoder, const char *tokensField)
 {
     const Json &body = decoder.body();
     ModelInput input;
@@ -255,7 +109,7 @@
     return input;
 }
 
-std::optional<ApiRequest> decodeSubmit(Decoder &decoder, std::string_view program)
+std::optional<ApiRequest> decodeSubmit(ApiDecoder &decoder, std::string_view program)
 {
     const auto id = parseProgramId(program);
     if (!id) {
@@ -296,7 +150,7 @@
     }
 }
 
-std::optional<ApiRequest> decodeChat(Decoder &decoder, const ClassName &defaultClass)
+std::optional<ApiRequest> decodeChat(ApiDecoder &decoder, const ClassName &defaultClass)
 {
     if (!decoder.parseBody()) {
         return std::nullopt;
@@ -327,7 +181,7 @@
     return chat;
 }
 
-std::optional<ApiRequest> decodeChange(Decoder &decoder, std::string_view list, std::string_view name)
+std::optional<ApiRequest> decodeChange(ApiDecoder &decoder, std::string_view list, std::string_view name)
 {
     std::string version = decoder.header(IfMatchHeader);
     std::erase(version, '"');
@@ -357,7 +211,7 @@
     return change;
 }
 
-std::optional<ApiRequest> decodeSettle(Decoder &decoder, std::string_view program, std::string_view turn)
+std::optional<ApiRequest> decodeSettle(ApiDecoder &decoder, std::string_view program, std::string_view turn)
 {
     const auto key = parseKey(program, turn);
     if (!key) {
@@ -374,7 +228,7 @@
 }
 
 /** Decodes the paths below /v1/programs/{program}. */
-std::optional<ApiRequest> decodeProgram(Decoder &decoder, const std::string &method, const std::vector<std::string_view> &parts)
+std::optional<ApiRequest> decodeProgram(ApiDecoder &decoder, const std::string &method, const std::vector<std::string_view> &parts)
 {
     const auto id = parseProgramId(parts[2]);
     if (!id) {
@@ -402,7 +256,7 @@
     return decoder.fail(ErrorCode::NotFound, "no such path");
 }
 
-std::optional<ApiRequest> decodeRead(Decoder &decoder, const std::string &path)
+std::optional<ApiRequest> decodeRead(ApiDecoder &decoder, const std::string &path)
 {
     static constexpr std::array Paths = std::to_array<std::pair<std::string_view, ReadKind>>({
         {"/metrics", ReadKind::Metrics},
@@ -435,7 +289,7 @@
 
 std::optional<ApiRequest> decodeApi(const HttpRequest &request, const ClassName &defaultClass, Error &reason)
 {
-    Decoder decoder(request, reason);
+    ApiDecoder decoder(request, reason);
     const auto parts = splitPath(request.path);
     const bool versioned = parts.size() >= 2 && parts[0] == "v1";
     if (versioned && parts[1] == "programs" && parts.size() == 2 && request.method == "POST") {
--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 namespace Http = boost::beast::http;
-using boost::asio::ip::tcp;
 
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400); ///< A few round trips to the farthest zone and a full accept queue.
 constexpr std::size_t MaxAnswerHead = std::size_t{64} * 1024;     ///< Longest head of an answer.
@@ -74,28 +73,19 @@
 
 void ServerLink::connect()
 {
-    boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address(m_server.address, ec);
-    if (ec) {
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            self->fail("address can't be read");
-        });
-        return;
-    }
     runAfter(m_connectTimer, ConnectLimit, *this, [](ServerLink &self) {
         self.fail("no connection in time");
     });
-    m_socket.async_connect(tcp::endpoint(address, m_server.port), [self = shared_from_this()](const boost::system::error_code &error) {
+    connectTo(m_socket, m_server.address, m_server.port, [self = shared_from_this()](const std::string &fault) {
         if (self->m_isClosed) {
             return;
         }
         stopTimer(self->m_connectTimer);
-        if (error) {
-            self->fail("connect: " + error.message());
+        if (!fault.empty()) {
+            self->fail(fault);
             return;
         }
         self->m_isOpen = true;
-        setSocketOptions(self->m_socket);
         self->write();
         self->read();
     });
--- a/packages/proxy/src/socket_option.cpp
+++ b/packages/proxy/src/socket_option.cpp
@@ -2,6 +2,8 @@
 
 #include <netinet/tcp.h>
 
+#include <boost/asio/post.hpp>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -25,4 +27,27 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
 }
 
+void connectTo(boost::asio::ip::tcp::socket &socket,
+               const std::string &address,
+               std::uint16_t port,
+               std::function<void(const std::string &fault)> connected)
+{
+    boost::system::error_code ec;
+    const auto ip = boost::asio::ip::make_address(address, ec);
+    if (ec) {
+        boost::asio::post(socket.get_executor(), [connected = std::move(connected)] {
+            connected("address can't be read");
+        });
+        return;
+    }
+    socket.async_connect({ip, port}, [&socket, connected = std::move(connected)](const boost::system::error_code &error) {
+        if (error) {
+            connected("connect: " + error.message());
+            return;
+        }
+        setSocketOptions(socket);
+        connected({});
+    });
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -77,24 +77,15 @@
 private:
     void connect()
     {
-        boost::system::error_code ec;
-        const auto address = boost::asio::ip::make_address(m_store.address, ec);
-        if (ec) {
-            boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-                self->fail("address can't be read");
-            });
-            return;
-        }
-        m_socket.async_connect(tcp::endpoint(address, m_store.port), [self = shared_from_this()](const boost::system::error_code &error) {
+        connectTo(m_socket, m_store.address, m_store.port, [self = shared_from_this()](const std::string &fault) {
             if (self->m_isClosed) {
                 return;
             }
-            if (error) {
-                self->fail("connect: " + error.message());
+            if (!fault.empty()) {
+                self->fail(fault);
                 return;
             }
             self->m_isOpen = true;
-            setSocketOptions(self->m_socket);
             self->write();
         });
     }
--- /dev/null
+++ b/tests/core/shard_world_step.cpp
@@ -0,0 +1,195 @@
+/** The course of time and of random events in the world of shards. */
+#include "shard_world.h"
+#include <algorithm>
+#include <ostream>
+
+namespace Vanillahall {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration TimeStep = 10ms;
+constexpr Duration PollInterval = 2s;
+
+JournalRecord makeRecord(ShardId shard, std::uint64_t serial)
+{
+    ProgramEnded it;
+    it.program = ProgramId{shard, serial};
+    return it;
+}
+
+} // namespace
+
+void ShardWorld::stepEntry(std::size_t index)
+{
+    WorldEntry &entry = entries[index];
+    if (!entry.running) {
+        if (m_now >= entry.startAt) {
+            start(index);
+        }
+        return;
+    }
+    if (m_now < entry.pausedUntil) {
+        return;
+    }
+    const Now now = clockOf(entry);
+    for (const auto &[from, message] : std::exchange(entry.inbox, {})) {
+        onMessage(index, from, message, now);
+    }
+    for (const FakeAnswer &it : std::exchange(entry.answers, {})) {
+        onAnswer(index, it, now);
+    }
+    tickLogs(entry, now);
+    tickWatch(entry, index, now);
+    if (!entry.poll && now.steady >= entry.nextPoll) {
+        entry.nextPoll = now.steady + PollInterval;
+        entry.poll = entry.out.nextRequest;
+        entry.out.nextRequest.value++;
+        ask(entry, index, *entry.poll, StoreGet{RowKey{"config"}});
+    }
+    drain(entry, index);
+    heartbeat(index, now);
+}
+
+void ShardWorld::checkHolders()
+{
+    std::map<ShardId, std::string> holders;
+    for (const WorldEntry &entry : entries) {
+        for (const auto &[id, log] : entry.logs) {
+            if (!entry.running || !log->mayOrder(clockOf(entry).steady)) {
+                continue;
+            }
+            std::string &holder = holders[id];
+            if (!holder.empty()) {
+                m_violations.push_back("both " + holder + " and " + entry.name.text + " may order");
+            }
+            holder = entry.name.text;
+        }
+    }
+}
+
+void ShardWorld::step()
+{
+    m_now += TimeStep;
+    for (FakeAnswer &it : store.advance(m_now)) {
+        WorldEntry &entry = entries[it.client];
+        if (entry.running && it.request.value / 1'000'000 == entry.incarnation.value) {
+            entry.answers.push_back(std::move(it));
+        }
+    }
+    for (const WorldMessage &it : m_messages) {
+        if (it.arrives <= m_now && entries[it.to].running) {
+            entries[it.to].inbox.emplace_back(it.from, it.message);
+        }
+    }
+    std::erase_if(m_messages, [&](const WorldMessage &it) {
+        return it.arrives <= m_now;
+    });
+    for (std::size_t n = 0; n < entries.size(); n++) {
+        stepEntry(n);
+        checkHolders();
+    }
+}
+
+void ShardWorld::run(Duration time)
+{
+    for (const TimePoint end = m_now + time; m_now < end && m_violations.empty();) {
+        step();
+    }
+}
+
+void ShardWorld::heal()
+{
+    for (WorldEntry &entry : entries) {
+        entry.pausedUntil = m_now;
+        entry.faultUntil = m_now;
+        entry.cutUntil = m_now;
+        entry.slowUntil = m_now;
+        entry.startAt = std::min(entry.startAt, m_now);
+    }
+}
+
+std::optional<std::size_t> ShardWorld::holderOf(ShardId shard) const
+{
+    for (std::size_t n = 0; n < entries.size(); n++) {
+        const auto it = entries[n].logs.find(shard);
+        if (entries[n].running && it != entries[n].logs.end() && it->second->mayOrder(clockOf(entries[n]).steady)) {
+            return n;
+        }
+    }
+    return std::nullopt;
+}
+
+void ShardWorld::act(const WorldAction &action)
+{
+    WorldEntry &entry = entries[action.entry % entries.size()];
+    const bool awake = entry.running && m_now >= entry.pausedUntil;
+    const auto setFault = [&](WorldEntry &it, StoreFault fault) {
+        it.fault = fault;
+        it.faultUntil = m_now + action.length;
+        it.faultDelay = action.amount * 100ms;
+    };
+    switch (action.kind) {
+    case WorldActionKind::Append:
+        for (auto &[id, log] : entry.logs) {
+            const bool mayAppend = log->phase() == ShardPhase::Held || log->phase() == ShardPhase::Lapsed;
+            for (unsigned n = 0; n < action.amount && awake && mayAppend && !log->handingOver(); n++) {
+                entry.live[id].push_back(makeRecord(id, m_nextSerial));
+                log->append(makeRecord(id, m_nextSerial++), clockOf(entry), entry.out);
+            }
+        }
+        break;
+    case WorldActionKind::StoreRefuses:
+        setFault(entry, StoreFault::Refused);
+        break;
+    case WorldActionKind::StoreSilent:
+        setFault(entry, StoreFault::Silent);
+        break;
+    case WorldActionKind::AnswersLost:
+        setFault(entry, StoreFault::AnswerLost);
+        break;
+    case WorldActionKind::WritesDelayed:
+        setFault(entry, StoreFault::Delayed);
+        break;
+    case WorldActionKind::StaleReads:
+        setFault(entry, StoreFault::Stale);
+        break;
+    case WorldActionKind::StoreDown:
+        std::for_each(entries.begin(), entries.end(), [&](WorldEntry &it) {
+            setFault(it, action.amount % 2 == 0 ? StoreFault::Refused : StoreFault::Silent);
+        });
+        break;
+    case WorldActionKind::Pause:
+        entry.pausedUntil = m_now + action.length;
+        break;
+    case WorldActionKind::Crash:
+        entry.running = false;
+        entry.startAt = m_now + action.length;
+        break;
+    case WorldActionKind::LinkCut:
+        entry.cutUntil = m_now + action.length;
+        break;
+    case WorldActionKind::LinkSlow:
+        entry.slowUntil = m_now + action.length;
+        entry.slowBy = action.amount * 100ms;
+        break;
+    case WorldActionKind::HandOver:
+        for (auto &[id, log] : entry.logs) {
+            if (awake && log->phase() == ShardPhase::Held) {
+                log->handOver(entries[(action.entry + 1) % entries.size()].name, clockOf(entry), entry.out);
+            }
+        }
+        break;
+    case WorldActionKind::Rename:
+        entry.successorShift = action.amount;
+        entry.successorCount = action.amount % 3;
+        for (auto &[id, log] : entry.logs) {
+            log->setSuccessors(successorsOf(action.entry % entries.size()));
+        }
+        break;
+    }
+    run(action.after);
+}
+
+} // namespace Vanillahall
