--- a/packages/core/include/vanillahall/core/server_book_base.h
+++ b/packages/core/include/vanillahall/core/server_book_base.h
@@ -14,10 +14,8 @@
 
 namespace Vanillahall::Forward {
 
-/**
- * Figures of the choice. Those of engines and links come from the users' sheets; the prices are those with the best mean worth of the
- * trials in docs/design/05 or, where it names none, a multiple of the wait that such a server has caused on the bench.
- */
+/** Figures of the choice. `promptTokensPerMs` is the klokwerk sheet's; `homeMs` had the best worth of five (design note 5); others are
+ * estimates. */
 struct ChoiceSettings
 {
     double promptTokensPerMs = 60.0; ///< Prompt tokens that an engine reads in a millisecond.
@@ -55,6 +53,9 @@
 {
 public:
     ServerBook(std::string zone, ChoiceSettings settings);
+    ServerBook(const ServerBook &) = delete; // The index by service points into the book.
+    ServerBook &operator=(const ServerBook &) = delete;
+    ~ServerBook() = default;
 
     // Commands.
 
@@ -139,8 +140,6 @@
         std::list<std::uint64_t>::iterator lastUse; ///< Place in the order of use.
     };
 
-    void remember(std::uint64_t run, const RequestFacts &facts);
-    void indexServices();
     /** What is looked up once for a request, before its servers are compared. */
     struct Lookup
     {
@@ -149,6 +148,8 @@
         double usualPaceMs = 0;          ///< Usual time between two events of the service; 0 if unknown.
     };
 
+    void remember(std::uint64_t run, const RequestFacts &facts);
+    void indexServices();
     [[nodiscard]] Lookup lookUp(const ChoiceRequest &request) const;
     [[nodiscard]] static std::uint32_t readTokens(const Place &place, const Lookup &lookup, const RequestFacts &facts);
     /** @return Servers of a service that may be used, and some that stopped being usable since the last list. */
@@ -169,7 +170,7 @@
 };
 
 inline constexpr Duration LapseGrace = std::chrono::milliseconds(1900); ///< Servers that live are listed again within 2 s.
-inline constexpr std::size_t MaxParts = 20000;                          ///< Parts remembered; 3.1 MB by `make bench-capacity`.
+inline constexpr std::size_t MaxParts = 20000;                          ///< Parts remembered; 2.7 MB by `make bench-capacity`.
 inline constexpr std::size_t MaxPartPlaces = 16;                        ///< Servers remembered for one part.
 
 } // namespace Vanillahall::Forward
--- a/packages/daemon/src/api_decode.cpp
+++ b/packages/daemon/src/api_decode.cpp
@@ -14,13 +14,14 @@
 
 using Json = nlohmann::json;
 
-constexpr std::uint32_t MaxTurn = 1'000'000;
-constexpr std::uint64_t MaxTokens = 100'000'000;
-constexpr std::uint32_t MaxCalls = 1'000'000;
-constexpr std::uint64_t MaxSeconds = 365ULL * 24 * 3600;
-constexpr std::uint32_t MaxCallTokens = 1'000'000;
-constexpr std::uint32_t DefaultCallTokens = 1024;
-constexpr std::uint64_t MaxTargetMs = 366ULL * 24 * 3600 * 1000;
+// Bounds far beyond the design size of docs/DEVELOPERS.md.
+constexpr std::uint32_t MaxTurn = 1'000'000;                     ///< Number of a turn; programs have up to 71.
+constexpr std::uint64_t MaxTokens = 100'000'000;                 ///< Tokens of a program's budget; programs have up to 120,000.
+constexpr std::uint32_t MaxCalls = 1'000'000;                    ///< Calls of a program's budget.
+constexpr std::uint64_t MaxSeconds = 365ULL * 24 * 3600;         ///< Time of a program's budget: a year.
+constexpr std::uint32_t MaxCallTokens = 1'000'000;               ///< Tokens that one call may generate.
+constexpr std::uint32_t DefaultCallTokens = 1024;                ///< Tokens that a call may generate if it doesn't say.
+constexpr std::uint64_t MaxTargetMs = 366ULL * 24 * 3600 * 1000; ///< Target of a class, in milliseconds: a leap year.
 
 std::vector<std::string_view> splitPath(std::string_view path)
 {
--- a/packages/daemon/src/api_decoder.h
+++ b/packages/daemon/src/api_decoder.h
@@ -10,7 +10,7 @@
 
 namespace Vanillahall {
 
-inline constexpr std::size_t MaxNameLength = 200;
+inline constexpr std::size_t MaxNameLength = 200; ///< Bytes of a name; the platform's store takes keys of 200.
 
 /** @return True if arrays and objects of a JSON text are nested deeper than allowed. */
 inline bool isNestedTooDeep(std::string_view text)
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -41,8 +41,6 @@
 
 private:
     void askTokens();
-    /** @return How much longer the request waits for tokens. */
-    [[nodiscard]] Duration tokenPatienceLeft() const;
     void setTokenTimer(Duration span);
     void place();
     void waitForPlace();
@@ -63,7 +61,8 @@
     void end(unsigned status, Outcome outcome);
     void settleTokens();
     [[nodiscard]] Duration left() const;
-    [[nodiscard]] bool isLastTry() const;
+    /** @return How much longer the request waits for tokens. */
+    [[nodiscard]] Duration tokenPatienceLeft() const;
 
     ProxyState &m_proxy;                               ///< The proxy; outlives this.
     std::shared_ptr<ClientSession> m_session;          ///< The client's connection.
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -19,6 +19,7 @@
 constexpr Duration AcceptPause = std::chrono::milliseconds(50); ///< After a connection couldn't be taken, as when no descriptor is free.
 constexpr Duration StopStep = std::chrono::milliseconds(50);    ///< Between two looks whether a stop is complete.
 constexpr std::size_t MaxIdleLinks = 6;                         ///< Idle connections kept to one server.
+constexpr Duration FullLogInterval = std::chrono::seconds(10); ///< Between two lines about clients turned away; the metric counts them all.
 
 } // namespace
 
@@ -91,15 +92,8 @@
 
 void ProxyState::takeClient(tcp::socket socket)
 {
-    const bool isFull = m_sessions.size() >= settings.maxClients;
-    if (isFull && !m_isFull) {
-        log(LogLevel::Warning,
-            EventNumber::DependencyLost,
-            "peer=clients why=\"" + std::to_string(m_sessions.size()) + " connections, further ones are closed\"");
-    }
-    m_isFull = isFull;
-    if (isFull) {
-        metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
+    if (m_sessions.size() >= settings.maxClients) {
+        turnAwayClient();
         return;
     }
     const auto session = std::make_shared<ClientSession>(std::move(socket), *this, m_nextSession++);
@@ -107,6 +101,18 @@
     session->start();
 }
 
+void ProxyState::turnAwayClient()
+{
+    metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
+    if (m_fullLoggedAt && now() - *m_fullLoggedAt < FullLogInterval) {
+        return;
+    }
+    m_fullLoggedAt = now();
+    log(LogLevel::Warning,
+        EventNumber::DependencyLost,
+        "peer=clients why=\"" + std::to_string(m_sessions.size()) + " connections, further ones are closed\"");
+}
+
 void ProxyState::requestCame(const std::shared_ptr<ClientSession> &session, ClientRequest request)
 {
     const auto exchange = std::make_shared<Exchange>(*this, session, std::move(request));
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -107,6 +107,7 @@
     void acceptClients();
     /** @return An idle connection to a server, or null. */
     std::shared_ptr<ServerLink> popIdleLink(const std::string &server);
+    void turnAwayClient();
     void takeClient(boost::asio::ip::tcp::socket socket);
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
@@ -162,7 +163,7 @@
     TimePoint m_crashesAt{};                             ///< When shared counts are next read.
     std::function<void()> m_stopped;                     ///< Told when the stop is complete.
     unsigned m_openPolls = 0;                            ///< Reads under way.
-    bool m_isFull = false;                               ///< True while clients are turned away.
+    std::optional<TimePoint> m_fullLoggedAt;             ///< When a line last said that clients are turned away.
     bool m_isStopping = false;                           ///< True after stop().
     bool m_isShutDown = false;                           ///< True after shutDown().
     bool m_isStoreAway = false;                          ///< True from event 1501 to 1502.
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -124,10 +124,15 @@
 {
     const auto trial = std::make_shared<Trial>(m_loop, request, now() + limit, handler);
     trial->isDirectNext = !m_isDirectAway || isProbe;
-    begin(trial, false);
+    begin(trial);
 }
 
-void StorePath::begin(const std::shared_ptr<Trial> &trial, bool mustDiffer)
+bool StorePath::hasOtherWay(const Trial &trial) const
+{
+    return trial.isDirectNext || m_members.pick(m_turn, now()) != nullptr;
+}
+
+void StorePath::begin(const std::shared_ptr<Trial> &trial)
 {
     const auto left = trial->until - now();
     const auto answered = [this, alive = std::weak_ptr(m_isAlive), trial](const auto &reply, const Error &reason) {
@@ -138,17 +143,13 @@
     trial->begun++;
     trial->open++;
     if (trial->isDirectNext || !callThroughMember(trial->request, left, answered)) {
-        if (!trial->isDirectNext && mustDiffer) {
-            ended(trial, std::nullopt, trial->reason);
-            return;
-        }
         callDirect(trial->request, left, answered);
     }
     trial->isDirectNext = !trial->isDirectNext;
     if (trial->begun < MaxStoreTries && patience() < left) {
         runAfter(trial->timer, patience(), *trial, [this, alive = std::weak_ptr(m_isAlive)](Trial &self) {
             if (!alive.expired()) {
-                begin(self.shared_from_this(), false);
+                begin(self.shared_from_this());
             }
         });
     }
@@ -166,8 +167,8 @@
         trial->reason = reason;
     }
     // One way has failed: the other one is tried without waiting, once.
-    if (!isAnswer(reply) && trial->begun == 1) {
-        begin(trial, true);
+    if (!isAnswer(reply) && trial->begun == 1 && hasOtherWay(*trial)) {
+        begin(trial);
         return;
     }
     if (!isAnswer(reply) && trial->open != 0) {
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -28,8 +28,8 @@
     // Commands.
 
     /**
-     * Makes a call, up to MaxStoreTries times: at once the other way if one way fails, and later if no answer comes. Writes have to be
-     * conditional.
+     * Makes a call, up to MaxStoreTries times: at once the other way if one way fails, and later if no answer comes. A write may be done
+     * more than once and late, so it has to be conditional, or the same whenever it is done.
      * @param isProbe True to try the direct way first even if it failed a moment ago.
      */
     void call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler);
@@ -46,7 +46,8 @@
 private:
     struct Trial;
 
-    void begin(const std::shared_ptr<Trial> &trial, bool mustDiffer);
+    void begin(const std::shared_ptr<Trial> &trial);
+    [[nodiscard]] bool hasOtherWay(const Trial &trial) const;
     void ended(const std::shared_ptr<Trial> &trial, const std::optional<StoreReply> &reply, const Error &reason);
     [[nodiscard]] Duration patience() const;
     void directEnded(bool isAnswered, TimePoint begun);
--- a/tests/proxy/proxy_request_test.cpp
+++ b/tests/proxy/proxy_request_test.cpp
@@ -293,6 +293,16 @@
     EXPECT_TRUE(world.run([&world] {
         return world.proxy->clientCount() == 0;
     }));
+    // Clients that come and go at the limit don't fill the log.
+    TestClient next(world.loop, world.proxy->port());
+    ASSERT_TRUE(world.run([&world] {
+        return world.proxy->clientCount() == 1;
+    }));
+    TestClient again(world.loop, world.proxy->port());
+    EXPECT_TRUE(world.run([&again] {
+        return again.isClosed;
+    }));
+    EXPECT_EQ(world.lineCount("peer=clients"), 1U);
 }
 
 } // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -212,24 +212,26 @@
         return {json({{"ver", ++version}, {"nowMs", 1}})};
     }
     writes++;
-    const std::string key = body["expect"][0]["key"];
-    const auto row = tokens.find(key);
-    if (lostAnswers != 0 && row != tokens.end()) {
+    const auto &expected = body["expect"][0];
+    const auto answer = writeTokens(expected["key"], expected["ver"], body["writes"][0]["value"]);
+    if (lostAnswers != 0) {
         lostAnswers--;
         return {};
     }
-    if ((row == tokens.end() ? 0 : row->second.second) != body["expect"][0]["ver"].get<int>()) {
+    return answer;
+}
+
+Script StoreModel::writeTokens(const std::string &key, int expected, const std::string &value)
+{
+    const auto row = tokens.find(key);
+    if ((row == tokens.end() ? 0 : row->second.second) != expected) {
         Json list = Json::array();
         if (row != tokens.end()) {
             list.push_back({{"key", key}, {"value", row->second.first}, {"ver", row->second.second}});
         }
         return {json({{"rows", list}}, 412)};
     }
-    tokens[key] = {body["writes"][0]["value"], ++version};
-    if (lostAnswers != 0) {
-        lostAnswers--;
-        return {};
-    }
+    tokens[key] = {value, ++version};
     return {json({{"ver", version}, {"nowMs", 1}})};
 }
 
@@ -303,11 +305,16 @@
     return true;
 }
 
-bool ProxyWorld::hasLine(const std::string &text) const
+std::size_t ProxyWorld::lineCount(const std::string &text) const
 {
-    return std::any_of(lines.begin(), lines.end(), [&text](const auto &it) {
+    return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&text](const auto &it) {
         return it.find(text) != std::string::npos;
-    });
+    }));
+}
+
+bool ProxyWorld::hasLine(const std::string &text) const
+{
+    return lineCount(text) != 0;
 }
 
 bool ProxyWorld::start()
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -91,6 +91,9 @@
 
     /** @return The answer to a call. */
     Script answer(const std::string &request);
+
+private:
+    Script writeTokens(const std::string &key, int expected, const std::string &value);
 };
 
 /** Everything together. Servers "s1" and "s2" offer the service "svc". */
@@ -100,8 +103,6 @@
     /** @param answer What both servers do. @param adjust Changes the proxy's settings. */
     explicit ProxyWorld(const ScriptedPeer::Answer &answer, const std::function<void(ProxySettings &)> &adjust = {});
 
-    /** @return True if a log line holds a text. */
-    [[nodiscard]] bool hasLine(const std::string &text) const;
     ~ProxyWorld();
 
     /** Runs the loop until a condition holds. @return False if it doesn't within a long while. */
@@ -110,6 +111,10 @@
     bool start();
     /** Sends a request and waits until the answer is whole or the connection is closed. @return What came. */
     std::string ask(const std::string &request);
+    /** @return Number of log lines that hold a text. */
+    [[nodiscard]] std::size_t lineCount(const std::string &text) const;
+    /** @return True if a log line holds a text. */
+    [[nodiscard]] bool hasLine(const std::string &text) const;
     /** @return Text of a request. */
     static std::string request(const std::string &method,
                                const std::string &path,
