Broken attempts are shared one by one and age; rows of proxies that are gone are removed

Cause, found by rereading the store path, which may do a write twice and late: the shared count of broken attempts was one unconditional row a proxy and content, so a late write set it back and a late removal took a new count away. Worse, rows of processes that had ended were never removed nor left out: three servers lost by three such processes refused an innocent content for good (ProxyMark/old: 503, 200 expected), and the table, which every proxy reads every 2 s, only grew. Rows of proxies that are gone stayed, too, and were called for the store like those that live.

Change: each broken attempt is a row of its own with a key that never comes again and the store's time; marks over 120 s don't count and are removed by one proxy at a time; removals come in transactions of 100 rows at most. MemberBook calls living proxies first and names rows silent for ten minutes, which are removed on condition that they are as they were.

Tests: ProxyMark/old (failed before on the same rows), CrashBook.AnAnswerClearsTheCount, MemberBook.SilentProxiesAreCalledLastAndForgottenAtLength, StoreCalls (2).

--- a/packages/core/include/vanillahall/core/crash_book_base.h
+++ b/packages/core/include/vanillahall/core/crash_book_base.h
@@ -15,15 +15,18 @@
 
 namespace Vanillahall::Forward {
 
-/** Broken attempts of one content at one entry. */
-struct CrashCount
+/** One attempt that ended with a broken connection. Shared marks may be written and removed late and in any order, as each stands for
+ * itself. */
+struct CrashMark
 {
     std::uint64_t content{}; ///< Hash of the content.
-    std::uint32_t breaks{};  ///< Attempts that ended with a broken connection.
+    std::uint64_t serial{};  ///< Number of the mark within its process.
+
+    bool operator==(const CrashMark &) const = default;
 };
 
 inline constexpr std::uint32_t CrashLimit = 3; ///< Broken attempts after which a content is refused; fewer happen by chance.
-inline constexpr Duration CrashMemory = std::chrono::seconds(120); ///< A count is kept for so long after its last change.
+inline constexpr Duration CrashMemory = std::chrono::seconds(120); ///< Marks older than this don't count.
 
 /** @return Hash of what makes two requests the same content. */
 std::uint64_t contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body);
@@ -34,14 +37,14 @@
 public:
     // Commands.
 
-    /** An attempt broke. @return The count of this entry, to be shared. */
-    CrashCount broke(std::uint64_t content, TimePoint now);
-    /** An attempt was answered: its content doesn't crash servers. @return True if a count was kept until now. */
-    bool worked(std::uint64_t content);
-    /** Takes the counts that other entries share, all of them. */
-    void share(const std::vector<CrashCount> &others);
-    /** Forgets old counts of this entry. @return Their contents, whose shared counts may be removed. */
-    std::vector<std::uint64_t> forget(TimePoint now);
+    /** An attempt broke. @return Its mark, to be shared. */
+    CrashMark broke(std::uint64_t content, TimePoint now);
+    /** An attempt was answered: its content doesn't crash servers. @return Marks of this entry that don't count any more. */
+    std::vector<CrashMark> worked(std::uint64_t content);
+    /** Takes the contents of all marks that other entries share. */
+    void share(const std::vector<std::uint64_t> &contents);
+    /** Forgets old marks of this entry. @return The marks. */
+    std::vector<CrashMark> forget(TimePoint now);
 
     // Queries.
 
@@ -49,15 +52,18 @@
     [[nodiscard]] bool isRefused(std::uint64_t content) const;
 
 private:
-    /** Count of this entry. */
+    /** Marks of this entry for one content. */
     struct Own
     {
-        std::uint32_t breaks = 0; ///< Broken attempts.
-        TimePoint last{};         ///< The last one.
+        std::vector<std::uint64_t> serials; ///< The marks.
+        TimePoint last{};                   ///< The last broken attempt.
     };
 
+    std::vector<CrashMark> take(std::unordered_map<std::uint64_t, Own>::iterator own);
+
     std::unordered_map<std::uint64_t, Own> m_own;
-    std::unordered_map<std::uint64_t, std::uint32_t> m_others;
+    std::unordered_map<std::uint64_t, std::size_t> m_others; ///< Marks of other entries, by content.
+    std::uint64_t m_serial = 0;
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/member_book_base.h
+++ b/packages/core/include/vanillahall/core/member_book_base.h
@@ -27,6 +27,9 @@
 inline constexpr Duration MemberSilence
     = std::chrono::seconds(10); ///< Without a sign of life for so long a proxy is gone; two beats may be lost.
 
+inline constexpr Duration MemberLife
+    = std::chrono::minutes(10); ///< Without a sign of life for so long its row is removed; longer than any outage to be borne.
+
 /** Proxies that live. */
 class MemberBook
 {
@@ -45,7 +48,10 @@
 
     /** @return Number of proxies that live, this one included. */
     [[nodiscard]] std::uint32_t count(TimePoint now) const;
-    /** @return A proxy to call, another one at each `turn`, or null. Those that failed a moment ago come last. */
+    /** @return Proxies whose rows may be removed. */
+    [[nodiscard]] std::vector<Member> gone(TimePoint now) const;
+    /** @return A proxy to call, another one at each `turn`, or null. Those that failed a moment ago come last, before them the silent ones.
+     */
     [[nodiscard]] const Member *pick(std::uint64_t turn, TimePoint now) const;
 
 private:
--- a/packages/core/src/commands/crash_book_cmd.cpp
+++ b/packages/core/src/commands/crash_book_cmd.cpp
@@ -2,38 +2,49 @@
 
 namespace Vanillahall::Forward {
 
-CrashCount CrashBook::broke(std::uint64_t content, TimePoint now)
+CrashMark CrashBook::broke(std::uint64_t content, TimePoint now)
 {
     auto &own = m_own[content];
-    own.breaks++;
+    own.serials.push_back(++m_serial);
     own.last = now;
-    return {content, own.breaks};
+    return {content, m_serial};
 }
 
-bool CrashBook::worked(std::uint64_t content)
+std::vector<CrashMark> CrashBook::take(std::unordered_map<std::uint64_t, Own>::iterator own)
+{
+    std::vector<CrashMark> marks;
+    marks.reserve(own->second.serials.size());
+    for (const auto it : own->second.serials) {
+        marks.push_back({own->first, it});
+    }
+    m_own.erase(own);
+    return marks;
+}
+
+std::vector<CrashMark> CrashBook::worked(std::uint64_t content)
 {
     m_others.erase(content);
-    return m_own.erase(content) != 0;
+    const auto own = m_own.find(content);
+    return own == m_own.end() ? std::vector<CrashMark>() : take(own);
 }
 
-void CrashBook::share(const std::vector<CrashCount> &others)
+void CrashBook::share(const std::vector<std::uint64_t> &contents)
 {
     m_others.clear();
-    for (const auto &it : others) {
-        m_others[it.content] += it.breaks;
+    for (const auto it : contents) {
+        m_others[it]++;
     }
 }
 
-std::vector<std::uint64_t> CrashBook::forget(TimePoint now)
+std::vector<CrashMark> CrashBook::forget(TimePoint now)
 {
-    std::vector<std::uint64_t> old;
+    std::vector<CrashMark> old;
     for (auto it = m_own.begin(); it != m_own.end();) {
-        if (now - it->second.last < CrashMemory) {
-            ++it;
-            continue;
+        const auto own = it++;
+        if (now - own->second.last >= CrashMemory) {
+            const auto marks = take(own);
+            old.insert(old.end(), marks.begin(), marks.end());
         }
-        old.push_back(it->first);
-        it = m_own.erase(it);
     }
     return old;
 }
--- a/packages/core/src/queries/crash_book_query.cpp
+++ b/packages/core/src/queries/crash_book_query.cpp
@@ -17,8 +17,8 @@
 {
     const auto own = m_own.find(content);
     const auto others = m_others.find(content);
-    const std::uint32_t breaks = (own == m_own.end() ? 0 : own->second.breaks) + (others == m_others.end() ? 0 : others->second);
-    return breaks >= CrashLimit;
+    const auto marks = (own == m_own.end() ? 0 : own->second.serials.size()) + (others == m_others.end() ? 0 : others->second);
+    return marks >= CrashLimit;
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/queries/member_book_query.cpp
+++ b/packages/core/src/queries/member_book_query.cpp
@@ -17,16 +17,32 @@
     return n;
 }
 
+std::vector<Member> MemberBook::gone(TimePoint now) const
+{
+    std::vector<Member> list;
+    for (const auto &[name, seen] : m_members) {
+        if (name != m_self && now - seen.alive >= MemberLife) {
+            list.push_back(seen.member);
+        }
+    }
+    return list;
+}
+
 const Member *MemberBook::pick(std::uint64_t turn, TimePoint now) const
 {
-    std::vector<const Member *> good;
-    std::vector<const Member *> doubtful;
+    std::vector<const Member *> living;
+    std::vector<const Member *> silent;
+    std::vector<const Member *> failing;
     for (const auto &[name, seen] : m_members) {
-        if (name != m_self) {
-            (now - seen.failed < FailureRemembered ? doubtful : good).push_back(&seen.member);
+        if (name == m_self) {
+            continue;
         }
+        const bool isFailing = now - seen.failed < FailureRemembered;
+        // While the store is away nobody's signs of life are seen.
+        const bool isSilent = now - seen.alive >= MemberSilence;
+        (isFailing ? failing : (isSilent ? silent : living)).push_back(&seen.member);
     }
-    const auto &members = good.empty() ? doubtful : good;
+    const auto &members = !living.empty() ? living : (!silent.empty() ? silent : failing);
     return members.empty() ? nullptr : members[turn % members.size()];
 }
 
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -147,6 +147,11 @@
     }
     members.update(list, now());
     book.setEntries(members.count(now()));
+    auto gone = members.gone(now());
+    if (!gone.empty() && takeCleaningTurn()) {
+        gone.resize(std::min(gone.size(), MaxRemovedRows));
+        callStore(Platform::removeMembersCall(settings.region, gone), "remove_proxies");
+    }
 }
 
 void ProxyState::beat()
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -2,12 +2,13 @@
 #include "proxy_clock.h"
 #include "proxy_state.h"
 
+#include <algorithm>
+
 namespace Vanillahall::Forward {
 
 namespace {
 
 constexpr Duration CleanInterval = std::chrono::seconds(5); ///< Between two looks for rows of programs that have ended.
-constexpr std::size_t MaxRemoved = 100;                     ///< Rows of one transaction.
 
 } // namespace
 
@@ -95,7 +96,7 @@
         return;
     }
     m_cleanAt = present + CleanInterval;
-    removeCrashes(crashes.forget(present));
+    removeMarks(crashes.forget(present));
     removeTokens(ledger.forget(present - TokenRowLife));
     sweepTokens();
 }
@@ -105,7 +106,7 @@
     std::map<std::string, std::vector<TokenWrite>> byPart;
     for (const auto &it : rows) {
         auto &part = byPart[Platform::tokenPart(it.program)];
-        if (part.size() < MaxRemoved) {
+        if (part.size() < MaxRemovedRows) {
             part.push_back(it);
         }
     }
@@ -117,7 +118,7 @@
 void ProxyState::contentBroke(std::uint64_t content)
 {
     const bool wasRefused = crashes.isRefused(content);
-    callStore(Platform::writeCrashCall(settings.name, crashes.broke(content, now())), "share_break");
+    callStore(Platform::writeCrashCall(m_process, crashes.broke(content, now()), storeNowMs()), "share_break");
     if (!wasRefused && crashes.isRefused(content)) {
         log(LogLevel::Warning, EventNumber::ContentQuarantined, "content=" + std::to_string(content));
     }
@@ -125,15 +126,25 @@
 
 void ProxyState::contentWorked(std::uint64_t content)
 {
-    if (crashes.worked(content)) {
-        removeCrashes({content});
+    removeMarks(crashes.worked(content));
+}
+
+void ProxyState::removeMarks(const std::vector<CrashMark> &marks)
+{
+    std::vector<std::string> keys;
+    keys.reserve(marks.size());
+    for (const auto &it : marks) {
+        keys.push_back(Platform::crashKey(m_process, it));
     }
+    removeMarkRows(keys);
 }
 
-void ProxyState::removeCrashes(const std::vector<std::uint64_t> &contents)
+void ProxyState::removeMarkRows(const std::vector<std::string> &keys)
 {
-    if (!contents.empty()) {
-        callStore(Platform::removeCrashesCall(settings.name, contents), "remove_breaks");
+    for (std::size_t n = 0; n < keys.size(); n += MaxRemovedRows) {
+        const auto begin = keys.begin() + static_cast<std::ptrdiff_t>(n);
+        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(MaxRemovedRows, keys.size() - n));
+        callStore(Platform::removeCrashesCall({begin, end}), "remove_breaks");
     }
 }
 
@@ -155,22 +166,38 @@
 void ProxyState::readCrashes()
 {
     readAll(Platform::readCrashesCall, false, [this](const auto &rows) {
-        if (!rows) {
-            return;
+        if (rows) {
+            takeCrashes(*rows);
         }
-        std::vector<CrashCount> list;
-        for (const auto &it : rows->rows) {
-            Error ec;
-            std::string writer;
-            const auto count = Platform::decodeCrash(it, writer, ec);
-            if (!count) {
-                rowFaulty(ec, it.version);
-            } else if (writer != settings.name) {
-                list.push_back(*count);
-            }
-        }
-        crashes.share(list);
     });
 }
 
+void ProxyState::takeCrashes(const Platform::StoreRows &rows)
+{
+    constexpr auto Life = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(CrashMemory).count());
+    std::vector<std::uint64_t> contents;
+    std::vector<std::string> old;
+    for (const auto &it : rows.rows) {
+        Error ec;
+        const auto crash = Platform::decodeCrash(it, ec);
+        if (!crash) {
+            rowFaulty(ec, it.version);
+        }
+        if (!crash || crash->atMs + Life < rows.nowMs) {
+            old.push_back(it.key);
+        } else if (crash->process != m_process) {
+            contents.push_back(crash->content);
+        }
+    }
+    crashes.share(contents);
+    if (!old.empty() && takeCleaningTurn()) {
+        removeMarkRows(old);
+    }
+}
+
+bool ProxyState::takeCleaningTurn()
+{
+    return (m_cleanings++ + std::hash<std::string>()(settings.name)) % members.count(now()) == 0;
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -21,13 +21,19 @@
 constexpr std::size_t MaxIdleLinks = 6;                         ///< Idle connections kept to one server.
 constexpr Duration FullLogInterval = std::chrono::seconds(10); ///< Between two lines about clients turned away; the metric counts them all.
 
+/** @return Name of this run of this VM's process; marks what it writes to the store. */
+std::string processName(const ProxySettings &settings)
+{
+    return settings.name + "/" + settings.incarnation;
+}
+
 } // namespace
 
 ProxyState::ProxyState(boost::asio::io_context &ioLoop, ProxySettings proxySettings, ProxyLog log)
     : loop(ioLoop)
     , settings(std::move(proxySettings))
     , book(settings.zone, settings.choice)
-    , ledger(settings.name + "/" + settings.incarnation)
+    , ledger(processName(settings))
     , members(settings.name)
     , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
@@ -43,6 +49,7 @@
                  [this](const MessageRequest &request, const MessageServer::Reply &answer) {
                      answerPeer(request, answer);
                  })
+    , m_process(processName(settings))
     , m_log(std::move(log))
     , m_pollTimer(ioLoop)
     , m_stopTimer(ioLoop)
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -20,6 +20,8 @@
 
 namespace Vanillahall::Forward {
 
+inline constexpr std::size_t MaxRemovedRows = 100; ///< Rows of one transaction; the platform takes no more.
+
 /** State and the parts of a proxy that connect the others. */
 class ProxyState : public RequestHandler, public std::enable_shared_from_this<ProxyState>
 {
@@ -113,7 +115,11 @@
     void setGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void beat();
-    void removeCrashes(const std::vector<std::uint64_t> &contents);
+    void takeCrashes(const Platform::StoreRows &rows);
+    void removeMarks(const std::vector<CrashMark> &marks);
+    /** @return True if it is this proxy's turn to remove rows that every proxy sees; it comes round once for each proxy that lives. */
+    bool takeCleaningTurn();
+    void removeMarkRows(const std::vector<std::string> &keys);
     /** Makes a call whose answer doesn't matter but for a failure. @param name For the log. */
     void callStore(const Platform::StoreRequest &request, const char *name);
     void poll();
@@ -139,6 +145,7 @@
     void stopStep();
     void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
 
+    std::string m_process;                                                                 ///< Name of this run of the process.
     ProxyLog m_log;                                                                        ///< Takes log lines.
     boost::asio::steady_timer m_pollTimer;                                                 ///< Before the next read of the rows.
     boost::asio::steady_timer m_stopTimer;                                                 ///< Between two looks at a stop.
@@ -160,7 +167,8 @@
     TimePoint m_storeClockAt{};                          ///< When the store's clock was read.
     std::uint64_t m_storeClockMs = 0;                    ///< The store's clock at that time.
     std::uint64_t m_sweptPart = 0;                       ///< Part of the token table that is swept next.
-    TimePoint m_crashesAt{};                             ///< When shared counts are next read.
+    TimePoint m_crashesAt{};                             ///< When shared marks are next read.
+    std::uint64_t m_cleanings = 0;                       ///< Times that rows of processes that are gone were found.
     std::function<void()> m_stopped;                     ///< Told when the stop is complete.
     unsigned m_openPolls = 0;                            ///< Reads under way.
     std::optional<TimePoint> m_fullLoggedAt;             ///< When a line last said that clients are turned away.
--- a/tests/core/crash_book_test.cpp
+++ b/tests/core/crash_book_test.cpp
@@ -17,10 +17,10 @@
     CrashBook book;
     book.broke(7, Start);
     EXPECT_FALSE(book.isRefused(7));
-    book.share({{7, 1}, {7, 1}, {8, 2}});
+    book.share({7, 7, 8, 8});
     EXPECT_TRUE(book.isRefused(7));
     EXPECT_FALSE(book.isRefused(8));
-    EXPECT_EQ(book.broke(8, Start).breaks, 1U);
+    book.broke(8, Start);
     EXPECT_TRUE(book.isRefused(8));
     EXPECT_FALSE(book.isRefused(9));
 }
@@ -28,20 +28,23 @@
 TEST(CrashBook, AnAnswerClearsTheCount)
 {
     CrashBook book;
-    book.broke(7, Start);
-    book.broke(7, Start);
-    EXPECT_TRUE(book.worked(7));
-    EXPECT_FALSE(book.worked(7));
-    book.broke(7, Start);
+    const auto first = book.broke(7, Start);
+    const auto second = book.broke(7, Start);
+    EXPECT_EQ(book.worked(7), (std::vector<CrashMark>{first, second}));
+    EXPECT_TRUE(book.worked(7).empty());
+    // A late removal of the first marks must not hit a new one.
+    const auto third = book.broke(7, Start);
+    EXPECT_NE(third, first);
+    EXPECT_NE(third, second);
     EXPECT_FALSE(book.isRefused(7));
 }
 
 TEST(CrashBook, OldCountsAreForgotten)
 {
     CrashBook book;
-    book.broke(7, Start);
+    const auto mark = book.broke(7, Start);
     EXPECT_TRUE(book.forget(Start + CrashMemory - 1s).empty());
-    EXPECT_EQ(book.forget(Start + CrashMemory), std::vector<std::uint64_t>{7});
+    EXPECT_EQ(book.forget(Start + CrashMemory), std::vector<CrashMark>{mark});
 }
 
 /** Two requests and whether they are the same content. */
--- a/tests/core/member_book_test.cpp
+++ b/tests/core/member_book_test.cpp
@@ -37,4 +37,20 @@
     EXPECT_NE(book.pick(0, Start + 1s), nullptr);
 }
 
+TEST(MemberBook, SilentProxiesAreCalledLastAndForgottenAtLength)
+{
+    MemberBook book("a");
+    book.update({{"a", "1", 1, 1}, {"b", "1", 2, 2}, {"c", "1", 3, 3}}, Start);
+    book.update({{"a", "1", 1, 4}, {"b", "1", 2, 5}, {"c", "1", 3, 3}}, Start + 11s);
+    EXPECT_EQ(book.pick(0, Start + 11s)->name, "b");
+    EXPECT_EQ(book.pick(1, Start + 11s)->name, "b");
+    EXPECT_TRUE(book.gone(Start + MemberLife - 1s).empty());
+    const auto gone = book.gone(Start + MemberLife);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_EQ(gone[0].name, "c");
+    EXPECT_EQ(gone[0].version, 3U);
+    // In an outage of the store all are silent, and may still be called.
+    EXPECT_NE(book.pick(0, Start + MemberLife), nullptr);
+}
+
 } // namespace Vanillahall::Forward
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -254,6 +254,35 @@
     EXPECT_EQ(tokens->version, 13U);
 }
 
+TEST(StoreCalls, MarksOfBrokenAttemptsGoThereAndBack)
+{
+    const Forward::CrashMark mark{0xabc, 7};
+    const auto call = writeCrashCall("vm-1/42", mark, 5000);
+    const auto written = nlohmann::json::parse(call.body)["writes"][0];
+    EXPECT_EQ(written["key"], crashKey("vm-1/42", mark));
+    Error reason;
+    const auto crash = decodeCrash({written["key"], R"({"at":5000})", 3}, reason);
+    ASSERT_TRUE(crash) << reason.message;
+    EXPECT_EQ(crash->content, 0xabcU);
+    EXPECT_EQ(crash->process, "vm-1/42");
+    EXPECT_EQ(crash->atMs, 5000U);
+    for (const auto *key : {"abc", "abc/7", "x/vm-1/42/7", "/vm-1/42/7"}) {
+        EXPECT_FALSE(decodeCrash({key, R"({"at":5000})", 3}, reason)) << key;
+    }
+    EXPECT_FALSE(decodeCrash({written["key"], R"({"breaks":1})", 3}, reason));
+    const auto removed = nlohmann::json::parse(removeCrashesCall({crashKey("vm-1/42", mark)}).body)["remove"];
+    EXPECT_EQ(removed[0]["key"], written["key"]);
+}
+
+TEST(StoreCalls, RowsOfProxiesAreRemovedOnlyAsTheyWere)
+{
+    const auto body = nlohmann::json::parse(removeMembersCall("r", {{"vm-1", "10.0.0.1", 7000, 9}}).body);
+    EXPECT_EQ(body["expect"][0]["ver"], 9);
+    EXPECT_EQ(body["expect"][0]["key"], "vm-1");
+    EXPECT_EQ(body["remove"][0]["key"], "vm-1");
+    EXPECT_EQ(body["remove"][0]["part"], "r");
+}
+
 TEST(StoreCalls, RowsOfProgramsThatAreGoneAreFound)
 {
     StoreRows rows;
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -1,6 +1,10 @@
 /** A proxy and the store: configuration, servers, token budgets, shared crash counts, and the stop. */
 #include "proxy_world.h"
 
+#include "vanillahall/core/crash_book_base.h"
+
+#include <sstream>
+
 #include <gtest/gtest.h>
 
 namespace Vanillahall::Forward {
@@ -166,6 +170,47 @@
     EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "other", {}, "harmless"))), 200U);
 }
 
+/** Shared marks of a content, and what its request gets. */
+struct MarkCase
+{
+    const char *name; ///< For the test's name.
+    Duration age;     ///< Age of the marks.
+    unsigned status;  ///< Expected status.
+    bool areRemoved;  ///< True if the marks have to be removed.
+};
+
+class ProxyMark : public ::testing::TestWithParam<MarkCase>
+{
+};
+
+TEST_P(ProxyMark, CountsWhileItIsFresh)
+{
+    const auto &param = GetParam();
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    std::ostringstream content;
+    content << std::hex << contentHash("POST", "/call/1", "", "poison");
+    world.rows.nowMs = 1000000;
+    const auto at = world.rows.nowMs - static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(param.age).count());
+    for (int n = 0; n < 3; n++) {
+        // Process "gone" has ended, so nobody takes its marks back.
+        world.rows.breaks[content.str() + "/gone/1/" + std::to_string(n)] = R"({"breaks":1,"at":)" + std::to_string(at) + "}";
+    }
+    ASSERT_TRUE(world.start());
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/1", "r1", {}, "poison"))), param.status);
+    EXPECT_TRUE(world.run([&world, &param] {
+        return world.rows.breaks.empty() == param.areRemoved;
+    }));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyMark,
+                         ::testing::Values(MarkCase{"fresh", 1s, 503, false}, MarkCase{"old", CrashMemory + 1s, 200, true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 TEST(ProxyStop, AnswersWhatItHasRead)
 {
     bool mayAnswer = false;
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -192,28 +192,39 @@
         if (!config.empty()) {
             list.push_back({{"key", "config"}, {"value", base64(config)}, {"ver", version}});
         }
-        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
     if (request.find("GET /api/rows-get?table=servers") == 0) {
         Json list = Json::array();
         for (const auto &[id, value] : servers) {
             list.push_back({{"key", id}, {"value", base64(value)}, {"ver", version}});
         }
-        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
+    if (request.find("GET /api/rows-get?table=broken_contents") == 0) {
+        Json list = Json::array();
+        for (const auto &[key, value] : breaks) {
+            list.push_back({{"key", key}, {"value", base64(value)}, {"ver", version}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
     if (request.find("GET /api/rows-get?") == 0) {
-        return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", 1}})};
+        return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
     if (refusesWrites) {
         return {json(Json::object(), 503)};
     }
     const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    for (const auto &it : body["remove"]) {
+        removed.insert(it["key"]);
+        breaks.erase(it["key"]);
+    }
     if (body["expect"].empty()) {
-        return {json({{"ver", ++version}, {"nowMs", 1}})};
+        return {json({{"ver", ++version}, {"nowMs", nowMs}})};
     }
     writes++;
     const auto &expected = body["expect"][0];
-    const auto answer = writeTokens(expected["key"], expected["ver"], body["writes"][0]["value"]);
+    auto answer = writeTokens(expected["key"], expected["ver"], body["writes"][0]["value"]);
     if (lostAnswers != 0) {
         lostAnswers--;
         return {};
@@ -232,7 +243,7 @@
         return {json({{"rows", list}}, 412)};
     }
     tokens[key] = {value, ++version};
-    return {json({{"ver", version}, {"nowMs", 1}})};
+    return {json({{"ver", version}, {"nowMs", nowMs}})};
 }
 
 ProxyWorld::ProxyWorld(const ScriptedPeer::Answer &answer, const std::function<void(ProxySettings &)> &adjust)
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,9 @@
     std::string config;                                        ///< Value of the configuration row; empty if there is none.
     std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
     std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
+    std::map<std::string, std::string> breaks;                 ///< Values of the rows of broken attempts, by key.
+    std::set<std::string> removed;                             ///< Keys of rows that were removed.
+    std::uint64_t nowMs = 1;                                   ///< The store's clock.
     int version = 10;                                          ///< Newest version.
     std::size_t writes = 0;                                    ///< Token rows written or refused so far.
     std::size_t lostAnswers = 0;                               ///< Writes still to come that are done without an answer.
