Ended turns that the store lacks are handed to the shard's next holder

If the holder loses its shard (it or its successor stood still while the store was away) and the gate restarts, the holder dropped its records with the shard: the caller had its answer, and the next holder said "turn 1 is the next one" for good.

The number of such turns is in the entry's state (`unstored_turns`).

Ruled out: giving the answer only when it is durable (each model turn would wait for the store); keeping results at two gates (doubles their memory for all turns).

--- a/packages/core/include/vanillahall/core/entry_query.h
+++ b/packages/core/include/vanillahall/core/entry_query.h
@@ -46,6 +46,7 @@
     std::size_t requests{};        ///< Callers' requests without a final answer.
     std::size_t calls{};           ///< Calls under way.
     std::vector<ShardView> shards; ///< Shards held or being taken.
+    std::size_t unstoredTurns{};   ///< Ended turns of lost shards that no holder has taken yet.
     std::vector<GateView> gates;   ///< Gates.
 };
 
--- a/packages/core/include/vanillahall/core/message_type.h
+++ b/packages/core/include/vanillahall/core/message_type.h
@@ -5,6 +5,7 @@
 #include "vanillahall/core/config_type.h"
 #include "vanillahall/core/error_type.h"
 #include "vanillahall/core/id_type.h"
+#include "vanillahall/core/store_type.h"
 #include "vanillahall/core/time_type.h"
 
 #include <cstdint>
@@ -277,9 +278,31 @@
     std::vector<HeldLease> leases; ///< Shards that it holds.
 };
 
+/** Ended turns of a shard that the sender lost before the store had them, for the shard's next holder. Sent again until all are kept. */
+struct UnstoredTurns
+{
+    ShardId shard;                   ///< The shard.
+    std::vector<TurnFinished> turns; ///< In the order of their keys.
+};
+
+/** The store has these turns, or the next holder has decided them otherwise: the earlier holder may forget them. */
+struct TurnsKept
+{
+    ShardId shard;              ///< The shard.
+    std::vector<CallKey> turns; ///< The turns.
+};
+
 using EntryToGate = std::variant<RunCall, FetchCall, CancelCall, SettleCalls, EndProgram, AdoptShard, ConfigUpdate, Probe>;
 using GateToEntry = std::variant<CallStarted, CallTokens, CallFinished, CallRefused, ShardAdopted, PinnedPrograms, GateStatus>;
-using EntryToEntry = std::variant<ForwardRequest, ForwardCancel, ForwardTokens, ForwardAnswer, PromiseRequest, PromiseAnswer, EntryStatus>;
+using EntryToEntry = std::variant<ForwardRequest,
+                                  ForwardCancel,
+                                  ForwardTokens,
+                                  ForwardAnswer,
+                                  PromiseRequest,
+                                  PromiseAnswer,
+                                  EntryStatus,
+                                  UnstoredTurns,
+                                  TurnsKept>;
 
 /** Anything that travels on a link between two processes of the system. */
 using LinkMessage = std::variant<EntryToGate, GateToEntry, EntryToEntry>;
--- a/packages/core/src/commands/entry_cmd.cpp
+++ b/packages/core/src/commands/entry_cmd.cpp
@@ -4,6 +4,7 @@
 #include "entry_peer_func.h"
 #include "entry_route_func.h"
 #include "entry_shard_func.h"
+#include "entry_unstored_func.h"
 #include "vanillahall/core/error_func.h"
 
 #include <utility>
@@ -32,6 +33,7 @@
     sweepGates(entry);
     sweepCalls(entry);
     sweepShards(entry);
+    sweepUnstoredTurns(entry);
     sweepRequests(entry);
     sweepStop(entry);
     if (entry.now.steady >= entry.nextHeartbeat) {
--- a/packages/core/src/commands/entry_peer_cmd.cpp
+++ b/packages/core/src/commands/entry_peer_cmd.cpp
@@ -2,6 +2,7 @@
 
 #include "entry_route_func.h"
 #include "entry_shard_func.h"
+#include "entry_unstored_func.h"
 #include "vanillahall/core/id_func.h"
 
 #include <algorithm>
@@ -44,6 +45,16 @@
         }
     }
 
+    void operator()(const UnstoredTurns &message)
+    {
+        onUnstoredTurns(m_entry, m_from, message);
+    }
+
+    void operator()(const TurnsKept &message)
+    {
+        onTurnsKept(m_entry, message);
+    }
+
     void operator()(const EntryStatus &message)
     {
         PeerEntry &peer = m_entry.peers[m_from];
--- a/packages/core/src/commands/entry_shard_cmd.cpp
+++ b/packages/core/src/commands/entry_shard_cmd.cpp
@@ -6,6 +6,7 @@
 #include "entry_errand_func.h"
 #include "entry_gate_func.h"
 #include "entry_peer_func.h"
+#include "entry_unstored_func.h"
 #include "vanillahall/core/id_func.h"
 
 #include <algorithm>
@@ -109,6 +110,7 @@
     for (const CallKey &key : callsOf(entry, id)) {
         dropCall(entry, key);
     }
+    keepUnstoredTurns(entry, entry.shards.at(id));
     const HeldShard shard = std::move(entry.shards.at(id));
     entry.shards.erase(id);
     entry.directory.onNotHolder(id, entry.settings.name, entry.now);
--- a/packages/core/src/commands/entry_stop_cmd.cpp
+++ b/packages/core/src/commands/entry_stop_cmd.cpp
@@ -63,7 +63,7 @@
     }
     const bool drained = entry.shards.empty() || (alone && isIdle(entry));
     const bool timeOver = entry.now.steady - entry.stop->since > entry.settings.stopLimit;
-    if ((drained && entry.requests.empty()) || timeOver) {
+    if ((drained && entry.requests.empty() && entry.unstored.empty()) || timeOver) {
         entry.stop->finished = true;
         logLine(entry, LogLevel::Info, EventNumber::StopDone, std::nullopt, {}, {});
         act(entry, StopFinished());
--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -179,6 +179,15 @@
     TimePoint adoptUntil;                      ///< Gates that haven't told by then are not waited for.
 };
 
+/** Ended turns of a shard that was lost before the store had them. They are offered to the shard's next holder. */
+struct UnstoredShard
+{
+    std::map<CallKey, TurnFinished> turns; ///< The turns; at least one.
+    TimePoint nextOffer;                   ///< When to offer them again.
+    bool unanswered{};                     ///< True if the newest offer had no answer yet.
+    TimePoint giveUp;                      ///< When to drop them.
+};
+
 // Gates.
 
 /** State of the connection to a gate. */
@@ -296,6 +305,7 @@
     std::uint64_t serials{};                      ///< Numbers made by this entry.
     ShardId ownShard;                             ///< New programs go here.
     std::map<ShardId, HeldShard> shards;          ///< Shards held or being taken.
+    std::map<ShardId, UnstoredShard> unstored;    ///< What is left of shards that were lost.
     std::unordered_map<CallKey, LiveCall> calls;  ///< Calls under way.
     std::map<RequestId, OpenRequest> requests;    ///< Callers' requests without a final answer.
     std::map<ServerName, GateLink> gates;         ///< Connections to gates.
--- a/packages/daemon/src/report.cpp
+++ b/packages/daemon/src/report.cpp
@@ -100,6 +100,7 @@
                          {"stopping", view.stopping},
                          {"requests", view.requests},
                          {"calls", view.calls},
+                         {"unstored_turns", view.unstoredTurns},
                          {"shards", shards},
                          {"gates", gates},
                          {"processes", processes}});
--- a/packages/net/src/codec_entry.cpp
+++ b/packages/net/src/codec_entry.cpp
@@ -206,4 +206,52 @@
     return decodeAll(in.leases(), out.leases, reason);
 }
 
+void encode(const TurnFinished &in, Wire::TurnFinished &out)
+{
+    encode(in.key, *out.mutable_key());
+    encode(in.content, *out.mutable_content());
+    encode(in.input, *out.mutable_input());
+    encode(in.outcome, *out.mutable_outcome());
+    out.set_server(in.server.text);
+    out.set_attempt(in.attempt.value);
+    out.set_began(in.began.time_since_epoch().count());
+    out.set_ended(in.ended.time_since_epoch().count());
+    out.set_spent_tokens(in.spentTokens);
+}
+
+bool decode(const Wire::TurnFinished &in, TurnFinished &out, Error &reason)
+{
+    out.server.text = in.server();
+    out.attempt.value = in.attempt();
+    out.began = WallTime(std::chrono::milliseconds(in.began()));
+    out.ended = WallTime(std::chrono::milliseconds(in.ended()));
+    out.spentTokens = in.spent_tokens();
+    return decode(in.key(), out.key, reason) && decode(in.content(), out.content, reason) && decode(in.input(), out.input, reason)
+        && decode(in.outcome(), out.outcome, reason);
+}
+
+void encode(const UnstoredTurns &in, Wire::UnstoredTurns &out)
+{
+    out.set_shard(in.shard.value);
+    encodeAll(in.turns, *out.mutable_turns());
+}
+
+bool decode(const Wire::UnstoredTurns &in, UnstoredTurns &out, Error &reason)
+{
+    out.shard.value = in.shard();
+    return decodeAll(in.turns(), out.turns, reason);
+}
+
+void encode(const TurnsKept &in, Wire::TurnsKept &out)
+{
+    out.set_shard(in.shard.value);
+    encodeAll(in.turns, *out.mutable_turns());
+}
+
+bool decode(const Wire::TurnsKept &in, TurnsKept &out, Error &reason)
+{
+    out.shard.value = in.shard();
+    return decodeAll(in.turns(), out.turns, reason);
+}
+
 } // namespace Vanillahall
--- a/packages/net/src/link_codec.cpp
+++ b/packages/net/src/link_codec.cpp
@@ -85,6 +85,12 @@
                           },
                           [&](const EntryStatus &it) {
                               encode(it, *out.mutable_entry_status());
+                          },
+                          [&](const UnstoredTurns &it) {
+                              encode(it, *out.mutable_unstored_turns());
+                          },
+                          [&](const TurnsKept &it) {
+                              encode(it, *out.mutable_turns_kept());
                           }},
                in);
 }
@@ -153,6 +159,10 @@
         return decodeInto<EntryToEntry, PromiseAnswer>(in.promise_answer(), out, reason);
     case Wire::LinkMessage::kEntryStatus:
         return decodeInto<EntryToEntry, EntryStatus>(in.entry_status(), out, reason);
+    case Wire::LinkMessage::kUnstoredTurns:
+        return decodeInto<EntryToEntry, UnstoredTurns>(in.unstored_turns(), out, reason);
+    case Wire::LinkMessage::kTurnsKept:
+        return decodeInto<EntryToEntry, TurnsKept>(in.turns_kept(), out, reason);
     default:
         return missing("LinkMessage.message", reason);
     }
--- a/tests/core/entry_fault_test.cpp
+++ b/tests/core/entry_fault_test.cpp
@@ -1,5 +1,6 @@
 #include "entry_ask.h"
 
+#include <algorithm>
 #include <functional>
 
 #include <gtest/gtest.h>
@@ -228,6 +229,71 @@
     EXPECT_TRUE(history.turns[0].durable && history.turns[1].durable);
 }
 
+/** What happens to the only gate that keeps an answered turn, between the holder's standstill and its return. */
+struct UnstoredTurnCase
+{
+    const char *name;   ///< Of the test.
+    bool model;         ///< True for a model call, else a repeatable service call.
+    bool successorDies; ///< True if the first successor dies too, so that a third entry holds the shard in the end.
+};
+
+bool holds(const EntryBench &bench, const std::string &entry, ShardId shard)
+{
+    const std::vector<ShardView> shards = entryView(bench.state(entry)).shards;
+    return std::any_of(shards.begin(), shards.end(), [shard](const ShardView &it) {
+        return it.shard == shard;
+    });
+}
+
+class UnstoredTurnTest : public ::testing::TestWithParam<UnstoredTurnCase>
+{
+};
+
+TEST_P(UnstoredTurnTest, IsHandedToTheNextHolder)
+{
+    const UnstoredTurnCase &it = GetParam();
+    EntryBench bench;
+    bench.addUsual();
+    bench.addEntry("b", 2);
+    bench.addEntry("c", 3);
+    bench.run(3s);
+    const ProgramId program = createdProgram(bench);
+    const CallKey key{program, Turn{1}};
+    bench.run(2s);
+    bench.storeFault = StoreFault::Refused;
+    const SubmitCall first = it.model ? modelTurn(program, 1) : serviceTurn(program, 1, true);
+    EXPECT_EQ(resultIn(bench.await(bench.ask("a", first))).status, 200u);
+    const std::string gate = bench.gateOf(key);
+    bench.pause("a");
+    bench.run(100ms);
+    bench.restartGate(gate);
+    bench.storeFault = StoreFault::None;
+    bench.run(10s);
+    if (it.successorDies) {
+        bench.kill(holds(bench, "b", program.shard) ? "b" : "c");
+        bench.run(10s);
+    }
+    bench.resume("a");
+    bench.run(5s);
+    const std::string asked = it.successorDies ? "a" : "b";
+    EXPECT_EQ(resultIn(bench.await(bench.ask(asked, modelTurn(program, 2)))).status, 200u);
+    bench.run(2s);
+    const auto history = std::get<HistoryView>(bench.await(bench.ask(asked, HistoryQuery{program})));
+    ASSERT_EQ(history.turns.size(), 2u);
+    EXPECT_TRUE(history.turns[0].durable && history.turns[1].durable);
+    EXPECT_EQ(bench.runsOf(key), 1);
+    EXPECT_EQ(entryView(bench.state("a")).unstoredTurns, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Turns,
+                         UnstoredTurnTest,
+                         ::testing::Values(UnstoredTurnCase{"Model", true, false},
+                                           UnstoredTurnCase{"Repeatable", false, false},
+                                           UnstoredTurnCase{"ModelSecondHolderDies", true, true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 } // namespace
 
 } // namespace Vanillahall
