Matrix: a gate out of the next holder's reach shows that the fence is needed

Traced by printing every order that arrives lapsed: eight in the whole matrix, each at the gate that the next holder had asked again with the same attempt, or after the program's end, so deduplication or a mark stopped it.

Change: two faults, OrderLate (orders arrive 4 s late, after the takeover, while the program still runs) and GateCutOff (only the earlier holder reaches the gate for 8 s), alone and together; and a check in every cell: no order may begin a call at a gate that was told a newer epoch, is another run of itself, or whose clock is past the order's limit. The mutant now has to be noticed by that check (before: by any).

--- a/tests/matrix/deployment.h
+++ b/tests/matrix/deployment.h
@@ -69,6 +69,8 @@
     std::unique_ptr<Gate> gate; ///< Null while it is dead.
     std::uint64_t run{};        ///< Its incarnation.
     BackendModel backend;       ///< What it fronts.
+    std::size_t onlyEntry{};    ///< The entry that reaches it until `cutOffUntil`.
+    TimePoint cutOffUntil;      ///< No other entry reaches it until then.
 };
 
 /** The connection of an entry to a gate. */
@@ -153,6 +155,9 @@
     void watchStream();
     [[nodiscard]] std::size_t holder() const;
     [[nodiscard]] std::size_t gateConcerned() const;
+    void deliverOrder(std::size_t gate, LinkId link, const EntryToGate &message);
+    [[nodiscard]] bool isCutOff(std::size_t entry, std::size_t gate) const;
+    [[nodiscard]] bool isLapsed(std::size_t gate, const Fence &fence) const;
     [[nodiscard]] EntryToGate mutated(std::size_t gate, EntryToGate message);
     [[nodiscard]] GateToEntry mutated(GateToEntry message) const;
     [[nodiscard]] StoreRequest mutated(StoreRequest request) const;
@@ -206,7 +211,7 @@
     std::size_t m_lastService = ServiceGate;
     bool m_preludeDone = false;
     std::optional<std::size_t> m_taker;
-    std::map<ShardId, Epoch> m_epochs;
+    std::map<std::pair<std::size_t, ShardId>, Epoch> m_epochs; ///< Newest epoch that each gate was told.
     std::map<RequestId, HistoryView> m_histories;
     std::size_t m_startsSeen = 0;
 };
--- a/tests/matrix/deployment_fault.cpp
+++ b/tests/matrix/deployment_fault.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 constexpr Duration PauseTime = 6s;       ///< Longer than a lease.
-constexpr Duration OrderDelay = 15s;     ///< Longer than a takeover.
+constexpr Duration OrderDelay = 15s;     ///< Longer than a program.
+constexpr Duration ShortOrderDelay = 4s; ///< Longer than a takeover; the program still runs at its next holder.
+constexpr Duration CutOffTime = 8s;      ///< Longer than a takeover.
 constexpr Duration OutageTime = 20s;     ///< Of the store.
 constexpr Duration HangTime = 40s;       ///< Of a backend server.
 constexpr Duration BetweenFaults = 20ms; ///< From the first to the second.
@@ -167,14 +169,22 @@
         cut(victim, gate);
         return;
     case MatrixFault::OrderDelayed:
+    case MatrixFault::OrderLate: {
+        const Duration delay = fault == MatrixFault::OrderLate ? ShortOrderDelay : OrderDelay;
         for (std::size_t n = 0; n < GateCount; n++) {
-            m_wires[{victim, n}].stallUntil = m_now.steady + OrderDelay;
+            m_wires[{victim, n}].stallUntil = m_now.steady + delay;
         }
-        heals(OrderDelay);
+        heals(delay);
         at(m_now.steady + 100ms, [this, victim] {
             killEntry(victim);
         });
         return;
+    }
+    case MatrixFault::GateCutOff:
+        m_gates[gate].onlyEntry = victim;
+        m_gates[gate].cutOffUntil = m_now.steady + CutOffTime;
+        heals(CutOffTime);
+        return;
     case MatrixFault::AnswerDoubled:
         m_doubledUntil = m_now.steady + 10s;
         heals(10s);
@@ -248,13 +258,10 @@
     std::visit(
         [&](auto &it) {
             if constexpr (requires { it.fence; }) {
-                Epoch &newest = m_epochs[it.fence.shard];
-                newest = std::max(newest, it.fence.epoch);
-                const GateTime clock(m_now.steady.time_since_epoch());
-                const Incarnation run = gateStatus(m_gates[gate].gate->state(), 0, m_now).incarnation;
-                const bool refused = it.fence.epoch < newest || it.fence.validUntil < clock || it.fence.incarnation != run;
-                if (m_plan.mutant == Mutant::NoFence && refused) {
-                    it.fence = Fence{it.fence.shard, newest, run, clock + 1s};
+                if (m_plan.mutant == Mutant::NoFence && isLapsed(gate, it.fence)) {
+                    const GateTime clock(m_now.steady.time_since_epoch());
+                    const Incarnation run = gateStatus(m_gates[gate].gate->state(), 0, m_now).incarnation;
+                    it.fence = Fence{it.fence.shard, m_epochs.at({gate, it.fence.shard}), run, clock + 1s};
                 }
             }
         },
--- a/tests/matrix/deployment_link.cpp
+++ b/tests/matrix/deployment_link.cpp
@@ -44,16 +44,49 @@
     if (!wire.open) {
         wire = GateWire{true, LinkId{++m_lastLink}, false, TimePoint()};
     }
-    if (wire.silent) {
+    if (wire.silent || isCutOff(entry, gate)) {
         return;
     }
     at(std::max(m_now.steady + WireTime, wire.stallUntil), [this, gate, run = m_gates[gate].run, id = wire.id, body = std::move(message)] {
         if (m_gates[gate].gate && m_gates[gate].run == run && !m_cut.contains(id)) {
-            giveGate(gate, OrderCame{id, mutated(gate, body)});
+            deliverOrder(gate, id, body);
         }
     });
 }
 
+void Deployment::deliverOrder(std::size_t gate, LinkId link, const EntryToGate &message)
+{
+    std::visit(
+        [&](const auto &it) {
+            if constexpr (requires { it.fence; }) {
+                Epoch &newest = m_epochs[{gate, it.fence.shard}];
+                newest = std::max(newest, it.fence.epoch);
+            }
+        },
+        message);
+    const auto *run = std::get_if<RunCall>(&message);
+    const bool lapsed = run != nullptr && isLapsed(gate, run->fence);
+    const std::vector<StartServerCall> &begun = m_gates[gate].backend.begun;
+    const std::size_t before = begun.size();
+    giveGate(gate, OrderCame{link, mutated(gate, message)});
+    if (lapsed && begun.size() > before && begun.back().key == run->key) {
+        fault("a call was begun by an order that had lapsed");
+    }
+}
+
+bool Deployment::isCutOff(std::size_t entry, std::size_t gate) const
+{
+    return m_now.steady < m_gates[gate].cutOffUntil && entry != m_gates[gate].onlyEntry;
+}
+
+bool Deployment::isLapsed(std::size_t gate, const Fence &fence) const
+{
+    const auto newest = m_epochs.find({gate, fence.shard});
+    const bool stale = newest != m_epochs.end() && fence.epoch < newest->second;
+    const GateTime clock(m_now.steady.time_since_epoch());
+    return stale || fence.validUntil < clock || fence.incarnation != gateStatus(m_gates[gate].gate->state(), 0, m_now).incarnation;
+}
+
 void Deployment::sendToEntry(std::size_t gate, LinkId link, const GateToEntry &message)
 {
     for (auto &[ends, wire] : m_wires) {
@@ -75,7 +108,7 @@
 {
     at(m_now.steady + delay, [this, entry, gate, link, message] {
         const GateWire &wire = m_wires[{entry, gate}];
-        if (wire.open && wire.id == link && !wire.silent) {
+        if (wire.open && wire.id == link && !wire.silent && !isCutOff(entry, gate)) {
             give(entry, GateSaid{ServerName{gateName(gate)}, message});
         }
     });
--- a/tests/matrix/fault_type.h
+++ b/tests/matrix/fault_type.h
@@ -36,6 +36,8 @@
     LinkSilent,         ///< The link of holder and gate goes silent for good.
     LinkCut,            ///< The link of holder and gate breaks.
     OrderDelayed,       ///< What the holder sent to the gate arrives 15 s late, and the holder dies.
+    OrderLate,          ///< What the holder sent to the gate arrives 4 s late, after a takeover, and the holder dies.
+    GateCutOff,         ///< The gate is reached by the holder alone, for 8 s.
     AnswerDoubled,      ///< What gates say arrives twice, the second time late, for 10 s.
     ToolHangs,          ///< Calls at the backend server make no progress any more.
     EngineIgnoresOrders ///< The engine ignores cancels, and the first orders to free memory.
@@ -88,6 +90,8 @@
     single(MatrixFault::LinkSilent, "LinkSilent"),
     single(MatrixFault::LinkCut, "LinkCut"),
     single(MatrixFault::OrderDelayed, "OrderDelayed"),
+    single(MatrixFault::OrderLate, "OrderLate"),
+    single(MatrixFault::GateCutOff, "GateCutOff"),
     single(MatrixFault::AnswerDoubled, "AnswerDoubled"),
     single(MatrixFault::ToolHangs, "ToolHangs"),
     single(MatrixFault::EngineIgnoresOrders, "EngineIgnoresOrders"),
@@ -100,6 +104,7 @@
     NamedFaults{MatrixFault::AnswerDoubled, MatrixFault::LinkCut, "AnswerDoubledLinkCut"},
     NamedFaults{MatrixFault::OrderDelayed, MatrixFault::HolderDies, "OrderDelayedHolderDies"},
     NamedFaults{MatrixFault::OrderDelayed, MatrixFault::HolderPaused, "OrderDelayedHolderPaused"},
+    NamedFaults{MatrixFault::OrderLate, MatrixFault::GateCutOff, "OrderLateGateCutOff"},
 };
 
 } // namespace Vanillahall
--- a/tests/matrix/mutant_test.cpp
+++ b/tests/matrix/mutant_test.cpp
@@ -24,7 +24,7 @@
 }
 
 constexpr std::array Mutants{
-    MutantCase{Mutant::NoFence, "NoFence", ""},
+    MutantCase{Mutant::NoFence, "NoFence", "order that had lapsed"},
     MutantCase{Mutant::NoIntent, "NoIntent", "begun twice"},
     MutantCase{Mutant::RetryUnknown, "RetryUnknown", "begun twice"},
     MutantCase{Mutant::NoDedup, "NoDedup", "begun twice"},
