Configuration and servers are followed by their changes; the whole tables are read at the start, after a failure and seldom as a check

Change: TableWatch asks the store for what has changed since the last version and lets it hold the answer back for 1 s (`proxy.watch_ms`); RowMirror keeps the rows. A failure, a lost history (410) or a check each 3 s + 50 ms a row reads the whole table; one that is older than what is known is not taken. A watch ends after 1.6 s without an answer, so that a silent connection is noticed. While the direct way to the store fails, tables are read whole every 500 ms as before, through another proxy. The store counts as away after 1.5 s of failures, or 2.5 s without any answer. Lapsed servers are given up by a timer. The time of held-back answers doesn't count as the store's pace.

Other ways weighed: a watch alone (goes deaf without notice: test ProxyWatch/deaf), a longer period by the number of proxies (changes come late).

Tests: ProxyWatch (6: quiet, history gone, deaf, silent connections, store away, no whole reads while nothing changes; that one fails on the old code), RowMirrorProperty, RowMirror. The scripted store keeps versions of its rows for it.

--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -46,6 +46,7 @@
     }
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
+    proxy.watchWait = settings.proxyWatchWait;
     proxy.stopLimit = settings.proxyStopLimit;
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesOfMb / BodyShare;
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, FilesForOthers)) / ClientShare;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -66,6 +66,7 @@
     std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
     Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
+    Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
     Duration proxyStopLimit = std::chrono::seconds(7);           ///< proxy.stop_limit_ms
     std::string logLevel = "info";                               ///< log.level
 };
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -19,17 +19,18 @@
 /** Settings of one proxy. */
 struct ProxySettings
 {
-    std::string name;                                             ///< Name of this VM.
-    std::string zone;                                             ///< Availability zone of this VM.
-    std::string region;                                           ///< Region of this VM; proxies of one region know each other.
-    std::string incarnation;                                      ///< Differs at each start.
-    ProxyAddress listen;                                          ///< Where clients connect.
-    ProxyAddress readyListen;                                     ///< Where the platform asks for readiness; also serves the metrics.
-    std::optional<ProxyAddress> metricsListen;                    ///< Where else the metrics are served.
-    std::optional<ProxyAddress> peerListen;                       ///< Where other proxies call, if they may.
-    ProxyAddress store;                                           ///< The platform's store.
-    Duration pollInterval = std::chrono::milliseconds(500);       ///< Time between two reads of configuration and servers.
-    Duration stopLimit = std::chrono::seconds(7);                 ///< Longest planned stop.
+    std::string name;                                       ///< Name of this VM.
+    std::string zone;                                       ///< Availability zone of this VM.
+    std::string region;                                     ///< Region of this VM; proxies of one region know each other.
+    std::string incarnation;                                ///< Differs at each start.
+    ProxyAddress listen;                                    ///< Where clients connect.
+    ProxyAddress readyListen;                               ///< Where the platform asks for readiness; also serves the metrics.
+    std::optional<ProxyAddress> metricsListen;              ///< Where else the metrics are served.
+    std::optional<ProxyAddress> peerListen;                 ///< Where other proxies call, if they may.
+    ProxyAddress store;                                     ///< The platform's store.
+    Duration pollInterval = std::chrono::milliseconds(500); ///< Time between two reads of tables whose changes can't be followed.
+    Duration watchWait = std::chrono::milliseconds(1000);   ///< Longest time for which the store holds back an answer without changes.
+    Duration stopLimit = std::chrono::seconds(7);           ///< Longest planned stop.
     std::size_t maxBufferedBytes = std::size_t{24} * 1024 * 1024; ///< Request bodies held at once.
     std::size_t maxClients = 3000;                                ///< Connections of clients at once.
     ChoiceSettings choice;                                        ///< Figures of the choice among servers.
--- a/packages/proxy/src/http_status.h
+++ b/packages/proxy/src/http_status.h
@@ -9,6 +9,7 @@
 inline constexpr unsigned StatusPaymentRequired = 402; ///< The program's token budget is spent.
 inline constexpr unsigned StatusNotFound = 404;        ///< No route.
 inline constexpr unsigned StatusRequestTimeout = 408;  ///< The request didn't arrive in time; it hasn't run.
+inline constexpr unsigned StatusGone = 410;            ///< The store has no longer the history that was asked for.
 inline constexpr unsigned StatusConditionFailed = 412; ///< A condition of a store call didn't hold.
 inline constexpr unsigned StatusTooLarge = 413;        ///< The body is over the limit.
 inline constexpr unsigned StatusMisdirected = 421;     ///< Another server has the address; it hasn't run.
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-constexpr Duration StoreNear = std::chrono::milliseconds(1500);   ///< Three polls without an answer mean that the store is away.
-constexpr Duration PollWhenAway = std::chrono::milliseconds(150); ///< Between reads while the store is away; requests wait for its return.
-constexpr Duration ListAway = std::chrono::milliseconds(2500);    ///< A list older than this may have lapsed entries.
+constexpr Duration StoreNear = std::chrono::milliseconds(1500); ///< Failed calls for so long mean that the store is away.
+constexpr Duration ListAway = std::chrono::milliseconds(2500);  ///< A list older than this may have lapsed entries.
 constexpr Duration CrashRead
     = std::chrono::seconds(2); ///< Between reads of shared counts; a content may be refused everywhere 3 s after it broke the third server.
 constexpr std::size_t MaxFaultyRows = 200; ///< Faulty rows remembered so that each is logged once.
@@ -42,10 +41,12 @@
         reading->done(std::nullopt);
         return;
     }
-    storeAnswered();
-    m_storeClockMs = part->nowMs;
-    m_storeClockAt = now();
+    storeTold(part->nowMs);
     auto &rows = reading->rows.rows;
+    if (rows.empty()) {
+        // Changes since the first part are asked for afterwards, whatever the later parts hold.
+        reading->rows.version = part->version;
+    }
     reading->rows.nowMs = part->nowMs;
     std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
     if (part->hasMore && !rows.empty()) {
@@ -55,7 +56,29 @@
     reading->done(reading->rows);
 }
 
-void ProxyState::poll()
+void ProxyState::watchTables()
+{
+    const auto readConfig = [](const std::string &) {
+        return Platform::readConfigCall();
+    };
+    const auto takesConfig = [this](const RowMirror &table, bool hasChanged) {
+        if (hasChanged) {
+            takeConfig(table);
+        }
+    };
+    const auto takesServers = [this](const RowMirror &table, bool hasChanged) {
+        if (hasChanged) {
+            takeServerRows(table);
+        }
+        takeServers();
+    };
+    m_configWatch = std::make_shared<TableWatch>(*this, TableCalls{readConfig, Platform::watchConfigCall}, takesConfig);
+    m_serverWatch = std::make_shared<TableWatch>(*this, TableCalls{Platform::readServersCall, Platform::watchServersCall}, takesServers);
+    m_configWatch->start();
+    m_serverWatch->start();
+}
+
+void ProxyState::lookRound()
 {
     if (m_isShutDown) {
         return;
@@ -65,44 +88,22 @@
         m_crashesAt = now() + CrashRead;
         readCrashes();
     }
-    m_openPolls = 2;
-    readAll(
-        [](const std::string &) {
-            return Platform::readConfigCall();
-        },
-        true,
-        [this](const auto &rows) {
-            takeConfig(rows);
-            pollAgain();
-        });
-    readAll(Platform::readServersCall, true, [this](const auto &rows) {
-        takeServerRows(rows);
-        pollAgain();
-    });
-}
-
-void ProxyState::pollAgain()
-{
-    if (--m_openPolls != 0 || m_isShutDown) {
-        return;
-    }
     removeOldRows();
-    runAfter(
-        m_pollTimer, isStoreNear() ? settings.pollInterval : std::min(settings.pollInterval, PollWhenAway), *this, [](ProxyState &self) {
-            self.poll();
-        });
+    runAfter(m_lookTimer, settings.pollInterval, *this, [](ProxyState &self) {
+        self.lookRound();
+    });
 }
 
-void ProxyState::takeConfig(const std::optional<Platform::StoreRows> &rows)
+void ProxyState::takeConfig(const RowMirror &table)
 {
-    if (!rows) {
-        return;
-    }
-    for (const auto &it : rows->rows) {
+    for (const auto &[key, row] : table.rows()) {
+        if (!Platform::isConfigRow(row)) {
+            continue;
+        }
         Error ec;
-        auto config = Platform::decodeConfig(it.value, ec);
+        auto config = Platform::decodeConfig(row.value, ec);
         if (!config) {
-            rowFaulty(ec, it.version);
+            rowFaulty(ec, row.version);
             continue;
         }
         const auto version = config->version;
@@ -114,21 +115,17 @@
     }
 }
 
-void ProxyState::takeServerRows(const std::optional<Platform::StoreRows> &rows)
+void ProxyState::takeServerRows(const RowMirror &table)
 {
-    if (!rows) {
-        return;
-    }
-    std::vector<Server> list;
-    for (const auto &it : rows->rows) {
+    m_serverList.clear();
+    for (const auto &[key, row] : table.rows()) {
         Error ec;
-        if (auto server = Platform::decodeServer(it.key, it.value, ec)) {
-            list.push_back(std::move(*server));
+        if (auto server = Platform::decodeServer(key, row.value, ec)) {
+            m_serverList.push_back(std::move(*server));
         } else {
-            rowFaulty(ec, it.version);
+            rowFaulty(ec, row.version);
         }
     }
-    takeServers(list);
 }
 
 void ProxyState::takeMembers(const std::optional<Platform::StoreRows> &rows)
@@ -173,6 +170,13 @@
         });
 }
 
+void ProxyState::storeTold(std::uint64_t nowMs)
+{
+    storeAnswered();
+    m_storeClockMs = nowMs;
+    m_storeClockAt = now();
+}
+
 void ProxyState::storeAnswered()
 {
     m_storeAt = now();
@@ -189,6 +193,7 @@
 void ProxyState::storeFailed(const std::string &message)
 {
     metrics.count("vanillahall_store_failures_total", {"reason", message});
+    m_storeFailedAt = now();
     if (!isStoreNear() && !std::exchange(m_isStoreAway, true)) {
         log(LogLevel::Warning, EventNumber::StoreAway, "peer=store why=\"" + message + '"');
     }
@@ -202,7 +207,9 @@
 
 bool ProxyState::isStoreNear() const
 {
-    return m_storeAt && now() - *m_storeAt < StoreNear;
+    // Without a failure since, the next answer may be held back for lack of changes.
+    const auto limit = m_storeAt && m_storeFailedAt < *m_storeAt ? StoreNear + settings.watchWait : StoreNear;
+    return m_storeAt && now() - *m_storeAt < limit;
 }
 
 void ProxyState::rowFaulty(const Error &reason, std::uint64_t version)
@@ -232,20 +239,26 @@
     });
 }
 
-void ProxyState::takeServers(const std::vector<Server> &list)
+void ProxyState::takeServers()
 {
     const auto present = now();
     const bool wasAway = m_serversAt && present - *m_serversAt > ListAway;
-    for (const auto &it : book.update(list, wasAway, present)) {
-        const auto listed = std::find_if(list.begin(), list.end(), [&it](const Server &server) {
+    m_serversAt = present;
+    for (const auto &it : book.update(m_serverList, wasAway, present)) {
+        const auto listed = std::find_if(m_serverList.begin(), m_serverList.end(), [&it](const Server &server) {
             return server.id == it;
         });
-        const char *state = listed == list.end() ? "gone" : (listed->isDraining ? "draining" : "ready");
+        const bool isListed = listed != m_serverList.end();
+        const char *state = !isListed ? "gone" : (listed->isDraining ? "draining" : "ready");
         log(LogLevel::Info,
             EventNumber::ServerChanged,
-            "server=" + it + " state=" + state + (listed == list.end() ? "" : " service=" + listed->service + " zone=" + listed->zone));
+            "server=" + it + " state=" + state + (isListed ? " service=" + listed->service + " zone=" + listed->zone : ""));
+    }
+    if (wasAway) {
+        runAfter(m_lapseTimer, LapseGrace, *this, [](ProxyState &self) {
+            self.takeServers();
+        });
     }
-    m_serversAt = present;
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -51,7 +51,8 @@
                  })
     , m_process(processName(settings))
     , m_log(std::move(log))
-    , m_pollTimer(ioLoop)
+    , m_lookTimer(ioLoop)
+    , m_lapseTimer(ioLoop)
     , m_stopTimer(ioLoop)
     , m_acceptTimer(ioLoop)
 {
@@ -75,7 +76,8 @@
     }
     m_sweptPart = std::hash<std::string>()(settings.name);
     acceptClients();
-    poll();
+    watchTables();
+    lookRound();
     return true;
 }
 
@@ -334,7 +336,13 @@
     readyServer.close();
     metricsServer.close();
     peerServer.close();
-    stopTimer(m_pollTimer);
+    for (const auto &it : {m_configWatch, m_serverWatch}) {
+        if (it) {
+            it->stop();
+        }
+    }
+    stopTimer(m_lookTimer);
+    stopTimer(m_lapseTimer);
     stopTimer(m_stopTimer);
     stopTimer(m_acceptTimer);
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -6,6 +6,7 @@
 #include "message_server.h"
 #include "server_link.h"
 #include "store_path.h"
+#include "table_watch.h"
 
 #include "vanillahall/core/crash_book_base.h"
 #include "vanillahall/core/route_table_base.h"
@@ -63,6 +64,19 @@
     void exchangeEnded(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
 
+    // For what follows tables of the store.
+
+    using ReadCall = std::function<Platform::StoreRequest(const std::string &after)>; ///< The call for the rows after a key.
+    using RowsHandler
+        = std::function<void(const std::optional<Platform::StoreRows> &rows)>; ///< Gets all rows, or nothing without an answer.
+
+    /** Reads a table part by part. @param isProbe True to try the direct way to the store first. */
+    void readAll(ReadCall call, bool isProbe, RowsHandler done);
+    /** The store answered. @param nowMs Its clock, in milliseconds. */
+    void storeTold(std::uint64_t nowMs);
+    /** The store failed a call. */
+    void storeFailed(const std::string &message);
+
     [[nodiscard]] bool isReady() const;
     /** @return Number of clients' connections. */
     [[nodiscard]] std::size_t clientCount() const;
@@ -86,10 +100,6 @@
     MessageServer peerServer;
 
 private:
-    using ReadCall = std::function<Platform::StoreRequest(const std::string &after)>; ///< The call for the rows after a key.
-    using RowsHandler
-        = std::function<void(const std::optional<Platform::StoreRows> &rows)>; ///< Gets all rows, or nothing without an answer.
-
     /** Rows that are read part by part. */
     struct RowReading
     {
@@ -99,11 +109,10 @@
         Platform::StoreRows rows; ///< Rows so far.
     };
 
-    void readAll(ReadCall call, bool isProbe, RowsHandler done);
     void readPart(const std::shared_ptr<RowReading> &reading, const std::string &after);
     void partCame(const std::shared_ptr<RowReading> &reading, const std::optional<StoreReply> &reply, const Error &reason);
-    void takeConfig(const std::optional<Platform::StoreRows> &rows);
-    void takeServerRows(const std::optional<Platform::StoreRows> &rows);
+    void takeConfig(const RowMirror &table);
+    void takeServerRows(const RowMirror &table);
     void takeMembers(const std::optional<Platform::StoreRows> &rows);
     void readCrashes();
     void acceptClients();
@@ -122,11 +131,12 @@
     void removeMarkRows(const std::vector<std::string> &keys);
     /** Makes a call whose answer doesn't matter but for a failure. @param name For the log. */
     void callStore(const Platform::StoreRequest &request, const char *name);
-    void poll();
-    void pollAgain();
-    void takeServers(const std::vector<Server> &list);
+    void watchTables();
+    /** Does what is due from time to time. */
+    void lookRound();
+    /** The list of servers is up to date. */
+    void takeServers();
     void storeAnswered();
-    void storeFailed(const std::string &message);
     void rowFaulty(const Error &reason, std::uint64_t version);
     /** What became of a write of a token row. */
     enum class TokenOutcome {
@@ -147,7 +157,8 @@
 
     std::string m_process;                                                                 ///< Name of this run of the process.
     ProxyLog m_log;                                                                        ///< Takes log lines.
-    boost::asio::steady_timer m_pollTimer;                                                 ///< Before the next read of the rows.
+    boost::asio::steady_timer m_lookTimer;                                                 ///< Before the next look at what is due.
+    boost::asio::steady_timer m_lapseTimer;                                                ///< Until lapsed servers are given up.
     boost::asio::steady_timer m_stopTimer;                                                 ///< Between two looks at a stop.
     boost::asio::steady_timer m_acceptTimer;                                               ///< After a failed accept.
     std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions;          ///< Connections of clients.
@@ -161,6 +172,7 @@
     std::size_t m_heldBytes = 0;                         ///< Bytes of bodies held.
     std::optional<TimePoint> m_serversAt;                ///< When the list of servers was last read.
     std::optional<TimePoint> m_storeAt;                  ///< When the store last answered.
+    TimePoint m_storeFailedAt{};                         ///< When it last failed a call.
     TimePoint m_stopAt{};                                ///< When the stop began.
     TimePoint m_cleanAt{};                               ///< When old rows are next removed.
     TimePoint m_beatAt{};                                ///< When the next sign of life is due.
@@ -170,7 +182,9 @@
     TimePoint m_crashesAt{};                             ///< When shared marks are next read.
     std::uint64_t m_cleanings = 0;                       ///< Times that rows of processes that are gone were found.
     std::function<void()> m_stopped;                     ///< Told when the stop is complete.
-    unsigned m_openPolls = 0;                            ///< Reads under way.
+    std::shared_ptr<TableWatch> m_configWatch;           ///< Follows the operators' configuration.
+    std::shared_ptr<TableWatch> m_serverWatch;           ///< Follows the list of servers.
+    std::vector<Server> m_serverList;                    ///< The list as last read.
     std::optional<TimePoint> m_fullLoggedAt;             ///< When a line last said that clients are turned away.
     bool m_isStopping = false;                           ///< True after stop().
     bool m_isShutDown = false;                           ///< True after shutDown().
--- /dev/null
+++ b/packages/proxy/src/row_mirror.cpp
@@ -0,0 +1,61 @@
+#include "row_mirror.h"
+
+#include <algorithm>
+
+namespace Vanillahall::Forward {
+
+bool RowMirror::takeAll(const Platform::StoreRows &table)
+{
+    if (table.version < m_version) {
+        return false;
+    }
+    m_rows.clear();
+    for (const auto &it : table.rows) {
+        m_rows.insert_or_assign(it.key, it);
+    }
+    m_version = table.version;
+    m_isWhole = true;
+    return true;
+}
+
+bool RowMirror::takeChanges(const Platform::StoreRows &changes)
+{
+    bool hasChanged = false;
+    for (const auto &it : changes.rows) {
+        const auto known = m_rows.find(it.key);
+        // A table that was read in several parts has rows that are newer than its version.
+        if (known != m_rows.end() && it.version < known->second.version) {
+            continue;
+        }
+        hasChanged = true;
+        if (it.isRemoved) {
+            m_rows.erase(it.key);
+        } else {
+            m_rows.insert_or_assign(it.key, it);
+        }
+    }
+    m_version = std::max(m_version, changes.version);
+    return hasChanged;
+}
+
+void RowMirror::doubt()
+{
+    m_isWhole = false;
+}
+
+bool RowMirror::isWhole() const
+{
+    return m_isWhole;
+}
+
+std::uint64_t RowMirror::version() const
+{
+    return m_version;
+}
+
+const std::map<std::string, Platform::StoreRow> &RowMirror::rows() const
+{
+    return m_rows;
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -16,7 +16,7 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t MaxReply = std::size_t{4} * 1024 * 1024; ///< The store answers with 1 MB at most; base64 and JSON add to it.
-constexpr std::size_t MaxIdle = 4;                             ///< Connections kept for the next calls.
+constexpr std::size_t MaxIdle = 6;                             ///< Connections kept: two wait for changes, the rest take the next calls.
 
 } // namespace
 
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -14,7 +14,9 @@
 constexpr int PatienceFactor = 4;                                ///< Usual answers' times after which no answer means a lost one.
 constexpr Duration MinPatience = std::chrono::milliseconds(60);  ///< Several times the slowest answer of a store that is well.
 constexpr Duration MaxPatience = std::chrono::milliseconds(400); ///< Leaves time for another try within StoreLimit.
-constexpr int TimeWeight = 4;                                    ///< An answer counts a quarter in the usual time.
+constexpr Duration WatchGrace
+    = std::chrono::milliseconds(600); ///< A store 100 times slower than usual still answers; a dead connection is noticed within 2 s.
+constexpr int TimeWeight = 4;         ///< An answer counts a quarter in the usual time.
 
 /** @return True if the store did or refused what was asked, so that another way wouldn't change the answer. */
 bool isAnswer(const std::optional<StoreReply> &reply)
@@ -70,14 +72,27 @@
             return;
         }
         directEnded(isAnswer(reply), begun);
+        if (isAnswer(reply)) {
+            notePace(now() - begun);
+        }
         handler(reply, reason);
     });
 }
 
+void StorePath::watch(const Platform::StoreRequest &request, Duration wait, const StoreCaller::Handler &handler)
+{
+    const auto ended = [this, alive = std::weak_ptr(m_isAlive), handler, begun = now()](const auto &reply, const Error &reason) {
+        if (!alive.expired()) {
+            directEnded(isAnswer(reply), begun);
+            handler(reply, reason);
+        }
+    };
+    m_direct.call(request, wait + WatchGrace, ended);
+}
+
 void StorePath::directEnded(bool isAnswered, TimePoint begun)
 {
     if (isAnswered) {
-        m_usualTime += (now() - begun - m_usualTime) / TimeWeight;
         m_directWorkedAt = std::max(m_directWorkedAt, begun);
         m_isDirectAway = false;
     } else if (begun >= m_directWorkedAt) {
@@ -86,6 +101,11 @@
     }
 }
 
+void StorePath::notePace(Duration time)
+{
+    m_usualTime += (time - m_usualTime) / TimeWeight;
+}
+
 Duration StorePath::patience() const
 {
     return std::clamp(PatienceFactor * m_usualTime, MinPatience, MaxPatience);
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -33,6 +33,11 @@
      * @param isProbe True to try the direct way first even if it failed a moment ago.
      */
     void call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler);
+    /**
+     * Makes a call that the store answers when something has changed: once, directly. Its time says nothing about the store's pace.
+     * @param wait Longest time until the answer if nothing changes.
+     */
+    void watch(const Platform::StoreRequest &request, Duration wait, const StoreCaller::Handler &handler);
     /** Makes a call for another proxy, directly. */
     void callFor(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** Calls another store from now on. */
@@ -51,6 +56,7 @@
     void ended(const std::shared_ptr<Trial> &trial, const std::optional<StoreReply> &reply, const Error &reason);
     [[nodiscard]] Duration patience() const;
     void directEnded(bool isAnswered, TimePoint begun);
+    void notePace(Duration time);
     void callDirect(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** @return False if no other proxy is known; nothing is called then. */
     bool callThroughMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
--- /dev/null
+++ b/packages/proxy/src/table_watch.cpp
@@ -0,0 +1,111 @@
+#include "table_watch.h"
+
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+#include "timer_func.h"
+
+#include <algorithm>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration PollWhenAway = std::chrono::milliseconds(150); ///< Between reads while the store is away; requests wait for its return.
+constexpr Duration ChangePause = std::chrono::milliseconds(100);  ///< Between two calls, so that a storm of changes comes in few answers.
+constexpr Duration CheckBase = std::chrono::seconds(3);           ///< Between two checks of an empty table.
+constexpr Duration CheckPerRow
+    = std::chrono::milliseconds(50); ///< Added for each row: 20 rows a second are a few KB, within the 6 KB/s of a node's control.
+
+} // namespace
+
+TableWatch::TableWatch(ProxyState &proxy, TableCalls calls, Taken taken)
+    : m_proxy(proxy)
+    , m_calls(std::move(calls))
+    , m_taken(std::move(taken))
+    , m_timer(proxy.loop)
+{
+}
+
+void TableWatch::start()
+{
+    step();
+}
+
+void TableWatch::stop()
+{
+    m_isStopped = true;
+    stopTimer(m_timer);
+}
+
+void TableWatch::step()
+{
+    // Other proxies pass on calls that are answered at once, not those that wait.
+    if (!m_mirror.isWhole() || now() >= m_checkAt || m_proxy.store.isDirectAway()) {
+        readAll();
+    } else {
+        waitForChange();
+    }
+}
+
+void TableWatch::readAll()
+{
+    m_proxy.readAll(m_calls.readAll, true, [weak = weak_from_this()](const auto &rows) {
+        const auto self = weak.lock();
+        if (self && !self->m_isStopped) {
+            self->allCame(rows);
+        }
+    });
+}
+
+void TableWatch::allCame(const std::optional<Platform::StoreRows> &rows)
+{
+    if (!rows || !m_mirror.takeAll(*rows)) {
+        m_mirror.doubt();
+        stepAfter(m_proxy.isStoreNear() ? m_proxy.settings.pollInterval : std::min(m_proxy.settings.pollInterval, PollWhenAway));
+        return;
+    }
+    m_checkAt = now() + CheckBase + CheckPerRow * static_cast<std::int64_t>(rows->rows.size());
+    m_taken(m_mirror, true);
+    stepAfter(m_proxy.store.isDirectAway() ? m_proxy.settings.pollInterval : std::min(m_proxy.settings.pollInterval, ChangePause));
+}
+
+void TableWatch::waitForChange()
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_proxy.settings.watchWait);
+    m_proxy.store.watch(m_calls.change(m_mirror.version(), wait), wait, [weak = weak_from_this()](const auto &reply, const Error &reason) {
+        const auto self = weak.lock();
+        if (self && !self->m_isStopped) {
+            self->changesCame(reply, reason);
+        }
+    });
+}
+
+void TableWatch::changesCame(const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    const auto changes = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (changes) {
+        m_proxy.storeTold(changes->nowMs);
+        m_taken(m_mirror, m_mirror.takeChanges(*changes));
+        stepAfter(std::min(m_proxy.settings.pollInterval, ChangePause));
+        return;
+    }
+    m_mirror.doubt();
+    if (reply && reply->status == StatusGone) {
+        m_proxy.log(LogLevel::Info, EventNumber::DependencyLost, "peer=store why=\"history of changes is gone, the table is read whole\"");
+        readAll();
+        return;
+    }
+    m_proxy.storeFailed(reply && reply->status != StatusOk ? "status " + std::to_string(reply->status) : ec.message);
+    readAll();
+}
+
+void TableWatch::stepAfter(Duration pause)
+{
+    runAfter(m_timer, pause, *this, [](TableWatch &self) {
+        self.step();
+    });
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/packages/proxy/src/table_watch.h
@@ -0,0 +1,60 @@
+/**
+ * Follows one table of the store.
+ * Load pattern: as RowMirror says. The table is read whole at the start, after any failure, and seldom as a check; in between the store
+ * answers as soon as a row has changed.
+ */
+#pragma once
+
+#include "row_mirror.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace Vanillahall::Forward {
+
+class ProxyState;
+struct StoreReply;
+
+/** Calls for one table. */
+struct TableCalls
+{
+    std::function<Platform::StoreRequest(const std::string &after)> readAll;                             ///< Reads the rows after a key.
+    std::function<Platform::StoreRequest(std::uint64_t version, std::chrono::milliseconds wait)> change; ///< Waits for changes.
+};
+
+/** One table that is followed. */
+class TableWatch : public std::enable_shared_from_this<TableWatch>
+{
+public:
+    /** Gets the table each time that it is known to be up to date. @param hasChanged False if it is as it was. */
+    using Taken = std::function<void(const RowMirror &table, bool hasChanged)>;
+
+    /** @param proxy Owns this and stops it before it goes. */
+    TableWatch(ProxyState &proxy, TableCalls calls, Taken taken);
+
+    /** Begins to follow. */
+    void start();
+    /** Makes no further calls. */
+    void stop();
+
+private:
+    void step();
+    void readAll();
+    void waitForChange();
+    void allCame(const std::optional<Platform::StoreRows> &rows);
+    void changesCame(const std::optional<StoreReply> &reply, const Error &reason);
+    void stepAfter(Duration pause);
+
+    ProxyState &m_proxy;
+    TableCalls m_calls;
+    Taken m_taken;
+    RowMirror m_mirror;
+    boost::asio::steady_timer m_timer;
+    TimePoint m_checkAt{}; ///< When the table is read whole next.
+    bool m_isStopped = false;
+};
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -211,6 +211,94 @@
                              return it.param.name;
                          });
 
+/** What the store does to a proxy that follows its tables. */
+struct WatchCase
+{
+    const char *name;                  ///< For the test's name.
+    void (*trouble)(StoreModel &rows); ///< Begins before the change.
+    void (*end)(StoreModel &rows);     ///< Comes with the change.
+    std::size_t wholeReads;            ///< Least number of times that the list is read whole after the change.
+};
+
+class ProxyWatch : public ::testing::TestWithParam<WatchCase>
+{
+};
+
+TEST_P(ProxyWatch, ALeavingServerAndANewConfigurationAreNoticed)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.watchWait = 50ms;
+        });
+    ASSERT_TRUE(world.start());
+    ASSERT_TRUE(world.run([&world] {
+        return world.rows.watches > 2;
+    }));
+    GetParam().trouble(world.rows);
+    const auto calls = world.store.requests.size();
+    ASSERT_TRUE(world.run([&world, calls] {
+        return world.store.requests.size() > calls + 1;
+    }));
+    const auto before = world.rows.wholeReads;
+    GetParam().end(world.rows);
+    world.rows.servers.erase("s1");
+    world.rows.config.replace(world.rows.config.find("\"version\":3"), 11, "\"version\":4");
+    EXPECT_TRUE(world.run([&world] {
+        return world.hasLine("server=s1 state=gone") && world.hasLine("config=4");
+    }));
+    EXPECT_GE(world.rows.wholeReads, before + GetParam().wholeReads);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
+    EXPECT_TRUE(world.first.requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyWatch,
+                         ::testing::Values(WatchCase{"quiet", [](StoreModel &) {}, [](StoreModel &) {}, 0},
+                                           WatchCase{"historyGone",
+                                                     [](StoreModel &rows) {
+                                                         rows.hasNoHistory = true;
+                                                     },
+                                                     [](StoreModel &) {},
+                                                     1},
+                                           WatchCase{"deaf",
+                                                     [](StoreModel &rows) {
+                                                         rows.hidesChanges = true;
+                                                     },
+                                                     [](StoreModel &) {},
+                                                     1},
+                                           WatchCase{"connectionsSilent",
+                                                     [](StoreModel &rows) {
+                                                         rows.silentWatches = 2;
+                                                     },
+                                                     [](StoreModel &) {},
+                                                     1},
+                                           WatchCase{"away",
+                                                     [](StoreModel &rows) {
+                                                         rows.refusesAll = true;
+                                                     },
+                                                     [](StoreModel &rows) {
+                                                         rows.refusesAll = false;
+                                                     },
+                                                     1}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+TEST(ProxyWatch, TheListIsNotReadWholeWhileNothingChanges)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    ASSERT_TRUE(world.run([&world] {
+        return world.rows.watches > 20;
+    }));
+    EXPECT_EQ(world.rows.wholeReads, 1U);
+}
+
 TEST(ProxyStop, AnswersWhatItHasRead)
 {
     bool mayAnswer = false;
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -187,19 +187,21 @@
     if (refusesAll) {
         return {json(Json::object(), 503)};
     }
+    noteChanges(m_config, config.empty() ? std::map<std::string, std::string>() : std::map<std::string, std::string>{{"config", config}});
+    noteChanges(m_servers, servers);
     if (request.find("GET /api/rows-get?table=op") == 0) {
-        Json list = Json::array();
-        if (!config.empty()) {
-            list.push_back({{"key", "config"}, {"value", base64(config)}, {"ver", version}});
-        }
-        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+        return wholeTable(m_config);
     }
     if (request.find("GET /api/rows-get?table=servers") == 0) {
-        Json list = Json::array();
-        for (const auto &[id, value] : servers) {
-            list.push_back({{"key", id}, {"value", base64(value)}, {"ver", version}});
-        }
-        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+        wholeReads++;
+        return wholeTable(m_servers);
+    }
+    if (request.find("GET /api/rows-feed?table=op") == 0) {
+        return changes(m_config, request);
+    }
+    if (request.find("GET /api/rows-feed?table=servers") == 0) {
+        watches++;
+        return changes(m_servers, request);
     }
     if (request.find("GET /api/rows-get?table=broken_contents") == 0) {
         Json list = Json::array();
@@ -232,6 +234,60 @@
     return answer;
 }
 
+void StoreModel::noteChanges(Table &table, const std::map<std::string, std::string> &rows)
+{
+    for (const auto &[key, value] : rows) {
+        auto &kept = table[key];
+        if (kept.version == 0 || kept.isRemoved || kept.value != value) {
+            kept = {value, ++version, false};
+        }
+    }
+    for (auto &[key, kept] : table) {
+        if (!kept.isRemoved && rows.count(key) == 0) {
+            kept = {{}, ++version, true};
+        }
+    }
+}
+
+Script StoreModel::wholeTable(const Table &table) const
+{
+    Json list = Json::array();
+    for (const auto &[key, kept] : table) {
+        if (!kept.isRemoved) {
+            list.push_back({{"key", key}, {"value", base64(kept.value)}, {"ver", kept.version}});
+        }
+    }
+    return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+}
+
+Script StoreModel::changes(const Table &table, const std::string &request)
+{
+    if (silentWatches != 0) {
+        silentWatches--;
+        return {};
+    }
+    if (hasNoHistory) {
+        return {json(Json::object(), 410)};
+    }
+    const int after = std::stoi(request.substr(request.find("after=") + 6));
+    std::map<int, Json> list;
+    for (const auto &[key, kept] : table) {
+        if (kept.version > after && !hidesChanges) {
+            list[kept.version] = {{"key", key}, {"ver", kept.version}};
+            if (kept.isRemoved) {
+                list[kept.version]["removed"] = true;
+            } else {
+                list[kept.version]["value"] = base64(kept.value);
+            }
+        }
+    }
+    Json rows = Json::array();
+    for (const auto &[at, row] : list) {
+        rows.push_back(row);
+    }
+    return {json({{"rows", rows}, {"ver", version}, {"nowMs", nowMs}})};
+}
+
 Script StoreModel::writeTokens(const std::string &key, int expected, const std::string &value)
 {
     const auto row = tokens.find(key);
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -92,11 +92,32 @@
     std::size_t lostAnswers = 0;                               ///< Writes still to come that are done without an answer.
     bool refusesWrites = false;                                ///< True to answer writes with 503.
     bool refusesAll = false;                                   ///< True to answer everything with 503.
+    bool hidesChanges = false;                                 ///< True to tell no changes to those who wait for them.
+    bool hasNoHistory = false;                                 ///< True to answer those who wait for changes with 410.
+    std::size_t silentWatches = 0;                             ///< Calls for changes still to come that get no answer.
+    std::size_t wholeReads = 0;                                ///< Times that the list of servers was read whole.
+    std::size_t watches = 0;                                   ///< Times that changes of the list of servers were asked for.
 
     /** @return The answer to a call. */
     Script answer(const std::string &request);
 
 private:
+    /** A row of a table whose changes are told. */
+    struct Kept
+    {
+        std::string value;      ///< Its value.
+        int version = 0;        ///< Version of its last change.
+        bool isRemoved = false; ///< True once it is gone.
+    };
+    using Table = std::map<std::string, Kept>;
+
+    /** Notes what a test has changed since the last call. */
+    void noteChanges(Table &table, const std::map<std::string, std::string> &rows);
+    Script wholeTable(const Table &table) const;
+    Script changes(const Table &table, const std::string &request);
+
+    Table m_config;
+    Table m_servers;
     Script writeTokens(const std::string &key, int expected, const std::string &value);
 };
 
--- /dev/null
+++ b/tests/proxy/row_mirror_test.cpp
@@ -0,0 +1,126 @@
+/** A copy of a table against the table itself, with answers that are late, doubled, old or without history. */
+#include "row_mirror.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+/** The table itself, with all its changes. */
+struct Table
+{
+    std::map<std::string, Platform::StoreRow> rows;
+    std::vector<Platform::StoreRow> history;
+    std::uint64_t version = 1;
+
+    void change(const std::string &key, bool isRemoved)
+    {
+        if (isRemoved && rows.count(key) == 0) {
+            return;
+        }
+        version++;
+        const Platform::StoreRow row{key, isRemoved ? "" : "v" + std::to_string(version), version, isRemoved};
+        history.push_back(row);
+        if (isRemoved) {
+            rows.erase(key);
+        } else {
+            rows[key] = row;
+        }
+    }
+
+    [[nodiscard]] Platform::StoreRows all() const
+    {
+        Platform::StoreRows out;
+        out.version = version;
+        for (const auto &[key, row] : rows) {
+            out.rows.push_back(row);
+        }
+        return out;
+    }
+
+    [[nodiscard]] Platform::StoreRows changesSince(std::uint64_t after) const
+    {
+        Platform::StoreRows out;
+        out.version = version;
+        for (const auto &it : history) {
+            if (it.version > after) {
+                out.rows.push_back(it);
+            }
+        }
+        return out;
+    }
+};
+
+bool isSame(const RowMirror &mirror, const Table &table)
+{
+    return mirror.rows().size() == table.rows.size()
+        && std::equal(mirror.rows().begin(), mirror.rows().end(), table.rows.begin(), [](const auto &one, const auto &other) {
+               return one.first == other.first && one.second.value == other.second.value && one.second.version == other.second.version;
+           });
+}
+
+void changeSome(Table &table)
+{
+    const auto n = *rc::gen::inRange(0, 5);
+    for (int i = 0; i < n; i++) {
+        const auto key = *rc::gen::element<std::string>("a", "b", "c", "d");
+        table.change(key, *rc::gen::arbitrary<bool>());
+    }
+}
+
+} // namespace
+
+RC_GTEST_PROP(RowMirrorProperty, FollowsTheTable, ())
+{
+    Table table;
+    RowMirror mirror;
+    Platform::StoreRows old = table.all();
+    const auto steps = *rc::gen::inRange(1, 30);
+    for (int n = 0; n < steps; n++) {
+        const auto before = table;
+        changeSome(table);
+        if (!mirror.isWhole()) {
+            // The first part of a table, and a later part that already has what came since.
+            auto parts = before.all();
+            parts.rows = table.all().rows;
+            const bool isOld = old.version < mirror.version();
+            RC_ASSERT(mirror.takeAll(*rc::gen::arbitrary<bool>() ? parts : old) || isOld);
+            continue;
+        }
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+            mirror.doubt();
+            break;
+        case 1:
+            old = table.all();
+            break;
+        default: {
+            const auto changes = table.changesSince(mirror.version());
+            mirror.takeChanges(changes);
+            RC_ASSERT(isSame(mirror, table));
+            if (*rc::gen::arbitrary<bool>()) {
+                RC_ASSERT(mirror.version() == table.version);
+                mirror.takeChanges(changes);
+                RC_ASSERT(isSame(mirror, table));
+            }
+            break;
+        }
+        }
+    }
+}
+
+TEST(RowMirror, AnOlderTableIsNotTaken)
+{
+    Table table;
+    table.change("a", false);
+    const auto old = table.all();
+    table.change("a", true);
+    RowMirror mirror;
+    EXPECT_TRUE(mirror.takeAll(table.all()));
+    EXPECT_FALSE(mirror.takeAll(old));
+    EXPECT_TRUE(mirror.rows().empty());
+}
+
+} // namespace Vanillahall::Forward
