--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -172,8 +172,8 @@
          << " tries=" << m_tries << " placed_ms=" << (m_placedAt ? ms(*m_placedAt - m_request.arrived) : -1)
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
          << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
-         << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens << " prompt=" << facts.promptTokens
-         << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
+         << " home_zone=" << m_proxy.ledger.homeZone(facts.program) << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens
+         << " prompt=" << facts.promptTokens << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
          << " program_left_ms=" << (facts.programTimeLeft ? ms(*facts.programTimeLeft) : -1);
     m_proxy.log(LogLevel::Info, EventNumber::RequestEnded, line.str());
     m_proxy.metrics.count("vanillahall_requests_total", {"outcome", std::string(outcomeName(outcome))});
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -70,6 +70,7 @@
         answer = world.ask(ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers));
     }
     EXPECT_EQ(statusOf(answer), GetParam().status);
+    EXPECT_EQ(world.hasLine("home_zone=z "), !GetParam().isStoreAway);
     EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), GetParam().attempts);
 }
 
