--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup configure build check test lint example demo up bench bench-capacity soak fuzz format
+.PHONY: setup configure build check test lint example demo up bench bench-capacity soak fuzz mutants format
 
 setup:
 	tools/setup.sh
@@ -32,6 +32,9 @@
 	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/platform_test --gtest_filter='*Property*'
 	RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $(BUILD)/tests/core_test --gtest_filter='TokenLedgerProperty*:AttemptRuleProperty*:RouteTableProperty*:ServerBookProperty*'
 
+mutants: setup
+	python3 tools/mutants.py
+
 example: build
 	tools/example.sh $(BUILD)
 
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,121 @@
+#!/usr/bin/env python3
+"""Undoes one safeguard of the proxy's decisions at a time, in a copy of the tree, and checks that a test notices.
+
+Usage: tools/mutants.py [WORK_DIR]      (default: a new folder under /tmp; a second run with the same folder builds less)
+
+Each mutant is a replacement of one piece of text in one source. The line of a mutant is "caught" with the tests that failed, or "NOT CAUGHT".
+Exit status 1 if any mutant isn't caught or doesn't apply any more.
+"""
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+CORE = "packages/core/src/"
+PROXY = "packages/proxy/src/"
+
+# name, source, text, replacement, test program, --gtest_filter
+MUTANTS = [
+    ("tokens counted twice", CORE + "commands/token_ledger_cmd.cpp", "account.here += account.asked;", "account.here += 2 * account.asked;",
+     "core_test", "TokenLedgerProperty*"),
+    ("two turns beyond the budget", CORE + "commands/token_ledger_cmd.cpp", "missing > ask.budget + ask.most)", "missing > ask.budget + 2 * ask.most)",
+     "core_test", "TokenLedgerProperty*"),
+    ("a refused write counts as done", CORE + "commands/token_ledger_cmd.cpp", "if (row.writer == it->second.openWrite->row.writer) {", "if (true) {",
+     "core_test", "TokenLedgerProperty*"),
+    ("used tokens are given back", CORE + "commands/token_ledger_cmd.cpp", "it->second.here += most - used;", "it->second.here += most;",
+     "core_test", "TokenLedgerProperty*"),
+    ("tokens of a removed row stay", CORE + "commands/token_ledger_cmd.cpp", "        it->second.here = 0;\n", "", "core_test", "TokenLedger*"),
+    ("old tokens need no new write", CORE + "commands/token_ledger_cmd.cpp", "account.here >= ask.most && !isStale", "account.here >= ask.most",
+     "core_test", "TokenLedger*"),
+    ("a call that may not be repeated is repeated", CORE + "queries/attempt_rule_query.cpp", "isRepeatable(history.repetition) && history", "history",
+     "core_test", "AttemptRuleProperty*"),
+    ("more attempts than allowed", CORE + "queries/attempt_rule_query.cpp", "history.mayHaveRun < history.maxAttempts", "true",
+     "core_test", "AttemptRule*"),
+    ("not run is said of what may have run", CORE + "queries/attempt_rule_query.cpp", "return isUntouched ? NextStep::AnswerNotRun", "return true ? NextStep::AnswerNotRun",
+     "core_test", "AttemptRuleProperty*"),
+    ("a second head in an answer", CORE + "queries/attempt_rule_query.cpp", "const bool isOpen = !history.hasBegunAnswer || history.canResume;", "const bool isOpen = true;",
+     "core_test", "AttemptRule*"),
+    ("configuration goes backwards", CORE + "commands/route_table_cmd.cpp", "if (m_isLoaded && config.version <= m_config.version) {", "if (false) {",
+     "core_test", "RouteTableProperty*"),
+    ("shortest prefix first", CORE + "commands/route_table_cmd.cpp", "prefix.size() > m_config", "prefix.size() < m_config", "core_test", "RouteFind*:*RouteFind*"),
+    ("draining servers are used", "packages/core/include/vanillahall/core/server_book_base.h", " && !server.isDraining;", ";", "core_test", "*ServerBookProperty*"),
+    ("servers that are gone are used", "packages/core/include/vanillahall/core/server_book_base.h", "return !isGone && !hasLostAddress", "return !hasLostAddress",
+     "core_test", "*ServerBookProperty*"),
+    ("an event comes twice after a resume", PROXY + "event_splitter.cpp", "*id <= *after", "*id < *after", "proxy_test", "*EventSplitter*:*ProxyStream*"),
+    ("a torn event is passed on", PROXY + "event_splitter.cpp", "    m_rest.erase(0, begin);\n    return events;", "    events.bytes += m_rest.substr(begin);\n    m_rest.clear();\n    return events;",
+     "proxy_test", "*EventSplitter*:*ProxyStream*"),
+    ("a stream without its end looks whole", PROXY + "exchange_end.cpp", "m_session->breakOff(m_hasBegunAnswer && m_request.isHttp10 && !m_head.length);",
+     "m_session->write(LastChunk);\n        m_session->finish(false);", "proxy_test", "*ProxyStream*"),
+    ("an unsigned answer is a success", PROXY + "exchange_answer.cpp", "isSuccess(head.status) && (!facts.isSigned || !isOurs)", "false", "proxy_test", "*ProxyAnswer*"),
+    ("a server's plain 503 is a promise", PROXY + "exchange_answer.cpp", "    if (isPromise(head.status)) {", "    if (false) {", "proxy_test", "*ProxyAnswer*"),
+    ("changes of a table are not removed", PROXY + "row_mirror.cpp", "if (it.isRemoved) {", "if (false) {", "proxy_test", "*RowMirror*:*ProxyWatch*"),
+    ("an older table is taken", PROXY + "row_mirror.cpp", "if (table.version < m_version) {", "if (false) {", "proxy_test", "*RowMirror*"),
+    ("a failed watch just goes on", PROXY + "table_watch.cpp", "    m_proxy.storeFailed(reply && reply->status != StatusOk ? \"status \" + std::to_string(reply->status) : ec.message);\n    readAll();",
+     "    stepAfter(ChangePause);", "proxy_test", "*ProxyWatch*"),
+    ("a program's home follows each writer", CORE + "commands/token_ledger_cmd.cpp", "    if (write.row.version == 0) {\n", "    {\n", "core_test", "TokenLedger*"),
+    ("a home outside its zone", CORE + "queries/server_book_query.cpp", "(isNear != isBestNear ? isNear : rank > bestRank)", "rank > bestRank", "core_test", "ServerBook*"),
+    ("a deaf watch is never checked", PROXY + "table_watch.cpp", "|| now() >= m_checkAt ", "", "proxy_test", "*ProxyWatch*"),
+    ("ready without a configuration", PROXY + "proxy_state.cpp", "return routes.isLoaded() && m_serversAt", "return m_serversAt", "proxy_test", "ProxyStart*"),
+]
+
+
+def run(command, cwd, log=None):
+    done = subprocess.run(command, cwd=cwd, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False)
+    if log:
+        log.write_text(done.stdout)
+    return done
+
+
+def copy_tree(root, tree):
+    """Copies what git knows and what is new; leaves files alone that are the same, so that a second run builds little."""
+    names = run(["git", "ls-files", "-co", "--exclude-standard", "--", ":!journal"], root).stdout.split()
+    for name in names:
+        source, target = root / name, tree / name
+        if not source.is_file() or (target.is_file() and target.read_bytes() == source.read_bytes()):
+            continue
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy(source, target)
+
+
+def check(tree, mutant):
+    """Returns what became of one mutant, and whether that is as it should be."""
+    _, source, text, replacement, program, tests = mutant
+    path = tree / source
+    original = path.read_text()
+    if original.count(text) != 1:
+        return "DOES NOT APPLY: the text stands " + str(original.count(text)) + " times in " + source, False
+    path.write_text(original.replace(text, replacement))
+    try:
+        if run(["cmake", "--build", "build", "--target", program], tree, tree / "build.log").returncode != 0:
+            return "DOES NOT BUILD, see " + str(tree / "build.log"), False
+        done = run(["env", "RC_PARAMS=seed=20261204 max_success=1000", "build/tests/" + program, "--gtest_filter=" + tests], tree)
+        failed = sorted(set(re.findall(r"\[  FAILED  \] ([\w/]+\.[\w/]+)", done.stdout)))
+        if done.returncode == 0:
+            return "NOT CAUGHT", False
+        return "caught by " + (", ".join(failed[:3]) or "a crash"), True
+    finally:
+        path.write_text(original)
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    tree = pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else pathlib.Path(tempfile.mkdtemp(prefix="vanillahall-mutants-"))
+    copy_tree(root, tree)
+    programs = sorted({it[4] for it in MUTANTS})
+    run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_BUILD_TYPE=Debug"], tree)
+    if run(["cmake", "--build", "build", "--target", *programs], tree, tree / "build.log").returncode != 0:
+        print("the tree doesn't build, see " + str(tree / "build.log"))
+        return 1
+    bad = 0
+    for mutant in MUTANTS:
+        result, good = check(tree, mutant)
+        bad += not good
+        print(mutant[0] + ": " + result, flush=True)
+    print(f"{len(MUTANTS) - bad} of {len(MUTANTS)} mutants caught")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
