One function makes the record of an ended turn; the scripted store of the proxy's tests has a file of its own

Change: finishedTurn() belongs to the program's book and serves both; StoreModel is in store_model.{h,cpp}. No behaviour changes.

--- a/packages/core/include/vanillahall/core/program_book_base.h
+++ b/packages/core/include/vanillahall/core/program_book_base.h
@@ -66,4 +66,7 @@
     std::map<RequestKey, ProgramId> m_requests;
 };
 
+/** @return The record of an ended turn. @param outcome Its outcome, as it was before an operator settled it. */
+TurnFinished finishedTurn(const CallKey &key, const TurnRecord &turn, CallOutcome outcome);
+
 } // namespace Vanillahall
--- a/packages/core/src/commands/entry_unstored_cmd.cpp
+++ b/packages/core/src/commands/entry_unstored_cmd.cpp
@@ -14,21 +14,6 @@
 constexpr Duration OfferInterval = std::chrono::milliseconds(500); ///< Between two offers; as often as heartbeats.
 constexpr Duration OfferLimit = std::chrono::minutes(15);          ///< As long as a shard may stay without a holder: its orphanTime.
 
-TurnFinished finishedTurn(const CallKey &key, const TurnRecord &turn)
-{
-    TurnFinished record;
-    record.key = key;
-    record.content = turn.content;
-    record.input = turn.input;
-    record.outcome = *turn.outcome;
-    record.server = turn.server;
-    record.attempt = turn.attempt;
-    record.began = turn.began;
-    record.ended = turn.ended;
-    record.spentTokens = turn.spentTokens;
-    return record;
-}
-
 /** Adds an ended turn of an earlier holder to the journal. */
 void recordTurn(EntryState &entry, HeldShard &shard, const Program &program, const TurnFinished &record)
 {
@@ -120,7 +105,7 @@
         }
         const auto turn = program->turns.find(key.turn);
         if (turn != program->turns.end() && turn->second.outcome) {
-            left.turns.emplace(key, finishedTurn(key, turn->second));
+            left.turns.emplace(key, finishedTurn(key, turn->second, *turn->second.outcome));
         }
     }
     if (left.turns.empty()) {
--- a/packages/core/src/queries/program_book_query.cpp
+++ b/packages/core/src/queries/program_book_query.cpp
@@ -19,22 +19,6 @@
     return record;
 }
 
-/** @param outcome The outcome as it was before an operator settled it. */
-TurnFinished finishOf(const Program &program, Turn number, const TurnRecord &turn, CallOutcome outcome)
-{
-    TurnFinished record;
-    record.key = CallKey{program.id, number};
-    record.content = turn.content;
-    record.input = turn.input;
-    record.outcome = std::move(outcome);
-    record.server = turn.server;
-    record.attempt = turn.attempt;
-    record.began = turn.began;
-    record.ended = turn.ended;
-    record.spentTokens = turn.spentTokens;
-    return record;
-}
-
 void addTurn(const Program &program, Turn number, const TurnRecord &turn, std::vector<JournalRecord> &records)
 {
     if (!turn.outcome) {
@@ -43,13 +27,13 @@
     }
     CallOutcome outcome = *turn.outcome;
     if (turn.settledBy.empty()) {
-        records.emplace_back(finishOf(program, number, turn, std::move(outcome)));
+        records.emplace_back(finishedTurn(CallKey{program.id, number}, turn, std::move(outcome)));
         return;
     }
     Error &error = std::get<Error>(outcome);
     const bool ran = error.run == RunState::Ran;
     error.run = RunState::Unknown;
-    records.emplace_back(finishOf(program, number, turn, std::move(outcome)));
+    records.emplace_back(finishedTurn(CallKey{program.id, number}, turn, std::move(outcome)));
     records.emplace_back(OutcomeSettled{CallKey{program.id, number}, ran, turn.settledBy});
 }
 
@@ -74,6 +58,21 @@
 
 } // namespace
 
+TurnFinished finishedTurn(const CallKey &key, const TurnRecord &turn, CallOutcome outcome)
+{
+    TurnFinished record;
+    record.key = key;
+    record.content = turn.content;
+    record.input = turn.input;
+    record.outcome = std::move(outcome);
+    record.server = turn.server;
+    record.attempt = turn.attempt;
+    record.began = turn.began;
+    record.ended = turn.ended;
+    record.spentTokens = turn.spentTokens;
+    return record;
+}
+
 const Program *ProgramBook::find(const ProgramId &id) const
 {
     const auto it = m_programs.find(id);
--- /dev/null
+++ b/tests/proxy/store_model.cpp
@@ -0,0 +1,150 @@
+#include "store_model.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string base64(const std::string &bytes)
+{
+    std::string text(bytes.size() * 2 + 8, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                  reinterpret_cast<const unsigned char *>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+std::string json(const Json &body, unsigned status = 200)
+{
+    const std::string text = body.dump();
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+}
+
+} // namespace
+
+Script StoreModel::answer(const std::string &request)
+{
+    if (refusesAll) {
+        return {json(Json::object(), 503)};
+    }
+    noteChanges(m_config, config.empty() ? std::map<std::string, std::string>() : std::map<std::string, std::string>{{"config", config}});
+    noteChanges(m_servers, servers);
+    if (request.find("GET /api/rows-get?table=op") == 0) {
+        return wholeTable(m_config);
+    }
+    if (request.find("GET /api/rows-get?table=servers") == 0) {
+        wholeReads++;
+        return wholeTable(m_servers);
+    }
+    if (request.find("GET /api/rows-feed?table=op") == 0) {
+        return changes(m_config, request);
+    }
+    if (request.find("GET /api/rows-feed?table=servers") == 0) {
+        watches++;
+        return changes(m_servers, request);
+    }
+    if (request.find("GET /api/rows-get?table=broken_contents") == 0) {
+        Json list = Json::array();
+        for (const auto &[key, value] : breaks) {
+            list.push_back({{"key", key}, {"value", base64(value)}, {"ver", version}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
+    if (request.find("GET /api/rows-get?") == 0) {
+        return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
+    if (refusesWrites) {
+        return {json(Json::object(), 503)};
+    }
+    const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    for (const auto &it : body["remove"]) {
+        removed.insert(it["key"]);
+        breaks.erase(it["key"]);
+    }
+    if (body["expect"].empty()) {
+        return {json({{"ver", ++version}, {"nowMs", nowMs}})};
+    }
+    writes++;
+    const auto &expected = body["expect"][0];
+    auto answer = writeTokens(expected["key"], expected["ver"], body["writes"][0]["value"]);
+    if (lostAnswers != 0) {
+        lostAnswers--;
+        return {};
+    }
+    return answer;
+}
+
+void StoreModel::noteChanges(Table &table, const std::map<std::string, std::string> &rows)
+{
+    for (const auto &[key, value] : rows) {
+        auto &kept = table[key];
+        if (kept.version == 0 || kept.isRemoved || kept.value != value) {
+            kept = {value, ++version, false};
+        }
+    }
+    for (auto &[key, kept] : table) {
+        if (!kept.isRemoved && rows.count(key) == 0) {
+            kept = {{}, ++version, true};
+        }
+    }
+}
+
+Script StoreModel::wholeTable(const Table &table) const
+{
+    Json list = Json::array();
+    for (const auto &[key, kept] : table) {
+        if (!kept.isRemoved) {
+            list.push_back({{"key", key}, {"value", base64(kept.value)}, {"ver", kept.version}});
+        }
+    }
+    return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+}
+
+Script StoreModel::changes(const Table &table, const std::string &request)
+{
+    if (silentWatches != 0) {
+        silentWatches--;
+        return {};
+    }
+    if (hasNoHistory) {
+        return {json(Json::object(), 410)};
+    }
+    const int after = std::stoi(request.substr(request.find("after=") + 6));
+    std::map<int, Json> list;
+    for (const auto &[key, kept] : table) {
+        if (kept.version > after && !hidesChanges) {
+            list[kept.version] = {{"key", key}, {"ver", kept.version}};
+            if (kept.isRemoved) {
+                list[kept.version]["removed"] = true;
+            } else {
+                list[kept.version]["value"] = base64(kept.value);
+            }
+        }
+    }
+    Json rows = Json::array();
+    for (const auto &[at, row] : list) {
+        rows.push_back(row);
+    }
+    return {json({{"rows", rows}, {"ver", version}, {"nowMs", nowMs}})};
+}
+
+Script StoreModel::writeTokens(const std::string &key, int expected, const std::string &value)
+{
+    const auto row = tokens.find(key);
+    if ((row == tokens.end() ? 0 : row->second.second) != expected) {
+        Json list = Json::array();
+        if (row != tokens.end()) {
+            list.push_back({{"key", key}, {"value", row->second.first}, {"ver", row->second.second}});
+        }
+        return {json({{"rows", list}}, 412)};
+    }
+    tokens[key] = {value, ++version};
+    return {json({{"ver", version}, {"nowMs", nowMs}})};
+}
+
+} // namespace Vanillahall::Forward
