After a change of the store's address no call goes to the old store

Cause, found by rereading: StoreCaller::setStore() closed idle connections only. One with a call under way kept its old address and took the next calls, for ever where the store holds calls back.

Change: such a connection ends with its call.

Test (failed before: two requests at the old store, none at the new one): StoreCaller.ACallUnderWayKeepsNoConnectionToTheOldStore.

Measured: proxy_test 82 pass.

--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -65,6 +65,15 @@
         }
     }
 
+    /** Closes it once its call has ended. */
+    void retire()
+    {
+        m_isRetired = true;
+        if (isIdle()) {
+            close();
+        }
+    }
+
     void close()
     {
         m_isClosed = true;
@@ -125,7 +134,7 @@
     {
         stopTimer(m_timer);
         StoreReply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
-        if (!m_parser->keep_alive() || m_buffer.size() != 0) {
+        if (!m_parser->keep_alive() || m_buffer.size() != 0 || m_isRetired) {
             close();
         }
         const auto handler = std::exchange(m_handler, nullptr);
@@ -160,6 +169,7 @@
     boost::beast::flat_buffer m_buffer;
     bool m_isOpen = false;
     bool m_isClosed = false;
+    bool m_isRetired = false;
     bool m_wasSent = false;
 };
 
@@ -201,9 +211,7 @@
 void StoreCaller::setStore(ProxyAddress store)
 {
     for (const auto &it : m_connections) {
-        if (it->isIdle()) {
-            it->close();
-        }
+        it->retire();
     }
     m_store = std::move(store);
 }
