A second outage of the store gives lapsed servers their grace again, and the timer that ends it doesn't pass for a fresh list

Cause, found by rereading: (1) a server that lapsed in one outage and was still missing kept the end of its first grace, so a second outage ended with its removal at once; (2) the timer added with the followed tables counted as an update of the list: it set the list's age back though nothing had been read, which hides a second outage from the next read, and gave servers up while the store was away again.

Test (failed before): ServerBook.ASecondOutageGivesLapsedServersTheirGraceAgain.

--- a/packages/core/src/commands/server_book_cmd.cpp
+++ b/packages/core/src/commands/server_book_cmd.cpp
@@ -62,7 +62,7 @@
             ++it;
             continue;
         }
-        if (wasAway && !place.lapseAt) {
+        if (wasAway) {
             place.lapseAt = now + LapseGrace;
         }
         if (place.lapseAt && now < *place.lapseAt) {
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -244,7 +244,20 @@
     const auto present = now();
     const bool wasAway = m_serversAt && present - *m_serversAt > ListAway;
     m_serversAt = present;
-    for (const auto &it : book.update(m_serverList, wasAway, present)) {
+    updateServers(wasAway);
+    if (wasAway) {
+        runAfter(m_lapseTimer, LapseGrace, *this, [](ProxyState &self) {
+            // Without a fresh list a lapsed server may be back by now.
+            if (self.listAge() < StoreNear) {
+                self.updateServers(false);
+            }
+        });
+    }
+}
+
+void ProxyState::updateServers(bool wasAway)
+{
+    for (const auto &it : book.update(m_serverList, wasAway, now())) {
         const auto listed = std::find_if(m_serverList.begin(), m_serverList.end(), [&it](const Server &server) {
             return server.id == it;
         });
@@ -254,11 +267,6 @@
             EventNumber::ServerChanged,
             "server=" + it + " state=" + state + (isListed ? " service=" + listed->service + " zone=" + listed->zone : ""));
     }
-    if (wasAway) {
-        runAfter(m_lapseTimer, LapseGrace, *this, [](ProxyState &self) {
-            self.takeServers();
-        });
-    }
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -136,6 +136,8 @@
     void lookRound();
     /** The list of servers is up to date. */
     void takeServers();
+    /** Brings the book in line with the list. @param wasAway True if the list couldn't be read for a while. */
+    void updateServers(bool wasAway);
     void storeAnswered();
     void rowFaulty(const Error &reason, std::uint64_t version);
     /** What became of a write of a token row. */
--- a/tests/core/server_book_test.cpp
+++ b/tests/core/server_book_test.cpp
@@ -93,6 +93,19 @@
                              return it.param.name;
                          });
 
+TEST(ServerBook, ASecondOutageGivesLapsedServersTheirGraceAgain)
+{
+    ServerBook book("z1", {});
+    book.update({serverOf("a")}, false, Start);
+    book.update({}, true, Start + 4s);
+    book.update({}, true, Start + 9s);
+    EXPECT_TRUE(book.hasServer("svc"));
+    book.update({}, false, Start + 10s);
+    EXPECT_TRUE(book.hasServer("svc"));
+    book.update({}, false, Start + 11s);
+    EXPECT_FALSE(book.hasServer("svc"));
+}
+
 TEST(ServerBook, EntriesAgreeOnTheHomeOfAProgram)
 {
     std::vector<Server> list;
