--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -38,6 +38,8 @@
     std::uint32_t rank = 0;                        ///< Urgency; 0 is the most urgent.
     std::vector<RouteTarget> targets;              ///< At least one.
     std::uint32_t maxAttempts = 1;                 ///< Most servers that may run one request.
+    bool keepsConversation = false;                ///< True if a turn brings only its new input and the system adds the earlier ones.
+    Duration retention{};                          ///< For how long a turn and those before it are kept after its end.
 };
 
 /** One service of the operators' configuration. */
@@ -103,6 +105,8 @@
     std::vector<PromptPart> promptParts;      ///< Parts of the prompt; empty if not told.
     std::string model;                        ///< Model that is asked for; empty if none.
     std::optional<std::uint64_t> lastEventId; ///< Last event that the client has, if it resumes a stream.
+    std::string previousTurn;                 ///< Request id of the turn that this one goes on from; empty if none.
+    bool isTurnFaulty = false;                ///< True if the turn before is named twice or by what can't be a name.
 };
 
 /** Load that a server told with an answer. */
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -21,6 +21,8 @@
     RequestEnded = 1102,       ///< A forwarded request has ended.
     AttemptFailed = 1103,      ///< An attempt of a forwarded request at one server failed.
     TokensReserved = 1104,     ///< A write of a program's token row has ended.
+    TurnKept = 1105,           ///< A turn of a kept conversation was written to the store, or not.
+    ConversationRead = 1106,   ///< The conversation before a turn was found, or not.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::uint64_t BytesOfMb = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t BodyShare = 5;        ///< Bodies get a fifth of the memory; answers to slow readers may need as much.
+constexpr std::uint64_t TurnShare = 10;       ///< Kept turns get a tenth.
 constexpr std::uint64_t FilesForOthers = 250; ///< Files, listeners, the store and other proxies.
 constexpr std::uint64_t ClientShare = 2;      ///< Each client's request may need a connection to a server.
 
@@ -49,6 +50,8 @@
     proxy.watchWait = settings.proxyWatchWait;
     proxy.stopLimit = settings.proxyStopLimit;
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesOfMb / BodyShare;
+    proxy.maxTurnBytes = settings.proxyMemoryMb * BytesOfMb / TurnShare;
+    proxy.rowBytes = settings.storeRowBytes;
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, FilesForOthers)) / ClientShare;
     return proxy;
 }
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -43,6 +43,7 @@
     std::uint64_t maxRequestsPerCustomer = 1024;                 ///< entry.max_requests_per_customer
     Endpoint store;                                              ///< platform.store
     Endpoint vmList;                                             ///< platform.vm_list
+    std::uint64_t storeRowBytes = 65536;                         ///< platform.row_bytes
     Duration vmListPoll = std::chrono::seconds(1);               ///< platform.vm_list_poll_ms
     Duration leaseTime = std::chrono::seconds(3);                ///< lease.time_ms
     Duration renewInterval = std::chrono::seconds(1);            ///< lease.renew_interval_ms
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -26,6 +26,8 @@
     {EventNumber::RequestEnded, "request_ended"},
     {EventNumber::AttemptFailed, "attempt_failed"},
     {EventNumber::TokensReserved, "tokens_reserved"},
+    {EventNumber::TurnKept, "turn_kept"},
+    {EventNumber::ConversationRead, "conversation_read"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -30,8 +30,11 @@
     ProxyAddress store;                                     ///< The platform's store.
     Duration pollInterval = std::chrono::milliseconds(500); ///< Time between two reads of tables whose changes can't be followed.
     Duration watchWait = std::chrono::milliseconds(1000);   ///< Longest time for which the store holds back an answer without changes.
-    Duration stopLimit = std::chrono::seconds(7);           ///< Longest planned stop.
+    Duration turnSweepCycle = std::chrono::minutes(5); ///< Time in which all proxies together look through all kept turns for old ones.
+    Duration stopLimit = std::chrono::seconds(7);      ///< Longest planned stop.
     std::size_t maxBufferedBytes = std::size_t{24} * 1024 * 1024; ///< Request bodies held at once.
+    std::size_t maxTurnBytes = std::size_t{8} * 1024 * 1024;      ///< Turns of kept conversations held in memory.
+    std::size_t rowBytes = 65536;                                 ///< Longest value of a row of the store, in base64.
     std::size_t maxClients = 3000;                                ///< Connections of clients at once.
     ChoiceSettings choice;                                        ///< Figures of the choice among servers.
 };
--- a/packages/proxy/src/answer_text_func.h
+++ b/packages/proxy/src/answer_text_func.h
@@ -10,6 +10,8 @@
 
 /** Time to come back when nothing can take the request now: a turn's length. */
 inline constexpr Duration BackSoon = std::chrono::milliseconds(250);
+/** Time to come back when the store is away; clients use a third of their time at most. */
+inline constexpr Duration BackLater = std::chrono::milliseconds(1300);
 
 /** An answer of the proxy itself. */
 struct OwnAnswer
--- /dev/null
+++ b/packages/proxy/src/conversation.cpp
@@ -0,0 +1,232 @@
+#include "conversation.h"
+
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+#include "timer_func.h"
+
+#include "vanillahall/core/event_data_func.h"
+#include "vanillahall/platform/wire_turn_func.h"
+
+#include <sstream>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+std::int64_t msSince(TimePoint began)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - began).count();
+}
+
+/** Name of a result in the log. */
+struct ResultName
+{
+    std::string_view operator()(const ConversationReady &) const
+    {
+        return "found";
+    }
+    std::string_view operator()(const NoSuchTurn &) const
+    {
+        return "no_such_turn";
+    }
+    std::string_view operator()(const ConversationAway &) const
+    {
+        return "away";
+    }
+    std::string_view operator()(const ConversationTooLong &) const
+    {
+        return "too_long";
+    }
+    template<typename Other>
+    std::string_view operator()(const Other &) const
+    {
+        return "open";
+    }
+};
+
+} // namespace
+
+Conversation::Conversation(ProxyState &proxy, TurnStart start)
+    : m_proxy(proxy)
+    , m_id(start.id)
+    , m_previous(start.previous)
+    , m_turn(std::move(start), proxy.turns)
+    , m_timer(proxy.loop)
+{
+}
+
+const ConversationTurn &Conversation::turn() const
+{
+    return m_turn;
+}
+
+void Conversation::find(Duration limit, Found found)
+{
+    m_found = std::move(found);
+    m_readLimit = limit;
+    m_began = now();
+    follow(m_turn.begin());
+}
+
+void Conversation::follow(const TurnStep &step)
+{
+    if (const auto *reads = std::get_if<ReadTurns>(&step)) {
+        for (const auto &it : reads->places) {
+            read(it);
+        }
+    } else if (const auto *writes = std::get_if<WriteTurns>(&step)) {
+        runAfter(m_timer, writes->pause, *this, [list = writes->writes](Conversation &self) {
+            for (const auto &it : list) {
+                self.write(it);
+            }
+        });
+    } else if (std::holds_alternative<TurnIsKept>(step)) {
+        logKept(true);
+        if (const auto kept = std::exchange(m_kept, nullptr)) {
+            kept();
+        }
+    } else if (!std::holds_alternative<WaitForCalls>(step)) {
+        // Reads that are still open don't change the result.
+        if (const auto found = std::exchange(m_found, nullptr)) {
+            logFound(step);
+            found(step);
+        }
+    }
+}
+
+void Conversation::read(const TurnPlace &place)
+{
+    m_proxy.store.call(
+        Platform::readTurnCall(place), m_readLimit, false, [self = shared_from_this(), place](const auto &reply, const Error &reason) {
+            self->rowsCame(place, reply, reason);
+        });
+}
+
+void Conversation::rowsCame(const TurnPlace &place, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    if (m_isEnded) {
+        return;
+    }
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    if (!rows) {
+        m_lastFault = reply && reply->status != StatusOk ? "status " + std::to_string(reply->status) : ec.message;
+        m_proxy.storeFailed(m_lastFault);
+        follow(m_turn.readFailed(place));
+        return;
+    }
+    m_proxy.storeTold(rows->nowMs);
+    const auto record = Platform::decodeTurn(place, *rows, ec);
+    if (!record) {
+        m_lastFault = ec.peer + ": " + ec.message;
+        follow(m_turn.readFailed(place));
+    } else if (!*record) {
+        follow(m_turn.turnMissing(place));
+    } else {
+        follow(m_turn.turnRead(*record));
+    }
+}
+
+bool Conversation::addEvents(std::string_view events)
+{
+    return m_turn.addOutput(eventData(events));
+}
+
+void Conversation::keep(Kept kept)
+{
+    m_kept = std::move(kept);
+    m_began = now();
+    follow(m_turn.answerEnded(m_proxy.storeNowMs()));
+}
+
+void Conversation::write(const TurnWrite &write)
+{
+    if (m_isEnded) {
+        return;
+    }
+    m_writes++;
+    m_openWrites++;
+    if (write.turn->id == m_id) {
+        m_pieces = Platform::turnPieces(*write.turn, m_proxy.settings.rowBytes);
+    }
+    m_proxy.store.call(Platform::writeTurnCall(write, m_proxy.settings.rowBytes),
+                       StoreLimit,
+                       false,
+                       [self = shared_from_this(), write](const auto &reply, const Error &reason) {
+                           self->writeEnded(write, reply, reason);
+                       });
+}
+
+void Conversation::writeEnded(const TurnWrite &write, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    m_openWrites--;
+    Error ec = reason;
+    const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
+    const bool isDone = answer && std::holds_alternative<Platform::TransactionDone>(*answer);
+    if (!isDone) {
+        m_lastFault = answer ? "refused" : ec.message;
+        m_proxy.storeFailed(m_lastFault);
+    }
+    if (m_isEnded) {
+        remove();
+        return;
+    }
+    const TurnPlace place{write.turn->id, write.copy};
+    follow(isDone ? m_turn.written(place) : m_turn.writeFailed(place));
+}
+
+void Conversation::end(bool isWhole)
+{
+    if (std::exchange(m_isEnded, true)) {
+        return;
+    }
+    m_isWhole = isWhole;
+    m_found = nullptr;
+    m_kept = nullptr;
+    stopTimer(m_timer);
+    if (m_writes != 0 && !m_turn.isKept()) {
+        logKept(false);
+    }
+    remove();
+}
+
+void Conversation::remove()
+{
+    // A write that is still under way could bring the row back.
+    if (m_isWhole || m_writes == 0 || m_openWrites != 0) {
+        return;
+    }
+    m_proxy.turns.remove(m_id);
+    for (const auto &it : m_turn.unfinishedPlaces()) {
+        m_proxy.callStore(Platform::removeTurnCall(it, m_pieces), "remove_unfinished_turn");
+    }
+}
+
+void Conversation::logFound(const TurnStep &result)
+{
+    const auto name = std::visit(ResultName(), result);
+    std::ostringstream line;
+    line << "request=" << m_id << " previous=" << m_previous << " outcome=" << name << " reads=" << m_turn.reads()
+         << " bytes=" << m_turn.bodySize() << " ms=" << msSince(m_began);
+    if (!m_lastFault.empty()) {
+        line << " why=\"" << m_lastFault << '"';
+    }
+    m_proxy.metrics.count("vanillahall_conversations_total", {"outcome", std::string(name)});
+    m_proxy.metrics.count("vanillahall_conversation_lookups_total", {"from", m_turn.reads() == 0 ? "memory" : "store"});
+    m_proxy.log(name == "found" ? LogLevel::Info : LogLevel::Warning, EventNumber::ConversationRead, line.str());
+}
+
+void Conversation::logKept(bool isKept)
+{
+    std::ostringstream line;
+    line << "request=" << m_id << " previous=" << m_previous << " outcome=" << (isKept ? "kept" : "not_kept") << " writes=" << m_writes
+         << " rows=" << m_pieces << " ms=" << msSince(m_began);
+    if (!m_lastFault.empty()) {
+        line << " why=\"" << m_lastFault << '"';
+    }
+    m_proxy.metrics.count("vanillahall_turns_kept_total", {"outcome", isKept ? "kept" : "not_kept"});
+    m_proxy.log(isKept ? LogLevel::Info : LogLevel::Warning, EventNumber::TurnKept, line.str());
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -17,11 +17,9 @@
 
 constexpr Duration AnswerMargin = std::chrono::milliseconds(40);    ///< A server's own answer at the deadline may still come.
 constexpr Duration PlaceWait = std::chrono::milliseconds(15);       ///< Between two looks for a free server.
-constexpr Duration TokenWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
-constexpr Duration TokenPatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
-constexpr int TokenShare = 2; ///< A request waits half of its time for tokens; the client needs the rest for another attempt.
-constexpr Duration BackLater
-    = std::chrono::milliseconds(1300); ///< Time to come back when the store is away; clients use a third of their time at most.
+constexpr Duration StoreWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
+constexpr Duration StorePatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
+constexpr int StoreShare = 2;          ///< A request waits half of its time for the store; the client needs the rest for another attempt.
 constexpr unsigned ObjectiveShare = 4; ///< A request waits for a place for a quarter of its objective.
 
 } // namespace
@@ -68,12 +66,25 @@
     runAfter(m_limitTimer, std::max(Duration::zero(), left() + AnswerMargin), *this, [](Exchange &self) {
         self.timeOut();
     });
+    if (!isTurnNameSound()) {
+        answer(StatusBadRequest, std::nullopt, Outcome::FaultyTurnName);
+        return;
+    }
     m_content = contentHash(m_request.method, target, facts.program, m_request.body);
     if (m_proxy.crashes.isRefused(m_content)) {
         answer(StatusUnavailable, CrashMemory, Outcome::ContentQuarantined);
         return;
     }
-    askTokens();
+    askStore();
+}
+
+void Exchange::askStore()
+{
+    if (m_route.keepsConversation && !m_hasConversation) {
+        findConversation();
+    } else {
+        askTokens();
+    }
 }
 
 void Exchange::askTokens()
@@ -88,7 +99,7 @@
     const std::uint64_t most = (facts.maxGenerated + perEvent - 1) / perEvent * perEvent;
     const auto said = m_proxy.ledger.ask({facts.program, *facts.tokenBudget, most}, now());
     if (std::holds_alternative<TokenGranted>(said)) {
-        m_waitsForTokens = false;
+        m_waitsForStore = false;
         m_tokensHeld = most;
         place();
         return;
@@ -97,11 +108,11 @@
         answer(StatusPaymentRequired, std::nullopt, Outcome::BudgetSpent);
         return;
     }
-    m_waitsForTokens = true;
+    m_waitsForStore = true;
     const auto *needed = std::get_if<TokenNeedsWrite>(&said);
     if (m_proxy.isStoreNear()) {
         m_proxy.waitForTokens(facts.program, shared_from_this());
-        setTokenTimer(tokenPatienceLeft());
+        setStoreTimer(storePatienceLeft());
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
         }
@@ -110,38 +121,45 @@
     if (needed != nullptr) {
         m_proxy.ledger.notWritten(facts.program);
     }
+    waitForStore();
+}
+
+void Exchange::waitForStore()
+{
+    m_waitsForStore = true;
     m_proxy.waitForStore(shared_from_this());
-    setTokenTimer(tokenPatienceLeft());
+    setStoreTimer(storePatienceLeft());
 }
 
-Duration Exchange::tokenPatienceLeft() const
+Duration Exchange::storePatienceLeft() const
 {
-    const auto patience = std::min(TokenPatience, (m_limitAt - m_request.arrived) / TokenShare);
+    const auto patience = std::min(StorePatience, (m_limitAt - m_request.arrived) / StoreShare);
     return m_request.arrived + patience - now();
 }
 
-void Exchange::setTokenTimer(Duration span)
+void Exchange::setStoreTimer(Duration span)
 {
     runAfter(m_waitTimer, std::max(Duration::zero(), span), *this, [](Exchange &self) {
-        if (self.tokenPatienceLeft() <= Duration::zero()) {
-            self.answer(StatusUnavailable, BackLater, Outcome::NoStoreForBudget);
+        if (self.storePatienceLeft() <= Duration::zero()) {
+            const bool isForBudget = !self.m_route.keepsConversation || self.m_hasConversation;
+            self.answer(StatusUnavailable, BackLater, isForBudget ? Outcome::NoStoreForBudget : Outcome::ConversationAway);
         } else {
-            self.askTokens();
+            self.askStore();
         }
     });
 }
 
-void Exchange::tokensChanged(bool isStoreAway)
+void Exchange::storeChanged(bool isStoreAway)
 {
-    if (m_isEnded || !m_waitsForTokens) {
+    if (m_isEnded || !m_waitsForStore) {
         return;
     }
     stopTimer(m_waitTimer);
     if (!isStoreAway) {
-        askTokens();
+        askStore();
         return;
     }
-    setTokenTimer(std::min(TokenWait, tokenPatienceLeft()));
+    setStoreTimer(std::min(StoreWait, storePatienceLeft()));
 }
 
 void Exchange::place()
@@ -187,10 +205,11 @@
     if (m_lastEvent && m_hasBegunAnswer) {
         text += Platform::resumeHeader(*m_lastEvent);
     }
-    if (m_request.hasBody) {
-        text += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
+    const std::string body = m_conversation ? m_conversation->turn().body() : m_request.body;
+    if (m_request.hasBody || !body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    return text + "\r\n" + m_request.body;
+    return text + "\r\n" + body;
 }
 
 void Exchange::send(const Choice &choice)
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "client_session.h"
+#include "conversation.h"
 #include "event_splitter.h"
 #include "server_link.h"
 
@@ -25,8 +26,8 @@
 
     /** Begins. */
     void start();
-    /** The tokens of the program may be available now. @param isStoreAway True if the store didn't do the last write. */
-    void tokensChanged(bool isStoreAway);
+    /** What the store has to give may be available now. @param isStoreAway True if the store failed the last call. */
+    void storeChanged(bool isStoreAway);
     /** The client has left. */
     void clientGone();
     /** The client takes more bytes. */
@@ -40,8 +41,13 @@
     void linkFailed(const LinkFailure &failure) override;
 
 private:
+    [[nodiscard]] bool isTurnNameSound() const;
+    void askStore();
+    void findConversation();
+    void conversationFound(const TurnStep &result);
     void askTokens();
-    void setTokenTimer(Duration span);
+    void waitForStore();
+    void setStoreTimer(Duration span);
     void place();
     void waitForPlace();
     void send(const Choice &choice);
@@ -54,6 +60,7 @@
     void passOn(std::string_view bytes);
     [[nodiscard]] BodyUse flow();
     void passEvents(const WholeEvents &events);
+    void endAnswer(const std::string &rest);
     void finishAnswer();
     void timeOut();
     void breakOff(Outcome outcome);
@@ -61,8 +68,8 @@
     void end(unsigned status, Outcome outcome);
     void settleTokens();
     [[nodiscard]] Duration left() const;
-    /** @return How much longer the request waits for tokens. */
-    [[nodiscard]] Duration tokenPatienceLeft() const;
+    /** @return How much longer the request waits for the store. */
+    [[nodiscard]] Duration storePatienceLeft() const;
 
     ProxyState &m_proxy;                               ///< The proxy; outlives this.
     std::shared_ptr<ClientSession> m_session;          ///< The client's connection.
@@ -102,7 +109,13 @@
     bool m_isRefusal = false;                          ///< True if the server says that it didn't run the request.
     bool m_isEnded = false;                            ///< True after the end.
     bool m_isClientGone = false;                       ///< True if nobody waits for the answer.
-    bool m_waitsForTokens = false;                     ///< True while tokens are asked for.
+    bool m_waitsForStore = false;                      ///< True while tokens or the conversation are asked for.
+    bool m_isKeeping = false;                          ///< True while the turn is being kept, before the end of its answer.
+    bool m_isTurnTooLong = false;                      ///< True if the answer makes the turn too long to be kept.
+    bool m_hasConversation = false;                    ///< True once the conversation before the turn is known.
+    bool m_isWhole = false;                            ///< True if the answer went out whole.
+    std::size_t m_conversationBytes = 0;               ///< Bytes of earlier turns that are held.
+    std::shared_ptr<Conversation> m_conversation;      ///< Earlier turns, on a route that keeps conversations.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -79,6 +79,11 @@
             m_failureText = "event without end";
             return BodyUse::Drop;
         }
+        if (m_isTurnTooLong) {
+            m_failure = AttemptFailure::BadAnswer;
+            m_failureText = "turn too long to be kept";
+            return BodyUse::Drop;
+        }
         return flow();
     }
     m_held.append(piece);
@@ -107,6 +112,9 @@
         beginAnswer();
     }
     m_eventsOut += events.count;
+    if (m_conversation) {
+        m_isTurnTooLong = !m_conversation->addEvents(events.bytes);
+    }
     if (events.last) {
         m_lastEvent = events.last;
     }
@@ -173,6 +181,24 @@
     }
     m_proxy.contentWorked(m_content);
     endAttempt();
+    if (!m_conversation || !isSuccess(m_head.status)) {
+        endAnswer(rest);
+        return;
+    }
+    if (!rest.empty()) {
+        m_conversation->addEvents(rest);
+    }
+    m_isKeeping = true;
+    m_conversation->keep([weak = weak_from_this(), rest] {
+        if (const auto self = weak.lock()) {
+            self->endAnswer(rest);
+        }
+    });
+}
+
+void Exchange::endAnswer(const std::string &rest)
+{
+    m_isKeeping = false;
     if (!m_hasBegunAnswer) {
         if (!m_isStreaming && m_head.hasBody) {
             m_head.length = m_held.size();
@@ -195,6 +221,7 @@
     const unsigned status = m_head.status;
     const bool keeps = m_request.keepsAlive && !(m_request.isHttp10 && !m_head.length);
     if (!m_isClientGone) {
+        m_isWhole = true;
         m_session->finish(keeps);
     }
     end(status, m_isClientGone ? Outcome::ClientGone : Outcome::Answered);
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -112,7 +112,7 @@
         endAttempt();
     }
     if (m_hasBegunAnswer) {
-        breakOff(Outcome::TimeLimit);
+        breakOff(m_isKeeping ? Outcome::TurnNotKept : Outcome::TimeLimit);
     } else if (m_mayHaveRun != 0) {
         answer(StatusGatewayTimeout, std::nullopt, Outcome::TimeLimit);
     } else {
@@ -164,6 +164,10 @@
     stopTimer(m_limitTimer);
     stopTimer(m_waitTimer);
     settleTokens();
+    if (m_conversation) {
+        m_conversation->end(m_isWhole);
+        m_proxy.takesBody(m_conversationBytes, 0);
+    }
     const auto &facts = m_request.facts;
     const auto ended = now();
     std::ostringstream line;
@@ -173,6 +177,7 @@
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
          << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
          << " home_zone=" << m_proxy.ledger.homeZone(facts.program) << " events=" << m_eventsOut << " unread=" << m_choice.unreadTokens
+         << " previous=" << facts.previousTurn << " conversation=" << (m_conversation ? m_conversation->turn().bodySize() : 0)
          << " prompt=" << facts.promptTokens << " budget=" << facts.tokenBudget.value_or(0) << " most=" << facts.maxGenerated
          << " program_left_ms=" << (facts.programTimeLeft ? ms(*facts.programTimeLeft) : -1);
     m_proxy.log(LogLevel::Info, EventNumber::RequestEnded, line.str());
--- /dev/null
+++ b/packages/proxy/src/exchange_turn.cpp
@@ -0,0 +1,66 @@
+#include "answer_text_func.h"
+#include "exchange.h"
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+#include "vanillahall/platform/wire_turn_func.h"
+
+namespace Vanillahall::Forward {
+
+bool Exchange::isTurnNameSound() const
+{
+    const auto &facts = m_request.facts;
+    if (!m_route.keepsConversation) {
+        return facts.previousTurn.empty() && !facts.isTurnFaulty;
+    }
+    return !facts.isTurnFaulty && Platform::isTurnId(facts.requestId);
+}
+
+void Exchange::findConversation()
+{
+    // Without the store the turn couldn't be kept, and its work would be in vain.
+    if (!m_proxy.isStoreNear()) {
+        waitForStore();
+        return;
+    }
+    m_waitsForStore = false;
+    const auto &facts = m_request.facts;
+    m_conversation = std::make_shared<Conversation>(
+        m_proxy, TurnStart{facts.requestId, facts.previousTurn, std::move(m_request.body), m_route.retention});
+    m_conversation->find(std::min(StoreLimit, std::max(Duration::zero(), storePatienceLeft())),
+                         [weak = weak_from_this()](const TurnStep &result) {
+                             if (const auto self = weak.lock()) {
+                                 self->conversationFound(result);
+                             }
+                         });
+}
+
+void Exchange::conversationFound(const TurnStep &result)
+{
+    if (m_isEnded) {
+        return;
+    }
+    if (std::holds_alternative<NoSuchTurn>(result)) {
+        answer(StatusNotFound, std::nullopt, Outcome::NoSuchTurn);
+        return;
+    }
+    if (std::holds_alternative<ConversationTooLong>(result)) {
+        answer(StatusTooLarge, std::nullopt, Outcome::ConversationTooLong);
+        return;
+    }
+    if (!std::holds_alternative<ConversationReady>(result)) {
+        answer(StatusUnavailable, BackLater, Outcome::ConversationAway);
+        return;
+    }
+    const auto bytes = m_conversation->turn().bodySize();
+    if (!m_proxy.takesBody(0, bytes)) {
+        answer(StatusUnavailable, BackSoon, Outcome::TooManyBytesHeld);
+        return;
+    }
+    m_conversationBytes = bytes;
+    m_hasConversation = true;
+    askTokens();
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -89,6 +89,7 @@
         readCrashes();
     }
     removeOldRows();
+    sweepTurns();
     runAfter(m_lookTimer, settings.pollInterval, *this, [](ProxyState &self) {
         self.lookRound();
     });
@@ -185,7 +186,7 @@
     }
     for (const auto &it : std::exchange(m_storeWaiters, {})) {
         if (const auto exchange = it.lock()) {
-            exchange->tokensChanged(false);
+            exchange->storeChanged(false);
         }
     }
 }
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -50,7 +50,7 @@
     m_tokenWaiters.erase(write.program);
     for (const auto &it : waiters) {
         if (const auto exchange = it.lock()) {
-            exchange->tokensChanged(outcome == TokenOutcome::Failed);
+            exchange->storeChanged(outcome == TokenOutcome::Failed);
         }
     }
 }
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -34,6 +34,7 @@
     , settings(std::move(proxySettings))
     , book(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
+    , turns(settings.maxTurnBytes)
     , members(settings.name)
     , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
@@ -75,6 +76,7 @@
         return false;
     }
     m_sweptPart = std::hash<std::string>()(settings.name);
+    m_sweptTurnPart = m_sweptPart;
     acceptClients();
     watchTables();
     lookRound();
@@ -253,6 +255,7 @@
     metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
+    metrics.gauge("vanillahall_turn_cache_bytes", static_cast<double>(turns.bytes()));
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectAway() ? 0 : 1);
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -12,6 +12,8 @@
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_book_base.h"
 #include "vanillahall/core/token_ledger_base.h"
+#include "vanillahall/core/turn_cache_base.h"
+#include "vanillahall/platform/wire_turn_func.h"
 #include "vanillahall/proxy/proxy_base.h"
 
 #include <map>
@@ -76,6 +78,10 @@
     void storeTold(std::uint64_t nowMs);
     /** The store failed a call. */
     void storeFailed(const std::string &message);
+    /** Makes a call whose answer doesn't matter but for a failure. @param name For the log. */
+    void callStore(const Platform::StoreRequest &request, const char *name);
+    /** @return The store's clock as estimated here, in milliseconds. */
+    [[nodiscard]] std::uint64_t storeNowMs() const;
 
     [[nodiscard]] bool isReady() const;
     /** @return Number of clients' connections. */
@@ -90,6 +96,7 @@
     RouteTable routes;
     ServerBook book;
     TokenLedger ledger;
+    TurnCache turns;
     CrashBook crashes;
     Metrics metrics;
     MemberBook members;
@@ -129,8 +136,6 @@
     /** @return True if it is this proxy's turn to remove rows that every proxy sees; it comes round once for each proxy that lives. */
     bool takeCleaningTurn();
     void removeMarkRows(const std::vector<std::string> &keys);
-    /** Makes a call whose answer doesn't matter but for a failure. @param name For the log. */
-    void callStore(const Platform::StoreRequest &request, const char *name);
     void watchTables();
     /** Does what is due from time to time. */
     void lookRound();
@@ -151,9 +156,12 @@
     void logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
+    void sweepTurns();
+    void removeDueTurns(std::uint64_t part, std::vector<Platform::DueTurn> turns);
+    void
+    dueTurnsRemoved(std::uint64_t part, std::vector<Platform::DueTurn> turns, std::size_t asked, const Platform::TransactionAnswer &answer);
     void sweepTokens();
     void removeTokens(const std::vector<TokenWrite> &rows);
-    [[nodiscard]] std::uint64_t storeNowMs() const;
     void stopStep();
     void linkReleased(const std::shared_ptr<ServerLink> &link, bool isReusable);
 
@@ -181,6 +189,8 @@
     TimePoint m_storeClockAt{};                          ///< When the store's clock was read.
     std::uint64_t m_storeClockMs = 0;                    ///< The store's clock at that time.
     std::uint64_t m_sweptPart = 0;                       ///< Part of the token table that is swept next.
+    std::uint64_t m_sweptTurnPart = 0;                   ///< Part of the turns' rows that is swept next.
+    TimePoint m_turnSweepAt{};                           ///< When it is.
     TimePoint m_crashesAt{};                             ///< When shared marks are next read.
     std::uint64_t m_cleanings = 0;                       ///< Times that rows of processes that are gone were found.
     std::function<void()> m_stopped;                     ///< Told when the stop is complete.
--- /dev/null
+++ b/packages/proxy/src/proxy_turn_rows.cpp
@@ -0,0 +1,86 @@
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+#include <algorithm>
+
+namespace Vanillahall::Forward {
+
+void ProxyState::sweepTurns()
+{
+    const auto present = now();
+    if (present < m_turnSweepAt || m_storeClockMs == 0) {
+        return;
+    }
+    m_turnSweepAt = present + settings.turnSweepCycle * members.count(present) / Platform::TurnParts;
+    const auto part = m_sweptTurnPart++;
+    readAll(
+        [part, nowMs = storeNowMs()](const std::string &after) {
+            return Platform::readDueTurnsCall(part, nowMs, after);
+        },
+        false,
+        [this, part](const auto &rows) {
+            if (!rows) {
+                return;
+            }
+            Error ec;
+            auto due = Platform::decodeDueTurns(*rows, ec);
+            if (due.size() != rows->rows.size()) {
+                rowFaulty(ec, rows->version);
+            }
+            removeDueTurns(part, std::move(due));
+        });
+}
+
+void ProxyState::removeDueTurns(std::uint64_t part, std::vector<Platform::DueTurn> turns)
+{
+    const auto n = Platform::removableTurns(turns);
+    if (n == 0) {
+        return;
+    }
+    const std::vector<Platform::DueTurn> first(turns.begin(), turns.begin() + static_cast<std::ptrdiff_t>(n));
+    store.call(Platform::removeDueTurnsCall(part, first),
+               StoreLimit,
+               false,
+               [weak = weak_from_this(), part, n, turns = std::move(turns)](const auto &reply, const Error &reason) mutable {
+                   const auto self = weak.lock();
+                   if (!self) {
+                       return;
+                   }
+                   Error ec = reason;
+                   const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
+                   if (answer) {
+                       self->dueTurnsRemoved(part, std::move(turns), n, *answer);
+                       return;
+                   }
+                   self->storeFailed(ec.message);
+                   self->log(LogLevel::Warning, EventNumber::DependencyLost, "peer=store call=remove_turns why=\"" + ec.message + '"');
+               });
+}
+
+void ProxyState::dueTurnsRemoved(std::uint64_t part,
+                                 std::vector<Platform::DueTurn> turns,
+                                 std::size_t asked,
+                                 const Platform::TransactionAnswer &answer)
+{
+    const auto end = turns.begin() + static_cast<std::ptrdiff_t>(asked);
+    if (std::holds_alternative<Platform::TransactionDone>(answer)) {
+        metrics.count("vanillahall_turns_removed_total", {}, asked);
+        turns.erase(turns.begin(), end);
+    } else {
+        // Turns that were written again have a later mark; those that are gone need none.
+        const auto &rows = std::get<Platform::TransactionRefused>(answer).rows;
+        const auto rest = std::stable_partition(turns.begin(), end, [&rows](const Platform::DueTurn &turn) {
+            return std::none_of(rows.begin(), rows.end(), [&turn](const Platform::StoreRow &row) {
+                return row.version == turn.version && row.key.compare(0, turn.turnKey.size(), turn.turnKey) == 0;
+            });
+        });
+        if (rest == turns.begin()) {
+            return;
+        }
+        callStore(Platform::removeMarksCall(part, {turns.begin(), rest}), "remove_turn_marks");
+        turns.erase(turns.begin(), rest);
+    }
+    removeDueTurns(part, std::move(turns));
+}
+
+} // namespace Vanillahall::Forward
--- /dev/null
+++ b/tests/proxy/proxy_conversation_test.cpp
@@ -0,0 +1,323 @@
+/** Kept conversations through a proxy: what the server gets, what the client gets, and what the store does meanwhile. */
+#include "proxy_world.h"
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *End = "\r\n0\r\n\r\n";
+
+/** @return A stream of one event with this data. */
+Script say(const std::string &data)
+{
+    const std::string event = "id: 1\ndata: " + data + "\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", event.size());
+    return {streamHead() + size.data() + "\r\n" + event + "\r\n0\r\n\r\n"};
+}
+
+std::string turn(const std::string &id, const std::string &previous, const std::string &input)
+{
+    return ProxyWorld::request("POST", "/kept/1", id, previous.empty() ? "" : "Previous-Turn: " + previous + "\r\n", input);
+}
+
+bool isWhole(const std::string &answer)
+{
+    return statusOf(answer) == 200 && answer.find(End) != std::string::npos;
+}
+
+/** A world whose servers note the bodies that they get. */
+struct ConversationWorld
+{
+    explicit ConversationWorld(const std::function<void(ProxySettings &)> &adjust = {})
+        : world(
+            [this](const std::string &request) {
+                bodies.push_back(bodyOf(request));
+                return script.bytes.empty() ? say("out" + std::to_string(bodies.size())) : script;
+            },
+            adjust)
+    {
+    }
+
+    std::vector<std::string> bodies; ///< Bodies at the servers.
+    Script script;                   ///< What servers answer; empty for an event of their own.
+    ProxyWorld world;
+};
+
+/** @return Number of rows of turns in the store. */
+std::size_t rowCount(const StoreModel &rows, const std::string &table)
+{
+    return static_cast<std::size_t>(std::count_if(rows.turns.begin(), rows.turns.end(), [&table](const auto &it) {
+        return it.first.compare(0, table.size() + 1, table + "/") == 0;
+    }));
+}
+
+} // namespace
+
+TEST(ProxyConversation, TheServerGetsAllEarlierInputsAndOutputs)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    EXPECT_TRUE(isWhole(it.world.ask(turn("t1", "", "in1"))));
+    EXPECT_TRUE(isWhole(it.world.ask(turn("t2", "t1", "in2"))));
+    EXPECT_TRUE(isWhole(it.world.ask(turn("t3", "t2", "in3"))));
+    EXPECT_EQ(it.bodies, (std::vector<std::string>{"in1", "in1out1\nin2", "in1out1\nin2out2\nin3"}));
+    // This proxy has them in memory.
+    EXPECT_EQ(it.world.rows.turnReads, 0U);
+    EXPECT_EQ(it.world.rows.turnWrites, 3U);
+    EXPECT_TRUE(it.world.hasLine("1105 request=t3 previous=t2 outcome=kept"));
+}
+
+TEST(ProxyConversation, AnotherProxyFindsItAfterAllAreGone)
+{
+    ConversationWorld before;
+    ASSERT_TRUE(before.world.start());
+    const std::string large(15000, 'x');
+    EXPECT_TRUE(isWhole(before.world.ask(turn("t1", "", large))));
+    EXPECT_TRUE(isWhole(before.world.ask(turn("t2", "t1", "in2"))));
+    ConversationWorld after;
+    after.world.rows.turns = before.world.rows.turns;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(isWhole(after.world.ask(turn("t3", "t2", "in3"))));
+    EXPECT_EQ(after.bodies.front(), large + "out1\nin2out2\nin3");
+    EXPECT_EQ(after.world.rows.turnReads, 2U);
+}
+
+TEST(ProxyConversation, ATurnOverSeveralRowsIsFoundWhole)
+{
+    const auto small = [](ProxySettings &settings) {
+        settings.rowBytes = 12000;
+    };
+    ConversationWorld before(small);
+    ASSERT_TRUE(before.world.start());
+    std::string large;
+    for (int n = 0; large.size() < 19000; n++) {
+        large += std::to_string(n) + ",";
+    }
+    EXPECT_TRUE(isWhole(before.world.ask(turn("t1", "", large))));
+    EXPECT_GT(rowCount(before.world.rows, "turns"), 1U);
+    ConversationWorld after(small);
+    after.world.rows.turns = before.world.rows.turns;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(isWhole(after.world.ask(turn("t2", "t1", "in2"))));
+    EXPECT_EQ(after.bodies.front(), large + "out1\nin2");
+    // One of the rows is missing: nobody can be certain.
+    ConversationWorld torn(small);
+    torn.world.rows.turns = before.world.rows.turns;
+    auto row = torn.world.rows.turns.lower_bound("turns/");
+    ASSERT_NE(row, torn.world.rows.turns.end());
+    torn.world.rows.turns.erase(row);
+    ASSERT_TRUE(torn.world.start());
+    EXPECT_EQ(statusOf(torn.world.ask(turn("t2", "t1", "in2"))), 503U);
+    EXPECT_TRUE(torn.bodies.empty());
+}
+
+/** A turn that names another, and what it gets. */
+struct TurnNameCase
+{
+    const char *name;
+    const char *path;
+    const char *headers;
+    unsigned status;
+};
+
+class ProxyTurnName : public ::testing::TestWithParam<TurnNameCase>
+{
+};
+
+TEST_P(ProxyTurnName, ThatIsWrongReachesNoServer)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    const auto answer = it.world.ask(ProxyWorld::request("POST", GetParam().path, "t9", GetParam().headers, "in"));
+    EXPECT_EQ(statusOf(answer), GetParam().status);
+    EXPECT_TRUE(it.bodies.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ProxyTurnName,
+    ::testing::Values(TurnNameCase{"unknown", "/kept/1", "Previous-Turn: nobody\r\n", 404},
+                      TurnNameCase{"itsOwn", "/kept/1", "Previous-Turn: t9\r\n", 404},
+                      TurnNameCase{"empty", "/kept/1", "Previous-Turn: \r\n", 400},
+                      TurnNameCase{"withSpace", "/kept/1", "Previous-Turn: a b\r\n", 400},
+                      TurnNameCase{"list", "/kept/1", "Previous-Turn: a,b\r\n", 400},
+                      TurnNameCase{"twice", "/kept/1", "Previous-Turn: a\r\nPrevious-Turn: a\r\n", 400},
+                      TurnNameCase{
+                          "long", "/kept/1", "Previous-Turn: 0123456789012345678901234567890123456789012345678901234567890123\r\n", 400},
+                      TurnNameCase{"notText", "/kept/1", "Previous-Turn: \xff\xfe\r\n", 400},
+                      TurnNameCase{"routeWithoutConversations", "/stream/1", "Previous-Turn: t1\r\n", 400}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
+TEST(ProxyConversation, ABrokenAnswerIsNoTurn)
+{
+    ConversationWorld it;
+    it.script = {streamHead() + eventChunk(1), true};
+    ASSERT_TRUE(it.world.start());
+    EXPECT_EQ(it.world.ask(turn("t1", "", "in1")).find(End), std::string::npos);
+    EXPECT_EQ(it.world.rows.turnWrites, 0U);
+    EXPECT_EQ(statusOf(it.world.ask(turn("t2", "t1", "in2"))), 404U);
+    EXPECT_EQ(it.bodies.size(), 1U);
+}
+
+TEST(ProxyConversation, AFailureOfTheServerIsPassedOnAndIsNoTurn)
+{
+    ConversationWorld it;
+    it.script = {"HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 1\r\n\r\nx"};
+    ASSERT_TRUE(it.world.start());
+    EXPECT_EQ(statusOf(it.world.ask(turn("t1", "", "in1"))), 500U);
+    EXPECT_EQ(it.world.rows.turnWrites, 0U);
+}
+
+TEST(ProxyConversation, EventsGoOutAtOnceAndTheEndWaitsForTheStore)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    it.world.rows.holdsTurns = true;
+    TestClient client(it.world.loop, it.world.proxy->port());
+    client.send(turn("t1", "", "in1"));
+    ASSERT_TRUE(it.world.run([&] {
+        return it.world.rows.turnWrites != 0;
+    }));
+    EXPECT_NE(client.received.find("data: out1"), std::string::npos);
+    EXPECT_EQ(client.received.find(End), std::string::npos);
+    it.world.rows.holdsTurns = false;
+    EXPECT_TRUE(it.world.run([&] {
+        return client.received.find(End) != std::string::npos;
+    }));
+    EXPECT_EQ(rowCount(it.world.rows, "turn_ends"), 1U);
+}
+
+TEST(ProxyConversation, AnAnswerWhoseTurnIsNotKeptNeverLooksWhole)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    it.world.rows.refusesTurns = true;
+    const auto answer = it.world.ask(ProxyWorld::request("POST", "/kept/1", "t1", "Deadline-Ms: 300\r\n", "in1"));
+    EXPECT_EQ(statusOf(answer), 200U);
+    EXPECT_EQ(answer.find(End), std::string::npos);
+    EXPECT_TRUE(it.world.hasLine("outcome=turn_not_kept"));
+    it.world.rows.refusesTurns = false;
+    EXPECT_EQ(statusOf(it.world.ask(turn("t2", "t1", "in2"))), 404U);
+}
+
+TEST(ProxyConversation, ATurnThatWasWrittenButNotAnsweredIsRemoved)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    // Done each time, never answered.
+    it.world.rows.lostTurns = 1000;
+    const auto answer = it.world.ask(ProxyWorld::request("POST", "/kept/1", "t1", "Deadline-Ms: 300\r\n", "in1"));
+    EXPECT_EQ(answer.find(End), std::string::npos);
+    EXPECT_TRUE(it.world.run([&] {
+        it.world.rows.lostTurns = 0;
+        return rowCount(it.world.rows, "turns") == 0;
+    }));
+}
+
+TEST(ProxyConversation, LostAnswersOfTheStoreCostLittleTime)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    it.world.rows.lostTurns = 2;
+    EXPECT_TRUE(isWhole(it.world.ask(turn("t1", "", "in1"))));
+}
+
+TEST(ProxyConversation, APartOfTheStoreThatIsDownLosesNoTurn)
+{
+    ConversationWorld before;
+    ASSERT_TRUE(before.world.start());
+    EXPECT_TRUE(isWhole(before.world.ask(turn("t1", "", "in1"))));
+    const auto name = before.world.rows.turns.lower_bound("turns/")->first;
+    const auto part = name.substr(6, name.find('/', 6) - 6);
+    ConversationWorld during;
+    during.world.rows.downPart = part;
+    ASSERT_TRUE(during.world.start());
+    EXPECT_TRUE(isWhole(during.world.ask(turn("t1", "", "in1"))));
+    ConversationWorld after;
+    after.world.rows.turns = during.world.rows.turns;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(isWhole(after.world.ask(turn("t2", "t1", "in2"))));
+    EXPECT_EQ(after.bodies.front(), "in1out1\nin2");
+    // With the part down, a turn that the other part doesn't have may exist.
+    ConversationWorld unsure;
+    unsure.world.rows.downPart = part;
+    ASSERT_TRUE(unsure.world.start());
+    const auto answer = unsure.world.ask(turn("t2", "t1", "in2"));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+}
+
+TEST(ProxyConversation, OldTurnsAreRemovedAndThoseWrittenAgainStay)
+{
+    ConversationWorld before;
+    before.world.rows.nowMs = 1000000;
+    ASSERT_TRUE(before.world.start());
+    for (int n = 0; n < 20; n++) {
+        EXPECT_TRUE(isWhole(before.world.ask(turn("t" + std::to_string(n), "", "in"))));
+    }
+    const auto eager = [](ProxySettings &settings) {
+        settings.turnSweepCycle = 0s;
+    };
+    ConversationWorld after(eager);
+    after.world.rows.nowMs = 1000000 + 181000;
+    after.world.rows.turns = before.world.rows.turns;
+    // One of them was written again since: its row is newer than its mark.
+    const auto kept = after.world.rows.turns.lower_bound("turns/")->first;
+    after.world.rows.turns[kept].second = 100000;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(after.world.run([&] {
+        return rowCount(after.world.rows, "turn_ends") == 0;
+    }));
+    EXPECT_EQ(rowCount(after.world.rows, "turns"), 1U);
+    EXPECT_EQ(after.world.rows.turns.count(kept), 1U);
+    // Before their time nothing goes.
+    ConversationWorld early(eager);
+    early.world.rows.nowMs = 1000000 + 179000;
+    early.world.rows.turns = before.world.rows.turns;
+    ASSERT_TRUE(early.world.start());
+    const auto reads = early.world.store.requests.size();
+    EXPECT_TRUE(early.world.run([&] {
+        return early.world.store.requests.size() > reads + 600;
+    }));
+    EXPECT_EQ(rowCount(early.world.rows, "turns"), 20U);
+}
+
+TEST(ProxyConversation, WhatIsTooLongIsRefusedBeforeItRuns)
+{
+    ConversationWorld it;
+    const std::string limit = "\"maxBodyBytes\":20000";
+    it.world.rows.config.replace(it.world.rows.config.find(limit), limit.size(), "\"maxBodyBytes\":20000000");
+    ASSERT_TRUE(it.world.start());
+    TestClient client(it.world.loop, it.world.proxy->port());
+    client.sendLater(turn("t1", "", std::string(600000, 'x')));
+    EXPECT_TRUE(it.world.run([&] {
+        return statusOf(client.received) == 413;
+    }));
+    EXPECT_TRUE(it.bodies.empty());
+}
+
+TEST(ProxyConversation, WithoutTheStoreATurnIsRefusedBeforeItRuns)
+{
+    ConversationWorld it;
+    ASSERT_TRUE(it.world.start());
+    it.world.rows.refusesAll = true;
+    ASSERT_TRUE(it.world.run([&] {
+        return it.world.hasLine("1501 ");
+    }));
+    const auto answer = it.world.ask(ProxyWorld::request("POST", "/kept/1", "t1", "Deadline-Ms: 300\r\n", "in1"));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(it.bodies.empty());
+    EXPECT_TRUE(it.world.hasLine("outcome=conversation_away"));
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -186,11 +186,13 @@
     stream.update({{"name", "stream"}, {"prefix", "/stream/"}, {"kind", "streaming"}, {"resumable", true}, {"maxAttempts", 1}});
     Json resumed = stream;
     resumed.update({{"name", "resumed"}, {"prefix", "/resumed/"}, {"maxAttempts", 2}});
+    Json kept = stream;
+    kept.update({{"name", "kept"}, {"prefix", "/kept/"}, {"resumable", false}, {"stateful", true}, {"retentionS", 60.0}});
     Json brief = once;
     brief.update({{"name", "brief"}, {"prefix", "/brief/"}, {"timeoutMs", 60}});
     rows.config
         = Json({{"version", 3},
-                {"routes", {route, once, stream, resumed, brief}},
+                {"routes", {route, once, stream, resumed, kept, brief}},
                 {"services", {{{"name", "svc"}, {"maxConns", 100}, {"engine", {{"slots", 8}, {"tokensPerEvent", 10}}}}}},
                 {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 20000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}})
               .dump();
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -1,5 +1,7 @@
 #include "store_model.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -19,6 +21,28 @@
     return text;
 }
 
+/** @return Value of a query parameter, decoded. */
+std::string queryValue(const std::string &request, const std::string &name)
+{
+    const auto line = request.substr(0, request.find(" HTTP/1.1"));
+    const auto at = std::min(line.find("?" + name + "="), line.find("&" + name + "="));
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 2;
+    const auto text = line.substr(begin, line.find('&', begin) - begin);
+    std::string value;
+    for (std::size_t n = 0; n < text.size(); n++) {
+        if (text[n] == '%') {
+            value += static_cast<char>(std::stoi(text.substr(n + 1, 2), nullptr, 16));
+            n += 2;
+        } else {
+            value += text[n];
+        }
+    }
+    return value;
+}
+
 std::string json(const Json &body, unsigned status = 200)
 {
     const std::string text = body.dump();
@@ -55,6 +79,9 @@
         }
         return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
+    if (auto turnsAnswer = answerTurns(request)) {
+        return *turnsAnswer;
+    }
     if (request.find("GET /api/rows-get?") == 0) {
         return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
@@ -79,6 +106,72 @@
     return answer;
 }
 
+std::optional<Script> StoreModel::answerTurns(const std::string &request)
+{
+    const bool isRead = request.find("GET /api/rows-get?table=turn") == 0;
+    const bool isWrite = request.find("POST /api/rows-tx") == 0 && request.find("\"table\":\"turn") != std::string::npos;
+    if (!isRead && !isWrite) {
+        return std::nullopt;
+    }
+    turnReads += isRead && queryValue(request, "table") == "turns" ? 1 : 0;
+    if (refusesTurns || (isRead && queryValue(request, "part") == downPart)) {
+        return Script{json(Json::object(), 503)};
+    }
+    return isRead ? readTurns(request) : writeTurns(request.substr(request.find("\r\n\r\n") + 4));
+}
+
+Script StoreModel::readTurns(const std::string &request)
+{
+    const auto prefix = queryValue(request, "table") + "/" + queryValue(request, "part") + "/";
+    Json list = Json::array();
+    for (auto it = turns.lower_bound(prefix + queryValue(request, "from"));
+         it != turns.end() && it->first < prefix + queryValue(request, "to");
+         ++it) {
+        list.push_back({{"key", it->first.substr(prefix.size())}, {"value", it->second.first}, {"ver", it->second.second}});
+    }
+    return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+}
+
+Script StoreModel::writeTurns(const std::string &text)
+{
+    const Json body = Json::parse(text);
+    const auto nameOf = [](const Json &row) {
+        return row["table"].get<std::string>() + "/" + row["part"].get<std::string>() + "/" + row["key"].get<std::string>();
+    };
+    const auto &first = body["writes"].empty() ? body["remove"][0] : body["writes"][0];
+    if (first["part"] == downPart) {
+        return {json(Json::object(), 503)};
+    }
+    turnWrites += body["writes"].empty() ? 0 : 1;
+    if (holdsTurns) {
+        return {};
+    }
+    Json changed = Json::array();
+    bool holds = true;
+    for (const auto &it : body["expect"]) {
+        const auto row = turns.find(nameOf(it));
+        holds = holds && (row == turns.end() ? 0 : row->second.second) == it["ver"];
+        if (row != turns.end()) {
+            changed.push_back({{"key", it["key"]}, {"value", row->second.first}, {"ver", row->second.second}});
+        }
+    }
+    if (!holds) {
+        return {json({{"rows", changed}}, 412)};
+    }
+    version++;
+    for (const auto &it : body["writes"]) {
+        turns[nameOf(it)] = {it["value"], version};
+    }
+    for (const auto &it : body["remove"]) {
+        turns.erase(nameOf(it));
+    }
+    if (lostTurns != 0) {
+        lostTurns--;
+        return {};
+    }
+    return {json({{"ver", version}, {"nowMs", nowMs}})};
+}
+
 void StoreModel::noteChanges(Table &table, const std::map<std::string, std::string> &rows)
 {
     for (const auto &[key, value] : rows) {
