A kept turn tells the program's token row to the next entry; a store over its rate isn't called twice for each call

Change: the row of a kept turn holds what its entry knew of the program's token row (TokenLedger::learn); a 429 that another proxy got, too, a second ago isn't tried another way; waits between failed calls double up to 400 ms. Tests: TokenLedger.ARowThatAnotherEntryKnewSparesARefusedWrite, TokenLedgerProperty with learnt rows, StorePathBusy, ProxyConversation.TheNextProxyKnowsTheTokenRowOfTheProgram.

--- a/packages/core/include/vanillahall/core/conversation_turn_base.h
+++ b/packages/core/include/vanillahall/core/conversation_turn_base.h
@@ -19,6 +19,7 @@
     std::string previous; ///< Turn that it goes on from; empty at the start of a conversation.
     std::string input;    ///< Its new input.
     Duration retention{}; ///< For how long it is kept after its end.
+    std::string program;  ///< Program that it belongs to; empty if none.
 };
 
 /** Decides what is read and written for one turn. */
@@ -40,8 +41,8 @@
     TurnStep readFailed(const TurnPlace &place);
     /** Takes the data of events that the client gets, each followed by a line feed. @return False if the turn gets too long to be kept. */
     bool addOutput(std::string_view data);
-    /** The answer is whole but for its end. @param nowMs The store's clock, in milliseconds. */
-    TurnStep answerEnded(std::uint64_t nowMs);
+    /** The answer is whole but for its end. @param nowMs The store's clock, in milliseconds. @param tokens The program's token row. */
+    TurnStep answerEnded(std::uint64_t nowMs, const TokenRow &tokens = {});
     /** A row was written. */
     TurnStep written(const TurnPlace &place);
     /** A row was not written, or it isn't known whether it was. */
@@ -49,6 +50,8 @@
 
     // Queries.
 
+    /** @return The program's token row as the turn before knew it; nothing without such a turn of the same program. */
+    [[nodiscard]] std::optional<TokenRow> knownTokens() const;
     /** @return All inputs and outputs before this turn and then its input: the body for the server. */
     [[nodiscard]] std::string body() const;
     /** @return Length of body(). */
@@ -64,7 +67,7 @@
     void need(const std::string &id, ReadTurns &reads);
     TurnStep readOn(ReadTurns reads);
     TurnStep readOtherCopy(const TurnPlace &place);
-    [[nodiscard]] TurnRecord makeRecord(std::uint64_t nowMs) const;
+    [[nodiscard]] TurnRecord makeRecord(std::uint64_t nowMs, const TokenRow &tokens) const;
 
     TurnStart m_start;
     TurnCache &m_cache;
@@ -76,6 +79,7 @@
     std::vector<TurnRecord> m_written;         ///< Rows that are written.
     std::set<std::uint32_t> m_triedCopies;     ///< Places to which this turn's row may have been written.
     std::size_t m_reads = 0;
+    unsigned m_failedWrites = 0;
     bool m_isKept = false;
 };
 
@@ -91,7 +95,8 @@
 inline constexpr Duration KeptReserve = std::chrono::seconds(120);
 /** A base that would be removed sooner than this after the retention of a new turn is written again. */
 inline constexpr Duration KeptSlack = std::chrono::seconds(30);
-/** Before a failed write of a turn is made again. */
+/** Before a turn is written again that neither place took; doubles up to MaxTurnWritePause, since the store may be over its rate. */
 inline constexpr Duration TurnWritePause = std::chrono::milliseconds(80);
+inline constexpr Duration MaxTurnWritePause = std::chrono::milliseconds(400); ///< Clients leave a stream after two seconds of silence.
 
 } // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/conversation_type.h
+++ b/packages/core/include/vanillahall/core/conversation_type.h
@@ -1,7 +1,7 @@
 /** Turns of conversations that the system keeps, so that a later turn needs to bring only its new input. */
 #pragma once
 
-#include "vanillahall/core/time_type.h"
+#include "vanillahall/core/token_ledger_base.h"
 
 #include <cstdint>
 #include <memory>
@@ -21,6 +21,8 @@
     std::vector<std::string> bases; ///< Earlier turns whose texts come first, the oldest first.
     std::string text;               ///< Inputs and outputs after the last base, this turn's included.
     std::uint64_t keptUntilMs{};    ///< By the store's clock, in milliseconds; may be removed afterwards.
+    std::string program;            ///< Program of the turn; empty if none.
+    TokenRow tokens;                ///< The program's token row when the turn ended, as far as known; saves the next entry a refused write.
 };
 
 /** Kept turns don't change, so requests under way and the cache share them. */
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -75,6 +75,8 @@
 
     /** A turn asks for its tokens. */
     TokenAnswer ask(const TokenAsk &ask, TimePoint now);
+    /** Takes a program's row as another entry knew it. An older one than is known here changes nothing. */
+    void learn(const std::string &program, const TokenRow &row, TimePoint now);
     /** The open write was done. @param version Version of the row now. */
     void written(const std::string &program, std::uint64_t version);
     /** The condition of the open write didn't hold. @param row The row as it is; version 0 if there is none. */
@@ -90,6 +92,8 @@
 
     /** @return Number of programs known. */
     [[nodiscard]] std::size_t size() const;
+    /** @return A program's row as far as known; version 0 if it isn't. */
+    [[nodiscard]] TokenRow row(const std::string &program) const;
     /** @return Availability zone where a program began, by its row; empty if it isn't known. */
     [[nodiscard]] std::string homeZone(const std::string &program) const;
 
--- a/packages/core/src/commands/conversation_turn_cmd.cpp
+++ b/packages/core/src/commands/conversation_turn_cmd.cpp
@@ -1,11 +1,14 @@
 #include "vanillahall/core/conversation_turn_base.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
+constexpr unsigned MaxDoublings = 4; ///< Of TurnWritePause.
+
 std::uint64_t toMs(Duration span)
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -111,7 +114,7 @@
     return m_start.input.size() + m_output.size() <= MaxTurnText;
 }
 
-TurnRecord ConversationTurn::makeRecord(std::uint64_t nowMs) const
+TurnRecord ConversationTurn::makeRecord(std::uint64_t nowMs, const TokenRow &tokens) const
 {
     auto turn = std::make_shared<KeptTurn>();
     turn->id = m_start.id;
@@ -126,12 +129,14 @@
         }
     }
     turn->text += m_start.input + m_output;
+    turn->program = m_start.program;
+    turn->tokens = tokens;
     return turn;
 }
 
-TurnStep ConversationTurn::answerEnded(std::uint64_t nowMs)
+TurnStep ConversationTurn::answerEnded(std::uint64_t nowMs, const TokenRow &tokens)
 {
-    const auto turn = makeRecord(nowMs);
+    const auto turn = makeRecord(nowMs, tokens);
     WriteTurns writes;
     const auto neededUntil = nowMs + toMs(m_start.retention + KeptSlack);
     for (const auto &it : turn->bases) {
@@ -176,7 +181,20 @@
     if (place.id == m_start.id) {
         m_triedCopies.insert(copy);
     }
-    return WriteTurns{{{it->second, copy}}, copy == 0 ? TurnWritePause : Duration::zero()};
+    if (copy != 0) {
+        return WriteTurns{{{it->second, copy}}, Duration::zero()};
+    }
+    const auto pause = std::min(MaxTurnWritePause, TurnWritePause * (1U << std::min(m_failedWrites++, MaxDoublings)));
+    return WriteTurns{{{it->second, copy}}, pause};
+}
+
+std::optional<TokenRow> ConversationTurn::knownTokens() const
+{
+    const auto it = m_known.find(m_start.previous);
+    if (it == m_known.end() || m_start.program.empty() || it->second->program != m_start.program) {
+        return std::nullopt;
+    }
+    return it->second->tokens;
 }
 
 std::string ConversationTurn::body() const
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -56,6 +56,24 @@
     return TokenNeedsWrite{std::move(write)};
 }
 
+void TokenLedger::learn(const std::string &program, const TokenRow &row, TimePoint now)
+{
+    if (row.version == 0) {
+        return;
+    }
+    auto &account = m_accounts[program];
+    account.lastUse = std::max(account.lastUse, now);
+    // An open write is made again as it is, so that its outcome is recognised.
+    if (account.openWrite || row.version <= account.row.version) {
+        return;
+    }
+    if (row.reserved < account.row.reserved) {
+        // The row was removed and its program counts as new: what is held here was counted there.
+        account.here = 0;
+    }
+    account.row = row;
+}
+
 void TokenLedger::written(const std::string &program, std::uint64_t version)
 {
     const auto it = m_accounts.find(program);
@@ -126,6 +144,12 @@
     return rows;
 }
 
+TokenRow TokenLedger::row(const std::string &program) const
+{
+    const auto it = m_accounts.find(program);
+    return it == m_accounts.end() ? TokenRow() : it->second.row;
+}
+
 std::string TokenLedger::homeZone(const std::string &program) const
 {
     const auto it = m_accounts.find(program);
--- a/packages/proxy/src/conversation.cpp
+++ b/packages/proxy/src/conversation.cpp
@@ -51,6 +51,7 @@
     : m_proxy(proxy)
     , m_id(start.id)
     , m_previous(start.previous)
+    , m_program(start.program)
     , m_turn(std::move(start), proxy.turns)
     , m_timer(proxy.loop)
 {
@@ -137,7 +138,7 @@
 {
     m_kept = std::move(kept);
     m_began = now();
-    follow(m_turn.answerEnded(m_proxy.storeNowMs()));
+    follow(m_turn.answerEnded(m_proxy.storeNowMs(), m_proxy.ledger.row(m_program)));
 }
 
 void Conversation::write(const TurnWrite &write)
--- a/packages/proxy/src/conversation.h
+++ b/packages/proxy/src/conversation.h
@@ -52,6 +52,7 @@
     ProxyState &m_proxy;
     std::string m_id;
     std::string m_previous;
+    std::string m_program;
     ConversationTurn m_turn;
     boost::asio::steady_timer m_timer; ///< Before failed writes are made again.
     Found m_found;
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr Duration AnswerMargin = std::chrono::milliseconds(40);    ///< A server's own answer at the deadline may still come.
 constexpr Duration PlaceWait = std::chrono::milliseconds(15);       ///< Between two looks for a free server.
 constexpr Duration StoreWait = std::chrono::milliseconds(80);       ///< Before a failed write of a token row is made again.
+constexpr Duration MaxStoreWait = std::chrono::milliseconds(400);   ///< StoreWait doubles up to this: the store may be over its rate.
+constexpr unsigned MaxDoublings = 4;                                ///< Of StoreWait.
 constexpr Duration StorePatience = std::chrono::milliseconds(1200); ///< Longest wait for a slow store; a third of a usual deadline.
 constexpr int StoreShare = 2;          ///< A request waits half of its time for the store; the client needs the rest for another attempt.
 constexpr unsigned ObjectiveShare = 4; ///< A request waits for a place for a quarter of its objective.
@@ -159,7 +161,8 @@
         askStore();
         return;
     }
-    setStoreTimer(std::min(StoreWait, storePatienceLeft()));
+    const auto wait = std::min(MaxStoreWait, StoreWait * (1U << std::min(m_storeFailures++, MaxDoublings)));
+    setStoreTimer(std::min(wait, storePatienceLeft()));
 }
 
 void Exchange::place()
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -114,6 +114,8 @@
     bool m_isTurnTooLong = false;                      ///< True if the answer makes the turn too long to be kept.
     bool m_hasConversation = false;                    ///< True once the conversation before the turn is known.
     bool m_isWhole = false;                            ///< True if the answer went out whole.
+    std::size_t m_bytesWithoutEvent = 0;               ///< Bytes since the last event with an id.
+    unsigned m_storeFailures = 0;                      ///< Failed calls to the store so far.
     std::size_t m_conversationBytes = 0;               ///< Bytes of earlier turns that are held.
     std::shared_ptr<Conversation> m_conversation;      ///< Earlier turns, on a route that keeps conversations.
 };
--- a/packages/proxy/src/exchange_turn.cpp
+++ b/packages/proxy/src/exchange_turn.cpp
@@ -27,7 +27,7 @@
     m_waitsForStore = false;
     const auto &facts = m_request.facts;
     m_conversation = std::make_shared<Conversation>(
-        m_proxy, TurnStart{facts.requestId, facts.previousTurn, std::move(m_request.body), m_route.retention});
+        m_proxy, TurnStart{facts.requestId, facts.previousTurn, std::move(m_request.body), m_route.retention, facts.program});
     m_conversation->find(std::min(StoreLimit, std::max(Duration::zero(), storePatienceLeft())),
                          [weak = weak_from_this()](const TurnStep &result) {
                              if (const auto self = weak.lock()) {
@@ -58,6 +58,9 @@
         answer(StatusUnavailable, BackSoon, Outcome::TooManyBytesHeld);
         return;
     }
+    if (const auto tokens = m_conversation->turn().knownTokens()) {
+        m_proxy.ledger.learn(m_request.facts.program, *tokens, now());
+    }
     m_conversationBytes = bytes;
     m_hasConversation = true;
     askTokens();
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -16,7 +16,8 @@
 constexpr Duration MaxPatience = std::chrono::milliseconds(400); ///< Leaves time for another try within StoreLimit.
 constexpr Duration WatchGrace
     = std::chrono::milliseconds(600); ///< A store 100 times slower than usual still answers; a dead connection is noticed within 2 s.
-constexpr int TimeWeight = 4;         ///< An answer counts a quarter in the usual time.
+constexpr Duration BusyForAll = std::chrono::milliseconds(1000); ///< The store's rate is over for all VMs; other ways would only add calls.
+constexpr int TimeWeight = 4;                                    ///< An answer counts a quarter in the usual time.
 
 /** @return True if the store did or refused what was asked, so that another way wouldn't change the answer. */
 bool isAnswer(const std::optional<StoreReply> &reply)
@@ -132,7 +133,9 @@
             if (alive.expired()) {
                 return;
             }
-            if (!isAnswer(reply)) {
+            if (reply && reply->status == StatusTooManyRequests) {
+                m_membersBusyAt = now();
+            } else if (!isAnswer(reply)) {
                 m_members.failed(name, now());
             }
             handler(reply, reason);
@@ -186,8 +189,9 @@
         trial->reply = reply;
         trial->reason = reason;
     }
+    const bool isBusyForAll = reply && reply->status == StatusTooManyRequests && now() - m_membersBusyAt < BusyForAll;
     // One way has failed: the other one is tried without waiting, once.
-    if (!isAnswer(reply) && trial->begun == 1 && hasOtherWay(*trial)) {
+    if (!isAnswer(reply) && !isBusyForAll && trial->begun == 1 && hasOtherWay(*trial)) {
         begin(trial);
         return;
     }
--- a/tests/core/conversation_turn_test.cpp
+++ b/tests/core/conversation_turn_test.cpp
@@ -246,6 +246,12 @@
     const auto third = std::get<WriteTurns>(turn.writeFailed({"t1", 1}));
     EXPECT_EQ(third.writes.front().copy, 0U);
     EXPECT_EQ(third.pause, TurnWritePause);
+    // A store over its rate is not pressed.
+    for (int n = 0; n < 10; n++) {
+        turn.writeFailed({"t1", 0});
+        EXPECT_LE(std::get<WriteTurns>(turn.writeFailed({"t1", 1})).pause, MaxTurnWritePause);
+    }
+    EXPECT_EQ(std::get<WriteTurns>(turn.writeFailed({"t1", 1})).pause, MaxTurnWritePause);
     EXPECT_EQ(turn.unfinishedPlaces(), (std::vector<TurnPlace>{{"t1", 0}, {"t1", 1}}));
 }
 
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -222,6 +222,26 @@
  * Several entries, turns that begin and end in any order, answers lost, writes that are done late, entries that restart and forget.
  * Whatever happens, no more tokens are handed out than the budget and one turn.
  */
+TEST(TokenLedger, ARowThatAnotherEntryKnewSparesARefusedWrite)
+{
+    RowModel rows;
+    TokenLedger first("e1/0", "z1");
+    const auto begun = std::get<TokenNeedsWrite>(first.ask({"p", Budget, Most}, Start));
+    first.written("p", rows.write(begun.write).value());
+    TokenLedger second("e2/0", "z2");
+    second.learn("p", first.row("p"), Start);
+    EXPECT_EQ(second.homeZone("p"), "z1");
+    const auto needed = std::get<TokenNeedsWrite>(second.ask({"p", Budget, Most}, Start));
+    const auto version = rows.write(needed.write);
+    ASSERT_TRUE(version);
+    second.written("p", *version);
+    EXPECT_TRUE(isGranted(second.ask({"p", Budget, Most}, Start)));
+    // What is older than what is known changes nothing.
+    const auto known = second.row("p").version;
+    second.learn("p", first.row("p"), Start);
+    EXPECT_EQ(second.row("p").version, known);
+}
+
 RC_GTEST_PROP(TokenLedgerProperty, NoInterleavingHandsOutMoreThanTheBudgetAndOneTurn, ())
 {
     constexpr std::size_t Entries = 3;
@@ -240,10 +260,11 @@
     }
     std::vector<std::optional<TokenWrite>> open(Entries);
     std::vector<TokenWrite> late;
+    std::vector<TokenRow> told;
     std::vector<Turn> turns;
     std::uint64_t handedOut = 0;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, static_cast<int>(Entries))));
+        rc::gen::pair(rc::gen::inRange(0, 11), rc::gen::inRange(0, static_cast<int>(Entries))));
     for (const auto &[action, which] : steps) {
         const auto n = static_cast<std::size_t>(which);
         auto &ledger = *ledgers[n];
@@ -289,6 +310,11 @@
                 ledgers[n] = std::make_unique<TokenLedger>("e" + std::to_string(n) + "/" + std::to_string(incarnations[n]));
                 open[n].reset();
             }
+        } else if (action == 9) {
+            told.push_back(ledger.row("p"));
+        } else if (action == 10 && !told.empty()) {
+            // What another entry knew, perhaps long ago.
+            ledger.learn("p", told[static_cast<std::size_t>(which) * (told.size() - 1) / (Entries - 1)], Start);
         }
         RC_ASSERT(handedOut + turns.size() * Most <= budget + Most);
     }
--- a/tests/proxy/proxy_conversation_test.cpp
+++ b/tests/proxy/proxy_conversation_test.cpp
@@ -256,6 +256,22 @@
     EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
 }
 
+TEST(ProxyConversation, TheNextProxyKnowsTheTokenRowOfTheProgram)
+{
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 200\r\n";
+    ConversationWorld before;
+    ASSERT_TRUE(before.world.start());
+    EXPECT_TRUE(isWhole(before.world.ask(ProxyWorld::request("POST", "/kept/1", "t1", headers, "in1"))));
+    ConversationWorld after;
+    after.world.rows.turns = before.world.rows.turns;
+    after.world.rows.tokens = before.world.rows.tokens;
+    after.world.rows.version = before.world.rows.version;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(isWhole(after.world.ask(ProxyWorld::request("POST", "/kept/1", "t2", headers + "Previous-Turn: t1\r\n", "in2"))));
+    EXPECT_EQ(after.world.rows.writes, 1U);
+    EXPECT_FALSE(after.world.hasLine("changed_by_another"));
+}
+
 TEST(ProxyConversation, OldTurnsAreRemovedAndThoseWrittenAgainStay)
 {
     ConversationWorld before;
--- a/tests/proxy/store_caller_test.cpp
+++ b/tests/proxy/store_caller_test.cpp
@@ -1,6 +1,8 @@
-/** Calls to the store while its address changes. */
+/** Calls to the store while its address changes or it is over its rate. */
+#include "proxy_clock.h"
 #include "proxy_world.h"
 #include "store_caller.h"
+#include "store_path.h"
 
 #include <gtest/gtest.h>
 
@@ -47,4 +49,50 @@
     EXPECT_EQ(newStore.requests.size(), 1U);
 }
 
+/** What the store answers this VM and another one, and how many calls that costs. */
+struct BusyCase
+{
+    const char *name;
+    unsigned member;  ///< Status of calls through the other VM.
+    std::size_t most; ///< Most calls through the other VM for ten calls that the store answers with 429.
+    int answers;      ///< Calls that get a status below 400.
+};
+
+class StorePathBusy : public ::testing::TestWithParam<BusyCase>
+{
+};
+
+TEST_P(StorePathBusy, OtherWaysAreTriedOnlyWhereTheyHelp)
+{
+    boost::asio::io_context loop;
+    ScriptedPeer store(loop, [](const std::string &) {
+        return Script{"HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\n{}"};
+    });
+    ScriptedPeer other(loop, [](const std::string &) {
+        return Script{"HTTP/1.1 " + std::to_string(GetParam().member) + " X\r\nContent-Length: 2\r\n\r\n{}"};
+    });
+    MemberBook members("self");
+    members.update({{"other", "127.0.0.1", other.port(), 1}}, now());
+    StorePath path(loop, {"127.0.0.1", store.port()}, members);
+    int ended = 0;
+    int answers = 0;
+    for (int n = 0; n < 10; n++) {
+        path.call(Platform::readConfigCall(), Limit, true, [&](const auto &reply, const Error &) {
+            ended++;
+            answers += reply && reply->status < 400 ? 1 : 0;
+        });
+        runUntil(loop, ended, n + 1);
+    }
+    EXPECT_EQ(answers, GetParam().answers);
+    EXPECT_LE(other.requests.size(), GetParam().most);
+    EXPECT_EQ(store.requests.size(), 10U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         StorePathBusy,
+                         ::testing::Values(BusyCase{"overItsRate", 429, 1, 0}, BusyCase{"thisVmIsTurnedAway", 200, 10, 10}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 } // namespace Vanillahall::Forward
