Bytes without end are cut at a bound, from servers and from clients; a program's name has to be a text

Cause: interim heads, answers to other requests, chunk extensions, chunk sizes, trailers and events without id went on until the time limit, and memory grew with extensions and trailers; empty lines and chunk extensions of clients likewise. A program id that is no UTF-8 ended the process when its token row was written as JSON. Change: bounds in ServerLink, Exchange and RequestReader; 400 for such a program id.

--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -79,9 +79,9 @@
             m_failureText = "event without end";
             return BodyUse::Drop;
         }
-        if (m_isTurnTooLong) {
+        if (m_isTurnTooLong || m_bytesWithoutEvent > MaxEventBytes) {
             m_failure = AttemptFailure::BadAnswer;
-            m_failureText = "turn too long to be kept";
+            m_failureText = m_isTurnTooLong ? "turn too long to be kept" : "bytes without events";
             return BodyUse::Drop;
         }
         return flow();
@@ -102,6 +102,7 @@
     if (events.bytes.empty()) {
         return;
     }
+    m_bytesWithoutEvent = events.count == 0 ? m_bytesWithoutEvent + events.bytes.size() : 0;
     m_attemptEvents += events.count;
     if (!m_hadFirstEvent) {
         m_hadFirstEvent = true;
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -13,6 +13,7 @@
 namespace Http = boost::beast::http;
 
 constexpr unsigned Version10 = 10;
+constexpr unsigned MaxEmptyLines = 8; ///< Before a request; old clients send one after a body.
 
 /** @return Why a head can't be trusted, or null: anything that two readers could frame differently. */
 const char *framingFault(std::string_view head)
@@ -129,6 +130,10 @@
         }
         m_request.headers.append(name).append(": ").append(value).append("\r\n");
     }
+    if (!Platform::isStoreKey(m_request.facts.program)) {
+        refuse(StatusBadRequest, "program id is no short text");
+        return false;
+    }
     return true;
 }
 
@@ -138,6 +143,9 @@
         // An empty line before a request is left over from the one before.
         while (in.compare(0, 2, "\r\n") == 0) {
             in.erase(0, 2);
+            if (++m_emptyLines > MaxEmptyLines) {
+                return refuse(StatusBadRequest, "empty lines without a request");
+            }
         }
         if (in.empty()) {
             return Progress::NeedMore;
@@ -158,7 +166,8 @@
         const auto n = m_parser->put(boost::asio::buffer(in), ec);
         in.erase(0, n);
         if (ec == Http::error::need_more) {
-            return Progress::NeedMore;
+            // What can't be read without more bytes is a chunk's extension or a trailer.
+            return in.size() > limits.maxHeaderBytes ? refuse(StatusBadRequest, "chunk or trailer without end") : Progress::NeedMore;
         }
         if (ec) {
             return ec == Http::error::body_limit ? refuse(StatusTooLarge, "body too large") : refuse(StatusBadRequest, ec.message());
@@ -177,6 +186,7 @@
     m_parser.reset();
     m_hasBegun = false;
     m_hasHead = false;
+    m_emptyLines = 0;
     return std::move(m_request);
 }
 
--- a/packages/proxy/src/request_reader.h
+++ b/packages/proxy/src/request_reader.h
@@ -53,6 +53,7 @@
     std::unique_ptr<Parser> m_parser;
     ClientRequest m_request;
     RequestFault m_fault;
+    unsigned m_emptyLines = 0; ///< Before the present request.
     bool m_hasBegun = false;
     bool m_hasHead = false;
     bool m_wantsContinue = false;
--- a/packages/proxy/src/server_link.cpp
+++ b/packages/proxy/src/server_link.cpp
@@ -17,6 +17,7 @@
 
 constexpr Duration ConnectLimit = std::chrono::milliseconds(400); ///< A few round trips to the farthest zone and a full accept queue.
 constexpr std::size_t MaxAnswerHead = std::size_t{64} * 1024;     ///< Longest head of an answer.
+constexpr std::size_t MaxSkipped = std::size_t{1} * 1024 * 1024;  ///< Interim answers and those to other requests, before the own one.
 constexpr Duration IdleUnknown = std::chrono::seconds(2);         ///< Use of an idle connection whose server doesn't tell for how long.
 constexpr Duration IdleMargin = std::chrono::milliseconds(700);   ///< Before a server's own limit: a round trip and late timers.
 constexpr unsigned StatusInformational = 200;                     ///< Statuses below it are no answers.
@@ -63,6 +64,7 @@
     m_wasSent = false;
     m_isDone = false;
     m_isPaused = false;
+    m_skipped = 0;
     beginAnswer();
     if (m_isOpen) {
         write();
@@ -145,6 +147,10 @@
     }
     m_in.append(m_buf.data(), n);
     parse();
+    // Whatever waits for more bytes, as a chunk's extension or a trailer, is no longer than a head.
+    if (m_user != nullptr && !m_isPaused && m_in.size() > MaxAnswerHead) {
+        fail("answer: bytes without end");
+    }
     read();
 }
 
@@ -186,6 +192,11 @@
         fail("answer: " + ec.message());
         return false;
     }
+    m_skipped += n;
+    if (m_skipped > MaxSkipped) {
+        fail("answer: too many bytes before it");
+        return false;
+    }
     if (!m_parser->is_header_done()) {
         if (m_in.size() > MaxAnswerHead) {
             fail("answer: head too large");
@@ -237,6 +248,11 @@
         m_parser->eager(true);
         const auto n = m_parser->put(boost::asio::buffer(m_in), ec);
         m_in.erase(0, n);
+        m_skipped += m_isStale ? n : 0;
+        if (m_skipped > MaxSkipped) {
+            fail("answer: too many bytes before it");
+            return false;
+        }
         const std::size_t got = piece.size() - m_parser->get().body().size;
         if (ec && ec != Http::error::need_buffer && ec != Http::error::need_more) {
             fail("answer: " + ec.message());
--- a/packages/proxy/src/server_link.h
+++ b/packages/proxy/src/server_link.h
@@ -115,6 +115,7 @@
     LinkUser *m_user = nullptr;               ///< Who waits for the present answer; null when idle.
     std::string m_out;                        ///< Request under way.
     std::string m_requestId;                  ///< Id of the present request.
+    std::size_t m_skipped = 0;                ///< Bytes of heads and of answers to other requests since the request was sent.
     std::string m_in;                         ///< Bytes that aren't parsed yet.
     std::array<char, 16384> m_buf{};          ///< Takes what is read.
     std::unique_ptr<Parser> m_parser;         ///< Parser of the present answer.
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -112,6 +112,18 @@
     EXPECT_TRUE(world.hasLine("peer=p "));
 }
 
+TEST(ProxyBudgetRow, AProgramWhoseNameIsNoTextIsRefused)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const std::string rest = "\r\nToken-Usage: 50,20\r\nToken-Budget: 900\r\n";
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r1", "Program-Id: \xff\xfe" + rest))), 400U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r2", "Program-Id: " + std::string(300, 'p') + rest))), 400U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r3", "Program-Id: p" + rest))), 200U);
+}
+
 TEST(ProxyStore, LostAnswersCostATurnLittleTime)
 {
     ProxyWorld world([](const std::string &) {
