--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -147,7 +147,7 @@
     book.setEntries(members.count(now()));
     auto gone = members.gone(now());
     if (!gone.empty() && takeCleaningTurn()) {
-        gone.resize(std::min(gone.size(), MaxRemovedRows));
+        gone.resize(std::min(gone.size(), Platform::MaxRemovedRows));
         callStore(Platform::removeMembersCall(settings.region, gone), "remove_proxies");
     }
 }
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -106,7 +106,7 @@
     std::map<std::string, std::vector<TokenWrite>> byPart;
     for (const auto &it : rows) {
         auto &part = byPart[Platform::tokenPart(it.program)];
-        if (part.size() < MaxRemovedRows) {
+        if (part.size() < Platform::MaxRemovedRows) {
             part.push_back(it);
         }
     }
@@ -141,9 +141,9 @@
 
 void ProxyState::removeMarkRows(const std::vector<std::string> &keys)
 {
-    for (std::size_t n = 0; n < keys.size(); n += MaxRemovedRows) {
+    for (std::size_t n = 0; n < keys.size(); n += Platform::MaxRemovedRows) {
         const auto begin = keys.begin() + static_cast<std::ptrdiff_t>(n);
-        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(MaxRemovedRows, keys.size() - n));
+        const auto end = begin + static_cast<std::ptrdiff_t>(std::min(Platform::MaxRemovedRows, keys.size() - n));
         callStore(Platform::removeCrashesCall({begin, end}), "remove_breaks");
     }
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -23,8 +23,6 @@
 
 namespace Vanillahall::Forward {
 
-inline constexpr std::size_t MaxRemovedRows = 100; ///< Rows of one transaction; the platform takes no more.
-
 /** State and the parts of a proxy that connect the others. */
 class ProxyState : public RequestHandler, public std::enable_shared_from_this<ProxyState>
 {
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Undoes one safeguard of the proxy's decisions at a time, in a copy of the tree, and checks that a test notices.
 
-Usage: tools/mutants.py [WORK_DIR]      (default: a new folder under /tmp; a second run with the same folder builds less)
+Usage: tools/mutants.py [WORK_DIR [TEXT]]      (default: a new folder under /tmp; a second run with the same folder builds less)
+With TEXT, only mutants whose name or source holds it.
 
 Each mutant is a replacement of one piece of text in one source. The line of a mutant is "caught" with the tests that failed, or "NOT CAUGHT".
 Exit status 1 if any mutant isn't caught or doesn't apply any more.
@@ -57,6 +58,28 @@
     ("a program's home follows each writer", CORE + "commands/token_ledger_cmd.cpp", "    if (write.row.version == 0) {\n", "    {\n", "core_test", "TokenLedger*"),
     ("a home outside its zone", CORE + "queries/server_book_query.cpp", "(isNear != isBestNear ? isNear : rank > bestRank)", "rank > bestRank", "core_test", "ServerBook*"),
     ("a deaf watch is never checked", PROXY + "table_watch.cpp", "|| now() >= m_checkAt ", "", "proxy_test", "*ProxyWatch*"),
+    ("404 of a turn though one place didn't answer", CORE + "commands/conversation_turn_cmd.cpp", "const bool isCertain = m_doubtful.count(place.id) == 0;",
+     "const bool isCertain = true;", "core_test", "Conversation*:*ConversationLookup*"),
+    ("404 of a turn after its first place", CORE + "commands/conversation_turn_cmd.cpp", "TurnStep ConversationTurn::turnMissing(const TurnPlace &place)\n{\n    if (place.copy + 1 < TurnCopies) {",
+     "TurnStep ConversationTurn::turnMissing(const TurnPlace &place)\n{\n    if (false) {", "core_test", "ConversationProperty*"),
+    ("a turn is kept before its last row is", CORE + "commands/conversation_turn_cmd.cpp", "if (!m_open.empty() || m_isKept) {", "if (m_isKept) {",
+     "core_test", "Conversation*"),
+    ("a failed write counts as done", CORE + "commands/conversation_turn_cmd.cpp", "TurnStep ConversationTurn::writeFailed(const TurnPlace &place)\n{",
+     "TurnStep ConversationTurn::writeFailed(const TurnPlace &place)\n{\n    if (!m_open.empty()) {\n        return written(place);\n    }", "core_test", "ConversationProperty*"),
+    ("old bases are not written again", CORE + "commands/conversation_turn_cmd.cpp", "if (base->keptUntilMs < neededUntil) {", "if (false) {",
+     "core_test", "ConversationProperty*"),
+    ("a base is forgotten", CORE + "commands/conversation_turn_cmd.cpp", "            turn->bases.push_back(before.id);\n", "", "core_test", "ConversationProperty*"),
+    ("a turn is known before it is kept", CORE + "commands/conversation_turn_cmd.cpp", "        m_written.push_back(std::move(it->second));\n",
+     "        m_cache.put(it->second);\n        m_written.push_back(std::move(it->second));\n", "core_test", "Conversation*"),
+    ("a learnt token row replaces a newer one", CORE + "commands/token_ledger_cmd.cpp", "if (account.openWrite || row.version <= account.row.version) {", "if (account.openWrite) {",
+     "core_test", "TokenLedger*"),
+    ("an answer ends before its turn is kept", PROXY + "exchange_answer.cpp", "if (!m_conversation || !isSuccess(m_head.status)) {", "if (true) {",
+     "proxy_test", "ProxyConversation*"),
+    ("an unfinished turn stays", PROXY + "conversation.cpp", "if (m_isWhole || m_writes == 0 || m_openWrites != 0) {", "if (true) {", "proxy_test", "ProxyConversation*"),
+    ("turns that were written again are removed", "platform/src/wire_turn.cpp", "        expected.push_back(std::move(condition));\n", "", "proxy_test", "ProxyConversation*"),
+    ("endless bytes of a server are kept", PROXY + "server_link.cpp", "m_in.size() > MaxAnswerHead) {\n        fail(\"answer: bytes", "false) {\n        fail(\"answer: bytes",
+     "proxy_test", "*ProxyEndless*"),
+    ("endless interim heads are read", PROXY + "server_link.cpp", "    m_skipped += n;\n", "", "proxy_test", "*ProxyEndless*"),
     ("ready without a configuration", PROXY + "proxy_state.cpp", "return routes.isLoaded() && m_serversAt", "return m_serversAt", "proxy_test", "ProxyStart*"),
 ]
 
@@ -102,18 +125,19 @@
 def main():
     root = pathlib.Path(__file__).resolve().parent.parent
     tree = pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else pathlib.Path(tempfile.mkdtemp(prefix="vanillahall-mutants-"))
+    wanted = [it for it in MUTANTS if len(sys.argv) < 3 or sys.argv[2] in it[0] or sys.argv[2] in it[1]]
     copy_tree(root, tree)
-    programs = sorted({it[4] for it in MUTANTS})
+    programs = sorted({it[4] for it in wanted})
     run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_BUILD_TYPE=Debug"], tree)
     if run(["cmake", "--build", "build", "--target", *programs], tree, tree / "build.log").returncode != 0:
         print("the tree doesn't build, see " + str(tree / "build.log"))
         return 1
     bad = 0
-    for mutant in MUTANTS:
+    for mutant in wanted:
         result, good = check(tree, mutant)
         bad += not good
         print(mutant[0] + ": " + result, flush=True)
-    print(f"{len(MUTANTS) - bad} of {len(MUTANTS)} mutants caught")
+    print(f"{len(wanted) - bad} of {len(wanted)} mutants caught")
     return 1 if bad else 0
 
 
