An unknown token row is read before it is written for sub-agents and while the store is over its rate

Change: TokenLedger asks for a read first where the row probably exists; StorePath::isBusy. Tests: TokenLedger.AnUnknownRowIsReadFirstWhereItProbablyExists, TokenLedgerProperty with reads.

--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -20,9 +20,10 @@
 /** A turn that wants to begin. */
 struct TokenAsk
 {
-    std::string program;    ///< Program.
-    std::uint64_t budget{}; ///< Tokens that all turns of the program may generate.
-    std::uint64_t most{};   ///< Most tokens that this turn generates.
+    std::string program;     ///< Program.
+    std::uint64_t budget{};  ///< Tokens that all turns of the program may generate.
+    std::uint64_t most{};    ///< Most tokens that this turn generates.
+    bool readsFirst = false; ///< True to read an unknown row before it is written: it probably exists, or the store is short of writes.
 };
 
 /** The row of a program in the store. */
@@ -55,11 +56,15 @@
 {
     TokenWrite write; ///< The write.
 };
-/** A write of the row is under way; ask again when it has ended. */
+/** The row must be read first; ask again when the read has ended. */
+struct TokenNeedsRead
+{
+};
+/** A read or write of the row is under way; ask again when it has ended. */
 struct TokenBusy
 {
 };
-using TokenAnswer = std::variant<TokenGranted, TokenSpent, TokenNeedsWrite, TokenBusy>; ///< Answer to a turn that asks.
+using TokenAnswer = std::variant<TokenGranted, TokenSpent, TokenNeedsWrite, TokenNeedsRead, TokenBusy>; ///< Answer to a turn that asks.
 
 /** What this entry knows of the budgets of programs. */
 class TokenLedger
@@ -75,6 +80,8 @@
 
     /** A turn asks for its tokens. */
     TokenAnswer ask(const TokenAsk &ask, TimePoint now);
+    /** The read that ask() wanted has ended. @param row The row; version 0 if there is none; nothing if the store didn't answer. */
+    void rowRead(const std::string &program, const std::optional<TokenRow> &row, TimePoint now);
     /** Takes a program's row as another entry knew it. An older one than is known here changes nothing. */
     void learn(const std::string &program, const TokenRow &row, TimePoint now);
     /** The open write was done. @param version Version of the row now. */
@@ -108,7 +115,8 @@
         std::uint64_t waiting{};             ///< Tokens that turns asked for while a write was under way.
         TimePoint writeBegan{};              ///< When the open write was asked for.
         TimePoint written{};                 ///< When the row was last written from here.
-        bool isWriting = false;              ///< True if the open write is under way.
+        bool isWriting = false;              ///< True if the open write, or a read of the row, is under way.
+        bool wasRead = false;                ///< True once a read of the row was asked for.
         TimePoint lastUse{};                 ///< Last ask.
     };
 
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -30,6 +30,11 @@
         account.isWriting = true;
         return TokenNeedsWrite{*account.openWrite};
     }
+    if (ask.readsFirst && account.row.version == 0 && !account.wasRead) {
+        account.wasRead = true;
+        account.isWriting = true;
+        return TokenNeedsRead{};
+    }
     const std::uint64_t missing = ask.most - std::min(ask.most, account.here);
     // One turn more than the budget is allowed for; it covers what other entries hold and don't use.
     if (account.row.reserved + missing > ask.budget + ask.most) {
@@ -56,6 +61,18 @@
     return TokenNeedsWrite{std::move(write)};
 }
 
+void TokenLedger::rowRead(const std::string &program, const std::optional<TokenRow> &row, TimePoint now)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end()) {
+        return;
+    }
+    it->second.isWriting = false;
+    if (row) {
+        learn(program, *row, now);
+    }
+}
+
 void TokenLedger::learn(const std::string &program, const TokenRow &row, TimePoint now)
 {
     if (row.version == 0) {
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -99,7 +99,9 @@
     // A whole number of events, since each may hold tokensPerEvent tokens.
     const std::uint64_t perEvent = m_tokensPerEvent;
     const std::uint64_t most = (facts.maxGenerated + perEvent - 1) / perEvent * perEvent;
-    const auto said = m_proxy.ledger.ask({facts.program, *facts.tokenBudget, most}, now());
+    // Turns of sub-agents aren't a program's first, so its row exists.
+    const bool readsFirst = m_proxy.store.isBusy() || (!facts.session.empty() && facts.session != facts.program);
+    const auto said = m_proxy.ledger.ask({facts.program, *facts.tokenBudget, most, readsFirst}, now());
     if (std::holds_alternative<TokenGranted>(said)) {
         m_waitsForStore = false;
         m_tokensHeld = most;
@@ -112,15 +114,18 @@
     }
     m_waitsForStore = true;
     const auto *needed = std::get_if<TokenNeedsWrite>(&said);
+    const bool needsRead = std::holds_alternative<TokenNeedsRead>(said);
     if (m_proxy.isStoreNear()) {
         m_proxy.waitForTokens(facts.program, shared_from_this());
         setStoreTimer(storePatienceLeft());
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
+        } else if (needsRead) {
+            m_proxy.readTokens(facts.program);
         }
         return;
     }
-    if (needed != nullptr) {
+    if (needed != nullptr || needsRead) {
         m_proxy.ledger.notWritten(facts.program);
     }
     waitForStore();
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -46,15 +46,53 @@
         ledger.notWritten(write.program);
     }
     logTokens(write, outcome, ec.message);
-    const auto waiters = std::move(m_tokenWaiters[write.program]);
-    m_tokenWaiters.erase(write.program);
+    wakeTokenWaiters(write.program, outcome == TokenOutcome::Failed);
+}
+
+void ProxyState::wakeTokenWaiters(const std::string &program, bool hasFailed)
+{
+    const auto waiters = std::move(m_tokenWaiters[program]);
+    m_tokenWaiters.erase(program);
     for (const auto &it : waiters) {
         if (const auto exchange = it.lock()) {
-            exchange->storeChanged(outcome == TokenOutcome::Failed);
+            exchange->storeChanged(hasFailed);
         }
     }
 }
 
+void ProxyState::readTokens(const std::string &program)
+{
+    store.call(
+        Platform::readTokenRowCall(program), StoreLimit, false, [weak = weak_from_this(), program](const auto &reply, const Error &reason) {
+            if (const auto self = weak.lock()) {
+                self->tokensRead(program, reply, reason);
+            }
+        });
+}
+
+void ProxyState::tokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
+    std::optional<TokenRow> row;
+    if (rows) {
+        storeTold(rows->nowMs);
+        row = rows->rows.empty() ? TokenRow() : Platform::decodeTokens(rows->rows.front(), ec);
+    } else {
+        storeFailed(reply && reply->status != StatusOk ? "status " + std::to_string(reply->status) : ec.message);
+    }
+    if (rows && !row) {
+        rowFaulty(ec, rows->rows.front().version);
+    }
+    ledger.rowRead(program, row, now());
+    log(LogLevel::Info,
+        EventNumber::TokensReserved,
+        "program=" + program + " reserved=" + std::to_string(row ? row->reserved : 0) + " expected_version="
+            + std::to_string(row ? row->version : 0) + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
+    // A failed read doesn't hold up the write.
+    wakeTokenWaiters(program, false);
+}
+
 ProxyState::TokenOutcome ProxyState::takeTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer)
 {
     storeAnswered();
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -52,6 +52,8 @@
     std::shared_ptr<ServerLink> takeLink(const Server &server, LinkAge age);
     /** Writes a token row and tells the exchanges that wait for the program. */
     void writeTokens(const TokenWrite &write);
+    /** Reads a program's token row and tells the exchanges that wait for the program. */
+    void readTokens(const std::string &program);
     /** Puts an exchange among those that wait for a program's tokens. */
     void waitForTokens(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Puts an exchange among those that wait for the store's return. */
@@ -152,6 +154,9 @@
 
     TokenOutcome takeTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer);
     void logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why);
+    void tokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason);
+    /** Tells the exchanges that wait for a program's tokens to ask again. */
+    void wakeTokenWaiters(const std::string &program, bool hasFailed);
     void tokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
     void removeOldRows();
     void sweepTurns();
--- a/packages/proxy/src/store_path.cpp
+++ b/packages/proxy/src/store_path.cpp
@@ -16,6 +16,7 @@
 constexpr Duration MaxPatience = std::chrono::milliseconds(400); ///< Leaves time for another try within StoreLimit.
 constexpr Duration WatchGrace
     = std::chrono::milliseconds(600); ///< A store 100 times slower than usual still answers; a dead connection is noticed within 2 s.
+constexpr Duration BusyMemory = std::chrono::seconds(2);         ///< A burst over the store's rate lasts for seconds.
 constexpr Duration BusyForAll = std::chrono::milliseconds(1000); ///< The store's rate is over for all VMs; other ways would only add calls.
 constexpr int TimeWeight = 4;                                    ///< An answer counts a quarter in the usual time.
 
@@ -56,6 +57,11 @@
 {
 }
 
+bool StorePath::isBusy() const
+{
+    return now() - m_busyAt < BusyMemory;
+}
+
 bool StorePath::isDirectAway() const
 {
     return m_isDirectAway;
@@ -181,6 +187,9 @@
 void StorePath::ended(const std::shared_ptr<Trial> &trial, const std::optional<StoreReply> &reply, const Error &reason)
 {
     trial->open--;
+    if (reply && reply->status == StatusTooManyRequests) {
+        m_busyAt = now();
+    }
     if (!trial->handler) {
         return;
     }
--- a/packages/proxy/src/store_path.h
+++ b/packages/proxy/src/store_path.h
@@ -45,6 +45,8 @@
 
     // Queries.
 
+    /** @return True if the store has answered a moment ago that its rate is over. */
+    [[nodiscard]] bool isBusy() const;
     /** @return True if the last direct call failed. */
     [[nodiscard]] bool isDirectAway() const;
 
@@ -68,6 +70,7 @@
     std::uint64_t m_turn = 0;
     Duration m_usualTime = std::chrono::milliseconds(10); ///< Time to an answer, the latest counting most.
     TimePoint m_directWorkedAt{};                         ///< When the last direct call that was answered had begun.
+    TimePoint m_busyAt{};                                 ///< When the store last answered that it is busy.
     TimePoint m_membersBusyAt{};                          ///< When the store last answered a call through another proxy that it is busy.
     bool m_isDirectAway = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -242,6 +242,30 @@
     EXPECT_EQ(second.row("p").version, known);
 }
 
+TEST(TokenLedger, AnUnknownRowIsReadFirstWhereItProbablyExists)
+{
+    RowModel rows;
+    TokenLedger first("e1/0");
+    const auto begun = std::get<TokenNeedsWrite>(first.ask({"p", Most, Most}, Start));
+    first.written("p", rows.write(begun.write).value());
+    // The other entry learns without a write that the budget is spent, and that another turn fits.
+    TokenLedger second("e2/0");
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsRead>(second.ask({"p", Most, Most, true}, Start)));
+    EXPECT_TRUE(std::holds_alternative<TokenBusy>(second.ask({"p", Most, Most, true}, Start)));
+    second.rowRead("p", rows.row("p"), Start);
+    const auto needed = std::get<TokenNeedsWrite>(second.ask({"p", Most, Most, true}, Start));
+    second.written("p", rows.write(needed.write).value());
+    TokenLedger third("e3/0");
+    third.ask({"p", Most, Most, true}, Start);
+    third.rowRead("p", rows.row("p"), Start);
+    EXPECT_TRUE(std::holds_alternative<TokenSpent>(third.ask({"p", Most, Most, true}, Start)));
+    // A read that fails or finds nothing leads to a write.
+    TokenLedger fourth("e4/0");
+    fourth.ask({"q", Most, Most, true}, Start);
+    fourth.rowRead("q", std::nullopt, Start);
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsWrite>(fourth.ask({"q", Most, Most, true}, Start)));
+}
+
 RC_GTEST_PROP(TokenLedgerProperty, NoInterleavingHandsOutMoreThanTheBudgetAndOneTurn, ())
 {
     constexpr std::size_t Entries = 3;
@@ -269,7 +293,11 @@
         const auto n = static_cast<std::size_t>(which);
         auto &ledger = *ledgers[n];
         if (action <= 2) {
-            const auto answer = ledger.ask({"p", budget, Most}, Start);
+            const auto answer = ledger.ask({"p", budget, Most, which == 1}, Start);
+            if (std::holds_alternative<TokenNeedsRead>(answer)) {
+                // At once, late by a step that nobody else takes, or failed.
+                ledger.rowRead("p", action == 2 ? std::nullopt : std::optional(rows.row("p")), Start);
+            }
             if (const auto *needed = std::get_if<TokenNeedsWrite>(&answer)) {
                 open[n] = needed->write;
             } else if (isGranted(answer)) {
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -67,7 +67,7 @@
     ("a failed write counts as done", CORE + "commands/conversation_turn_cmd.cpp", "TurnStep ConversationTurn::writeFailed(const TurnPlace &place)\n{",
      "TurnStep ConversationTurn::writeFailed(const TurnPlace &place)\n{\n    if (!m_open.empty()) {\n        return written(place);\n    }", "core_test", "ConversationProperty*"),
     ("old bases are not written again", CORE + "commands/conversation_turn_cmd.cpp", "if (base->keptUntilMs < neededUntil) {", "if (false) {",
-     "core_test", "ConversationProperty*"),
+     "core_test", "Conversation*"),
     ("a base is forgotten", CORE + "commands/conversation_turn_cmd.cpp", "            turn->bases.push_back(before.id);\n", "", "core_test", "ConversationProperty*"),
     ("a turn is known before it is kept", CORE + "commands/conversation_turn_cmd.cpp", "        m_written.push_back(std::move(it->second));\n",
      "        m_cache.put(it->second);\n        m_written.push_back(std::move(it->second));\n", "core_test", "Conversation*"),
