--- a/tests/proxy/proxy_endless_test.cpp
+++ b/tests/proxy/proxy_endless_test.cpp
@@ -20,7 +20,10 @@
     return all;
 }
 
-const std::string PlainHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n";
+std::string chunkedHead()
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
 
 } // namespace
 
@@ -63,9 +66,9 @@
                       EndlessAnswer{"otherAnswers", "", "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 1\r\n\r\nx", "/once/1", 502},
                       EndlessAnswer{
                           "otherBody", "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 90000000\r\n\r\n", "x", "/once/1", 502},
-                      EndlessAnswer{"chunkExtension", PlainHead + "1;", "x", "/once/1", 502},
-                      EndlessAnswer{"chunkSize", PlainHead, "0", "/once/1", 502},
-                      EndlessAnswer{"trailer", PlainHead + "1\r\nx\r\n0\r\n", "A: b\r\n", "/once/1", 502},
+                      EndlessAnswer{"chunkExtension", chunkedHead() + "1;", "x", "/once/1", 502},
+                      EndlessAnswer{"chunkSize", chunkedHead(), "0", "/once/1", 502},
+                      EndlessAnswer{"trailer", chunkedHead() + "1\r\nx\r\n0\r\n", "A: b\r\n", "/once/1", 502},
                       EndlessAnswer{"event", streamHead() + "7fffffff\r\nid: 1\ndata: ", "x", "/stream/1", 502},
                       EndlessAnswer{"emptyEvents", streamHead() + "7fffffff\r\n", "\n\n", "/stream/1", 200},
                       EndlessAnswer{"chunkExtensionOfAStream", streamHead() + eventChunk(1) + "1;", "x", "/stream/1", 200}),
