Rows of a turn that fail within one pause are all written again

Cause: found by reading the diff: each failed write set the one timer again, so of two rows (a turn and an old base) that failed together only the last was written again; the turn could not be kept, and its answer was broken off at the time limit. Change: Conversation collects the writes that its timer begins. Tests: ProxyConversation.SeveralRowsThatFailTogetherAreAllWrittenAgain, failed before.

--- a/packages/proxy/src/conversation.cpp
+++ b/packages/proxy/src/conversation.cpp
@@ -77,8 +77,10 @@
             read(it);
         }
     } else if (const auto *writes = std::get_if<WriteTurns>(&step)) {
-        runAfter(m_timer, writes->pause, *this, [list = writes->writes](Conversation &self) {
-            for (const auto &it : list) {
+        // Several rows may fail within one pause.
+        m_nextWrites.insert(m_nextWrites.end(), writes->writes.begin(), writes->writes.end());
+        runAfter(m_timer, writes->pause, *this, [](Conversation &self) {
+            for (const auto &it : std::exchange(self.m_nextWrites, {})) {
                 self.write(it);
             }
         });
--- a/packages/proxy/src/conversation.h
+++ b/packages/proxy/src/conversation.h
@@ -54,7 +54,8 @@
     std::string m_previous;
     std::string m_program;
     ConversationTurn m_turn;
-    boost::asio::steady_timer m_timer; ///< Before failed writes are made again.
+    boost::asio::steady_timer m_timer;   ///< Before failed writes are made again.
+    std::vector<TurnWrite> m_nextWrites; ///< Writes that m_timer begins.
     Found m_found;
     Kept m_kept;
     Duration m_readLimit{};
--- a/tests/proxy/proxy_conversation_test.cpp
+++ b/tests/proxy/proxy_conversation_test.cpp
@@ -231,6 +231,23 @@
     EXPECT_TRUE(isWhole(it.world.ask(turn("t1", "", "in1"))));
 }
 
+TEST(ProxyConversation, SeveralRowsThatFailTogetherAreAllWrittenAgain)
+{
+    ConversationWorld before;
+    before.world.rows.nowMs = 1000000;
+    ASSERT_TRUE(before.world.start());
+    const std::string large(15000, 'x');
+    EXPECT_TRUE(isWhole(before.world.ask(turn("t1", "", large))));
+    // The first turn's row is old by now and has to be written again with the second turn.
+    ConversationWorld after;
+    after.world.rows.nowMs = 1000000 + 100000;
+    after.world.rows.turns = before.world.rows.turns;
+    after.world.rows.refusedTurnWrites = 8;
+    ASSERT_TRUE(after.world.start());
+    EXPECT_TRUE(isWhole(after.world.ask(turn("t2", "t1", "in2"))));
+    EXPECT_EQ(after.world.rows.refusedTurnWrites, 0U);
+}
+
 TEST(ProxyConversation, APartOfTheStoreThatIsDownLosesNoTurn)
 {
     ConversationWorld before;
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -143,6 +143,10 @@
         return {json(Json::object(), 503)};
     }
     turnWrites += body["writes"].empty() ? 0 : 1;
+    if (refusedTurnWrites != 0) {
+        refusedTurnWrites--;
+        return {json(Json::object(), 503)};
+    }
     if (holdsTurns) {
         return {};
     }
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -28,6 +28,7 @@
     std::map<std::string, std::pair<std::string, int>> turns; ///< Rows of kept turns and their marks, "table/part/key": base64 and version.
     std::string downPart;                                     ///< Part of the turns' rows that answers 503; empty for none.
     bool refusesTurns = false;                                ///< True to answer all calls about turns with 503.
+    std::size_t refusedTurnWrites = 0;                        ///< Writes of turns still to come that are answered with 503.
     std::size_t lostTurns = 0;                                ///< Writes of turns still to come that are done without an answer.
     bool holdsTurns = false;                                  ///< True to leave writes of turns undone and unanswered.
     std::size_t turnReads = 0;                                ///< Reads of turns so far.
