Log the rate limits that servers name (event server_limited)

The logs couldn't tell whether a proxy had seen a server's limit, nor when it ended. A response to a request that was sent before the limit was named doesn't end it, nor does one of another server (421). No decision reads the limit yet.

--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -126,6 +126,7 @@
     bool isNotRun = false;                ///< True if the server states that it didn't run the request.
     bool isEncoded = false;               ///< True if the body has a content encoding, which was not requested.
     std::optional<ServerLoad> load;       ///< Server load at the time of the response.
+    std::optional<double> rateLimit;      ///< Requests per second that the server accepts from all proxies together, if it is limited.
     bool isEventStream = false;           ///< True if the body is an event stream.
     std::optional<Duration> keepAlive;    ///< How long the server keeps an idle connection open.
 };
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -76,6 +76,12 @@
     void recordEnd(const std::string &id, std::uint32_t uncachedTokens, bool hadFirstEvent);
     /** Records the load that a server reported. */
     void recordLoad(const std::string &id, const ServerLoad &load, TimePoint now);
+    /**
+     * Records the rate limit that a response names, or that it names none.
+     * @param sentAt When the request was sent. A response to a request that was sent before the limit was named doesn't end the limit.
+     * @return True if the limit has begun, changed or ended.
+     */
+    bool recordRateLimit(const std::string &id, std::optional<double> rate, TimePoint sentAt, TimePoint now);
     /** Records that a server couldn't be reached or broke a connection. */
     void recordFailure(const std::string &id, TimePoint now);
     /** Records a proper response of a server. */
@@ -118,6 +124,8 @@
         TimePoint fullUntil{};             ///< End of the back-off after a refusal.
         TimePoint otherRequestsAt{};       ///< When `otherRequests` was last updated.
         TimePoint coldUntil{};             ///< End of the slow phase after its start.
+        std::optional<double> rateLimit;   ///< Requests per second that it accepts from all proxies together, if it is limited.
+        TimePoint rateLimitAt{};           ///< When `rateLimit` was last named.
         std::optional<TimePoint> removeAt; ///< Removed at this time if it is still not listed.
         bool isUnlisted = false;           ///< True if it isn't listed any more.
         bool hasLostAddress = false;       ///< True once recordMisdirection() was called for it.
--- a/packages/core/src/commands/server_registry_cmd.cpp
+++ b/packages/core/src/commands/server_registry_cmd.cpp
@@ -1,6 +1,7 @@
 #include "vanillahall/core/server_registry_base.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -134,6 +135,22 @@
     }
 }
 
+bool ServerRegistry::recordRateLimit(const std::string &id, std::optional<double> rate, TimePoint sentAt, TimePoint now)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end()) {
+        return false;
+    }
+    auto &state = it->second;
+    if (!rate && sentAt < state.rateLimitAt) {
+        return false;
+    }
+    if (rate) {
+        state.rateLimitAt = now;
+    }
+    return std::exchange(state.rateLimit, rate) != rate;
+}
+
 void ServerRegistry::recordFailure(const std::string &id, TimePoint now)
 {
     const auto it = m_servers.find(id);
--- a/packages/ctl/src/log_explanation.cpp
+++ b/packages/ctl/src/log_explanation.cpp
@@ -92,10 +92,12 @@
     });
     const std::set<std::string> contextEvents{
         "store_away", "store_back", "config_in_force", "process_started", "stop_begun", "content_quarantined"};
+    const std::set<std::string> serverEvents{"server_changed", "server_limited"};
     std::vector<std::string> explanation;
     for (const auto &it : lines) {
         const bool isContext = processes.count(it.get("process")) != 0 && it.time <= last
-            && (contextEvents.count(it.get("name")) != 0 || (it.get("name") == "server_changed" && servers.count(it.get("server")) != 0));
+            && (contextEvents.count(it.get("name")) != 0
+                || (serverEvents.count(it.get("name")) != 0 && servers.count(it.get("server")) != 0));
         if (!isAbout(it, id) && !isContext) {
             continue;
         }
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -40,6 +40,7 @@
     {EventNumber::ShardLoaded, "shard_loaded"},
     {EventNumber::ShardHandedOver, "shard_handed_over"},
     {EventNumber::ServerChanged, "server_changed"},
+    {EventNumber::ServerLimited, "server_limited"},
     {EventNumber::DependencyLost, "dependency_lost"},
     {EventNumber::StoreAway, "store_away"},
     {EventNumber::StoreBack, "store_back"},
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -54,6 +54,7 @@
     [[nodiscard]] std::string requestText(const Server &server) const;
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
     void endAttempt();
+    void recordRateLimit(std::optional<double> perSecond);
     void answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome);
     void answerNotRun(Outcome outcome);
     void beginAnswer();
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -4,6 +4,8 @@
 #include "proxy_state.h"
 #include "response_text_func.h"
 
+#include <sstream>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -31,12 +33,16 @@
     if (attributes.load) {
         m_proxy.servers.recordLoad(m_choice.server.id, *attributes.load, now());
     }
+    const bool matchesRequest = attributes.requestId && *attributes.requestId == m_request.attributes.requestId;
+    // A misdirected response comes from another server; one without a signature may lack the limit although it is in force.
+    if (head.status != StatusMisdirected && (attributes.rateLimit || (attributes.isSigned && matchesRequest))) {
+        recordRateLimit(attributes.rateLimit);
+    }
     if (attributes.isNotRun || head.status == StatusMisdirected) {
         m_isRefusal = true;
         m_refusalStatus = head.status;
         return true;
     }
-    const bool matchesRequest = attributes.requestId && *attributes.requestId == m_request.attributes.requestId;
     m_failure = AttemptFailure::BadAnswer;
     if (isNotRunStatus(head.status)) {
         m_failureReason = "status " + std::to_string(head.status) + " without a header stating that the request didn't run";
@@ -62,6 +68,21 @@
     return true;
 }
 
+void Exchange::recordRateLimit(std::optional<double> perSecond)
+{
+    const auto &server = m_choice.server.id;
+    if (!m_proxy.servers.recordRateLimit(server, perSecond, m_attemptStartedAt, now())) {
+        return;
+    }
+    std::ostringstream line;
+    line << "server=" << server << " service=" << m_choice.server.service << " state=" << (perSecond ? "limited" : "unlimited");
+    if (perSecond) {
+        line << " limit_per_s=" << *perSecond;
+    }
+    line << " request=" << m_request.attributes.requestId;
+    m_proxy.log(LogLevel::Warning, EventNumber::ServerLimited, line.str());
+}
+
 BodyAction Exchange::bodyAction()
 {
     return m_isClientDisconnected || m_session->write({}) ? BodyAction::More : BodyAction::Pause;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -87,6 +87,38 @@
     EXPECT_TRUE(attributes.isNotRun);
 }
 
+/** Value of the header that names a server's rate limit. */
+struct RateLimitCase
+{
+    const char *name;           ///< For the test's name.
+    const char *value;          ///< Value of the header.
+    std::optional<double> rate; ///< Expected limit, in requests per second.
+};
+
+class RateLimitHeader : public ::testing::TestWithParam<RateLimitCase>
+{
+};
+
+TEST_P(RateLimitHeader, IsRead)
+{
+    Forward::ResponseAttributes attributes;
+    readResponseHeader(attributes, "server-limit", GetParam().value);
+    EXPECT_EQ(attributes.rateLimit, GetParam().rate);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         RateLimitHeader,
+                         ::testing::Values(RateLimitCase{"decimal", " 8.25 ", 8.25},
+                                           RateLimitCase{"whole", "8", 8.0},
+                                           RateLimitCase{"zero", "0", 0.0},
+                                           RateLimitCase{"negative", "-1", std::nullopt},
+                                           RateLimitCase{"infinite", "inf", std::nullopt},
+                                           RateLimitCase{"text", "8 a second", std::nullopt},
+                                           RateLimitCase{"empty", "", std::nullopt}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 TEST(ServerRequestHeaders, IsWrittenAsHeaders)
 {
     std::string text;
