Failing tests: servers get more requests than the rate limit that they name

ServerRateLimits (core, made-up time): proxies that don't know of each other's requests send to servers of which some or all name a limit; 1.5 times the limit in 4 s and 5 requests more are allowed, as in the users' rule.

--- /dev/null
+++ b/tests/core/server_rate_limit_test.cpp
@@ -0,0 +1,198 @@
+/** Rate limits that servers name, kept by all proxies together. */
+#include "vanillahall/core/server_registry_base.h"
+
+#include <cmath>
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1000s};
+constexpr Duration Step = 10ms;
+constexpr Duration AnswerTime = 100ms;     ///< From a request to its answer.
+constexpr Duration Window = 4s;            ///< Window over which a server's requests are counted.
+constexpr double AllowedExcess = 1.5;      ///< A server may get this multiple of its limit in a window,
+constexpr std::size_t AllowedRequests = 5; ///< and this many requests more.
+constexpr double MaxMeanRate = 1.1;        ///< Over a longer time a server gets at most this multiple of its limit.
+
+} // namespace
+
+/** Traffic at servers of which some name a rate limit. */
+struct LimitCase
+{
+    const char *name;      ///< For the test's name.
+    std::uint32_t proxies; ///< Number of proxies.
+    std::uint32_t servers; ///< Number of servers.
+    std::uint32_t limited; ///< Number of servers that name a limit.
+    double limit;          ///< Limit, in requests per second.
+    double limitVariation; ///< Each answer names a limit that differs from `limit` by up to this fraction.
+    double demand;         ///< Requests per second at all proxies together.
+    Duration idle;         ///< Length of the pauses in the traffic, one every 6 s.
+    std::uint32_t joining; ///< Proxies that join in the middle.
+    double used;           ///< Least share of a limit that has to be used.
+};
+
+/** Proxies that send to the same servers. They don't know of each other's requests. */
+class LimitedServers
+{
+public:
+    explicit LimitedServers(const LimitCase &param)
+        : m_param(param)
+        , m_random(7)
+    {
+        for (std::uint32_t n = 0; n < param.servers; n++) {
+            Server server;
+            server.id = "s" + std::to_string(n);
+            server.service = "svc";
+            server.zone = "z1";
+            server.slots = 1000;
+            m_list.push_back(server);
+        }
+        for (std::uint32_t n = 0; n < param.proxies + param.joining; n++) {
+            m_proxies.push_back(std::make_unique<ServerRegistry>("z1", ChoiceSettings{}));
+            m_proxies.back()->update(m_list, false, Start);
+        }
+        setProxyCount(param.proxies);
+    }
+
+    void setProxyCount(std::uint32_t count)
+    {
+        m_count = count;
+        for (std::uint32_t n = 0; n < count; n++) {
+            m_proxies[n]->setEntries(count);
+        }
+    }
+
+    void run(Duration length)
+    {
+        for (const auto end = m_now + length; m_now < end; m_now += Step) {
+            answerRequests();
+            const bool isIdle = (m_now - Start) % 6s < m_param.idle;
+            m_due += isIdle ? 0 : m_param.demand * std::chrono::duration<double>(Step).count();
+            for (; m_due >= 1; m_due--) {
+                sendRequest();
+            }
+        }
+    }
+
+    /** @return Times at which a server got a request from a proxy that knew the limit. */
+    [[nodiscard]] const std::vector<TimePoint> &arrivals(std::uint32_t server)
+    {
+        return m_arrivals["s" + std::to_string(server)];
+    }
+
+private:
+    struct Request
+    {
+        TimePoint sentAt;
+        std::uint32_t proxy;
+        std::string server;
+    };
+
+    void sendRequest()
+    {
+        // Balancers pick proxies by a hash of the client: some get several times the requests of others.
+        std::uniform_real_distribution<double> uniform(0, 1);
+        const auto proxy = static_cast<std::uint32_t>(m_count * std::pow(uniform(m_random), 1.6));
+        RequestAttributes attributes;
+        attributes.program = "p" + std::to_string(m_requests++ / 4);
+        attributes.promptParts = {{1, 500}, {m_requests, 300}};
+        attributes.promptTokens = 800;
+        const std::set<std::string> none;
+        const auto choice = m_proxies[proxy]->choose({"svc", &attributes, 100000, &none, {}}, m_now);
+        if (!choice) {
+            return;
+        }
+        const auto &server = choice->server.id;
+        m_proxies[proxy]->recordStart(server, choice->uncachedTokens, attributes);
+        m_underWay.push_back({m_now, proxy, server});
+        if (m_told.count({proxy, server}) != 0) {
+            m_arrivals[server].push_back(m_now);
+        }
+    }
+
+    void answerRequests()
+    {
+        for (; !m_underWay.empty() && m_now - m_underWay.front().sentAt >= AnswerTime; m_underWay.pop_front()) {
+            const auto &request = m_underWay.front();
+            auto &proxy = *m_proxies[request.proxy];
+            std::optional<double> limit;
+            if (std::stoul(request.server.substr(1)) < m_param.limited) {
+                std::uniform_real_distribution<double> variation(-m_param.limitVariation, m_param.limitVariation);
+                limit = m_param.limit * (1 + variation(m_random));
+                m_told.insert({request.proxy, request.server});
+            }
+            proxy.recordRateLimit(request.server, limit, request.sentAt, m_now);
+            proxy.recordEnd(request.server, 0, true);
+        }
+    }
+
+    LimitCase m_param;
+    std::mt19937 m_random;
+    std::vector<Server> m_list;
+    std::vector<std::unique_ptr<ServerRegistry>> m_proxies;
+    std::deque<Request> m_underWay;
+    std::set<std::pair<std::uint32_t, std::string>> m_told; ///< Proxies and servers that have named a limit to them.
+    std::map<std::string, std::vector<TimePoint>> m_arrivals;
+    TimePoint m_now = Start;
+    std::uint32_t m_count = 0;
+    std::uint64_t m_requests = 0;
+    double m_due = 0;
+};
+
+class ServerRateLimits : public ::testing::TestWithParam<LimitCase>
+{
+};
+
+/** Most requests in any window of one server. */
+std::size_t mostInWindow(const std::vector<TimePoint> &arrivals)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < arrivals.size(); last++) {
+        while (arrivals[last] - arrivals[first] >= Window) {
+            first++;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+TEST_P(ServerRateLimits, AreKeptByAllProxiesTogether)
+{
+    const auto &param = GetParam();
+    LimitedServers world(param);
+    world.run(20s);
+    world.setProxyCount(param.proxies + param.joining);
+    world.run(20s);
+    const auto allowed = AllowedExcess * param.limit * std::chrono::duration<double>(Window).count() + AllowedRequests;
+    std::size_t sum = 0;
+    for (std::uint32_t n = 0; n < param.limited; n++) {
+        EXPECT_LE(mostInWindow(world.arrivals(n)), allowed) << "server " << n;
+        sum += world.arrivals(n).size();
+    }
+    const double rate = static_cast<double>(sum) / param.limited / std::chrono::duration<double>(40s).count();
+    EXPECT_GE(rate, param.used * param.limit);
+    EXPECT_LE(rate, MaxMeanRate * param.limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ServerRateLimits,
+                         ::testing::Values(LimitCase{"mostServers", 9, 9, 6, 8.0, 0, 180, 0s, 0, 0.5},
+                                           LimitCase{"allServers", 9, 9, 9, 8.0, 0, 180, 0s, 0, 0.5},
+                                           LimitCase{"changingLimit", 9, 9, 9, 8.0, 0.2, 180, 0s, 0, 0.5},
+                                           LimitCase{"moreProxiesThanRequests", 32, 44, 44, 2.5, 0, 220, 0s, 0, 0.5},
+                                           LimitCase{"manyProxies", 127, 20, 20, 4.0, 0, 160, 0s, 0, 0.5},
+                                           LimitCase{"burstsAfterPauses", 32, 8, 8, 2.5, 0, 400, 4s, 0, 0.15},
+                                           LimitCase{"proxiesJoin", 9, 9, 9, 8.0, 0, 180, 0s, 6, 0.5},
+                                           LimitCase{"oneProxy", 1, 2, 2, 8.0, 0, 40, 0s, 0, 0.5}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+} // namespace Vanillahall::Forward
