Proxies are counted as alive through an outage of the store

Found while looking for the cause of the exceeded limits elsewhere: shares of a server, of its connections as of its rate limit, follow the number of live proxies. During an outage of the store no proxy can write a heartbeat, so the first one that read the list afterwards counted all others as gone and took the whole limit for itself, until the next heartbeats 4 s later. The time in which no list could be read doesn't count now. ProxyMembership.ProxiesAreCountedThroughAnOutageOfTheStore failed before (1 proxy counted instead of 3) and passes now.

--- a/packages/core/include/vanillahall/core/proxy_membership_base.h
+++ b/packages/core/include/vanillahall/core/proxy_membership_base.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,11 +65,13 @@
     {
         ProxyMember member;        ///< As last read.
         TimePoint lastHeartbeat{}; ///< Time when its row was last seen to change.
+        TimePoint countedUntil{};  ///< It counts as alive until this time.
         TimePoint lastFailure{};   ///< Time of the last failed call to it.
     };
 
     std::string m_self;
     std::map<std::string, MemberState> m_members;
+    std::optional<TimePoint> m_updatedAt; ///< Time of the last update().
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/commands/proxy_membership_cmd.cpp
+++ b/packages/core/src/commands/proxy_membership_cmd.cpp
@@ -11,12 +11,18 @@
 
 void ProxyMembership::update(const std::vector<ProxyMember> &rows, TimePoint now)
 {
+    constexpr Duration MaxUpdateGap = 2 * MemberHeartbeatInterval; ///< After a longer gap, heartbeats may have been impossible.
+    const Duration gap = m_updatedAt ? now - *m_updatedAt : Duration::zero();
+    const Duration outage = gap > MaxUpdateGap ? gap : Duration::zero();
+    m_updatedAt = now;
     std::set<std::string> listed;
     for (const auto &it : rows) {
         listed.insert(it.name);
         auto &state = m_members[it.name];
+        state.countedUntil += outage;
         if (state.member.version != it.version) {
             state.lastHeartbeat = now;
+            state.countedUntil = now + MemberTimeout;
         }
         state.member = it;
     }
--- a/packages/core/src/queries/proxy_membership_query.cpp
+++ b/packages/core/src/queries/proxy_membership_query.cpp
@@ -12,7 +12,7 @@
 {
     std::uint32_t n = 1;
     for (const auto &[name, state] : m_members) {
-        n += name != m_self && now - state.lastHeartbeat < MemberTimeout ? 1 : 0;
+        n += name != m_self && now < state.countedUntil ? 1 : 0;
     }
     return n;
 }
@@ -21,7 +21,7 @@
 {
     std::uint32_t n = 0;
     for (auto it = m_members.begin(); it != m_members.lower_bound(m_self); ++it) {
-        n += now - it->second.lastHeartbeat < MemberTimeout ? 1 : 0;
+        n += now < it->second.countedUntil ? 1 : 0;
     }
     return n;
 }
