Choice of a server: homes at servers without a rate limit, open slots used first

Change: a program's home is a server without a limit if there is one, and an open slot of a limited server weighs as much as the home, so that turns move there once the home is crowded.

--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include <xxhash.h>
 
@@ -129,8 +130,8 @@
 const ServerRegistry::ServerState *ServerRegistry::home(const ChoiceRequest &request) const
 {
     const ServerState *best = nullptr;
-    std::uint64_t bestRank = 0;
-    bool isBestInHomeZone = false;
+    // Without a rate limit, in the home zone, rank. A proxy's slots are too rare for all turns of a program.
+    std::tuple<bool, bool, std::uint64_t> bestQuality;
     if (request.attributes->program.empty() || request.attributes->promptParts.empty()) {
         return nullptr;
     }
@@ -138,11 +139,11 @@
     for (const auto *state : usableServers(request.service)) {
         const auto rank = homeRank(key, state->runHash);
         const bool isInHomeZone = state->server.zone == request.homeZone;
-        const bool isBetter = best == nullptr || (isInHomeZone != isBestInHomeZone ? isInHomeZone : rank > bestRank);
-        if (state->isUsable() && isBetter) {
+        const bool isUnlimited = !state->rateLimit.rate();
+        const auto quality = std::make_tuple(isUnlimited, isInHomeZone, rank);
+        if (state->isUsable() && (best == nullptr || quality > bestQuality)) {
             best = state;
-            bestRank = rank;
-            isBestInHomeZone = isInHomeZone;
+            bestQuality = quality;
         }
     }
     return best;
@@ -176,7 +177,9 @@
         }
         const std::uint32_t uncached = uncachedTokens(*state, lookup, attributes);
         const double ms = expectedMs(*state, uncached, lookup.usualMsPerEvent, now);
-        const double weight = ms - (state == lookup.home ? m_settings.homeBonusMs : 0.0);
+        // An unused slot expires, while the capacity of the home remains.
+        const bool hasBonus = state == lookup.home || state->rateLimit.rate().has_value();
+        const double weight = ms - (hasBonus ? m_settings.homeBonusMs : 0.0);
         const bool isTie = best != nullptr && weight == bestWeight;
         if (best == nullptr || weight < bestWeight || (isTie && homeRank(key, state->runHash) > homeRank(key, best->runHash))) {
             best = state;
--- a/tests/core/server_rate_limit_test.cpp
+++ b/tests/core/server_rate_limit_test.cpp
@@ -209,4 +209,82 @@
                              return it.param.name;
                          });
 
+/** Two proxies at three servers; "s0" and "s1" may name a limit. */
+class HomeOfLimitedServers : public ::testing::Test
+{
+protected:
+    HomeOfLimitedServers()
+    {
+        std::vector<Server> list;
+        for (int n = 0; n < 3; n++) {
+            Server server;
+            server.id = "s" + std::to_string(n);
+            server.service = "svc";
+            server.zone = "z1";
+            server.slots = 8;
+            list.push_back(server);
+        }
+        for (auto *it : {&first, &second}) {
+            it->update(list, false, Start);
+            it->setProxies(1, 0);
+        }
+    }
+
+    static std::string choose(const ServerRegistry &proxy, const std::string &program)
+    {
+        RequestAttributes attributes;
+        attributes.program = program;
+        attributes.promptParts = {{1, 500}, {2, 600}};
+        attributes.promptTokens = 1100;
+        const std::set<std::string> none;
+        const auto choice = proxy.choose({"svc", &attributes, 100, &none, {}}, Start);
+        return choice ? choice->server.id : "";
+    }
+
+    ServerRegistry first{"z1", {}};
+    ServerRegistry second{"z2", {}};
+};
+
+// Load pattern: most servers of a service name a limit far below the traffic of the programs that have their home there.
+TEST_F(HomeOfLimitedServers, ProgramsHaveTheirHomeAtTheOthers)
+{
+    first.recordRateLimit("s0", 8.0, Start, Start);
+    second.recordRateLimit("s0", 8.0, Start, Start);
+    std::map<std::string, int> homes;
+    for (int n = 0; n < 60; n++) {
+        const auto program = "p" + std::to_string(n);
+        homes[choose(first, program)]++;
+        EXPECT_EQ(choose(first, program), choose(second, program));
+    }
+    EXPECT_EQ(homes.size(), 2U);
+    EXPECT_EQ(homes.count("s0"), 0U);
+    first.recordRateLimit("s1", 8.0, Start, Start);
+    for (int n = 0; n < 60; n++) {
+        EXPECT_EQ(choose(first, "p" + std::to_string(n)), "s2");
+    }
+}
+
+TEST_F(HomeOfLimitedServers, OpenSlotsAreUsedBeforeTheHomeIsCrowded)
+{
+    for (const auto *it : {"s0", "s1"}) {
+        first.recordRateLimit(it, 8.0, Start, Start);
+    }
+    EXPECT_EQ(choose(first, "p"), "s2");
+    for (int n = 0; n < 12; n++) {
+        first.recordStart("s2", 0, {}, Start);
+    }
+    EXPECT_NE(choose(first, "p"), "s2");
+}
+
+// An answer to a request of before the limit arrives late, on another connection.
+TEST_F(HomeOfLimitedServers, OnlyAnswersToLaterRequestsEndALimit)
+{
+    EXPECT_TRUE(first.recordRateLimit("s0", 8.0, Start, Start + 1s));
+    EXPECT_FALSE(first.recordRateLimit("s0", 8.0, Start + 1s, Start + 2s));
+    EXPECT_FALSE(first.recordRateLimit("s0", std::nullopt, Start + 1500ms, Start + 3s));
+    EXPECT_TRUE(first.recordRateLimit("s0", 6.0, Start + 2s, Start + 3s));
+    EXPECT_TRUE(first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
+    EXPECT_FALSE(first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
+}
+
 } // namespace Vanillahall::Forward
