Rate limits: a server's huge limit leaves finite slots

A limit near the largest double made the slot's length zero and the next slot no number, so that the server was never used again. Limits above a million requests a second count as a million now. ExtremeRateLimit/largest failed before and passes now.

--- a/packages/core/src/queries/server_rate_limit_query.cpp
+++ b/packages/core/src/queries/server_rate_limit_query.cpp
@@ -11,6 +11,7 @@
 
 /** Requests per second; a lower limit is treated as this one, since only an answer tells whether the limit still holds. */
 constexpr double MinRate = 0.1;
+constexpr double MaxRate = 1e6;      ///< Requests per second; a higher limit is treated as this one, so that slots have a finite length.
 constexpr Seconds SlotLifetime{1.5}; ///< In a span of 4 s, unused slots of before add at most this span's requests.
 /** Minimum time between two requests, as a fraction of the cycle; slots move when the limit or the number of proxies changes. */
 constexpr double MinSpacing = 0.8;
@@ -27,7 +28,7 @@
     if (!m_rate) {
         return now;
     }
-    const double rate = std::max(*m_rate, MinRate);
+    const double rate = std::clamp(*m_rate, MinRate, MaxRate);
     const Seconds cycle(position.proxies / rate);
     const Seconds phase(static_cast<double>((position.rank + m_serverHash) % position.proxies) / rate);
     const Seconds present = now.time_since_epoch() + position.clockOffset;
--- a/tests/core/server_rate_limit_test.cpp
+++ b/tests/core/server_rate_limit_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <random>
 
 #include <gtest/gtest.h>
@@ -209,6 +210,41 @@
                              return it.param.name;
                          });
 
+/** A limit that a server names, and whether a proxy may send it two requests within 100 ms. */
+struct ExtremeLimit
+{
+    const char *name; ///< For the test's name.
+    double limit;     ///< Requests per second.
+    bool allowsTwo;   ///< True if the second request is allowed.
+};
+
+class ExtremeRateLimit : public ::testing::TestWithParam<ExtremeLimit>
+{
+};
+
+TEST_P(ExtremeRateLimit, LeavesFiniteSlots)
+{
+    const SharePosition position{12, 3, 1h};
+    ServerRateLimit rateLimit;
+    rateLimit.setRate(GetParam().limit);
+    const auto slot = rateLimit.nextSlot(position, Start);
+    EXPECT_GE(slot, Start);
+    EXPECT_LE(slot, Start + 120s);
+    rateLimit.recordSend(slot);
+    EXPECT_EQ(rateLimit.nextSlot(position, slot + 100ms) == slot + 100ms, GetParam().allowsTwo);
+    EXPECT_LE(rateLimit.nextSlot(position, slot), slot + 240s);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ExtremeRateLimit,
+                         ::testing::Values(ExtremeLimit{"zero", 0, false},
+                                           ExtremeLimit{"tiny", 1e-300, false},
+                                           ExtremeLimit{"huge", 1e300, true},
+                                           ExtremeLimit{"largest", std::numeric_limits<double>::max(), true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 /** Two proxies at three servers; "s0" and "s1" may name a limit. */
 class HomeOfLimitedServers : public ::testing::Test
 {
