--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -111,6 +111,8 @@
     [[nodiscard]] std::optional<Duration> rateLimitDelay(const std::string &service, TimePoint now) const;
     /** @return Number of known servers. */
     [[nodiscard]] std::size_t size() const;
+    /** @return Number of known servers that have named a rate limit. */
+    [[nodiscard]] std::size_t limitedCount() const;
     /** @return Number of connections to one server that this entry may open. */
     [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
 
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -224,4 +224,11 @@
     return m_servers.size();
 }
 
+std::size_t ServerRegistry::limitedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [](const auto &it) {
+        return it.second.rateLimit.rate().has_value();
+    }));
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -255,6 +255,7 @@
     metrics.gauge("vanillahall_requests_open", static_cast<double>(m_exchanges.size()));
     metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(m_reservedBytes));
     metrics.gauge("vanillahall_servers_known", static_cast<double>(servers.size()));
+    metrics.gauge("vanillahall_servers_limited", static_cast<double>(servers.limitedCount()));
     metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
