--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -182,7 +182,7 @@
 
     std::string m_zone;
     ChoiceSettings m_settings;
-    SharePosition m_position;
+    SharePosition m_position; ///< Position of this proxy among those that share connections and rate limits.
     std::unordered_map<std::string, ServerState> m_servers;
     std::unordered_map<std::string, std::vector<const ServerState *>> m_byService; ///< Usable servers by service, as of the last update.
     std::unordered_map<std::uint64_t, CachedPart> m_parts;
