--- a/tests/core/server_rate_limit_test.cpp
+++ b/tests/core/server_rate_limit_test.cpp
@@ -260,7 +260,7 @@
             server.slots = 8;
             list.push_back(server);
         }
-        for (auto *it : {&first, &second}) {
+        for (auto *it : {&m_first, &m_second}) {
             it->update(list, false, Start);
             it->setProxies(1, 0);
         }
@@ -277,50 +277,50 @@
         return choice ? choice->server.id : "";
     }
 
-    ServerRegistry first{"z1", {}};
-    ServerRegistry second{"z2", {}};
+    ServerRegistry m_first{"z1", {}};
+    ServerRegistry m_second{"z2", {}};
 };
 
 // Load pattern: most servers of a service name a limit far below the traffic of the programs that have their home there.
 TEST_F(HomeOfLimitedServers, ProgramsHaveTheirHomeAtTheOthers)
 {
-    first.recordRateLimit("s0", 8.0, Start, Start);
-    second.recordRateLimit("s0", 8.0, Start, Start);
+    m_first.recordRateLimit("s0", 8.0, Start, Start);
+    m_second.recordRateLimit("s0", 8.0, Start, Start);
     std::map<std::string, int> homes;
     for (int n = 0; n < 60; n++) {
         const auto program = "p" + std::to_string(n);
-        homes[choose(first, program)]++;
-        EXPECT_EQ(choose(first, program), choose(second, program));
+        homes[choose(m_first, program)]++;
+        EXPECT_EQ(choose(m_first, program), choose(m_second, program));
     }
     EXPECT_EQ(homes.size(), 2U);
     EXPECT_EQ(homes.count("s0"), 0U);
-    first.recordRateLimit("s1", 8.0, Start, Start);
+    m_first.recordRateLimit("s1", 8.0, Start, Start);
     for (int n = 0; n < 60; n++) {
-        EXPECT_EQ(choose(first, "p" + std::to_string(n)), "s2");
+        EXPECT_EQ(choose(m_first, "p" + std::to_string(n)), "s2");
     }
 }
 
 TEST_F(HomeOfLimitedServers, OpenSlotsAreUsedBeforeTheHomeIsCrowded)
 {
     for (const auto *it : {"s0", "s1"}) {
-        first.recordRateLimit(it, 8.0, Start, Start);
+        m_first.recordRateLimit(it, 8.0, Start, Start);
     }
-    EXPECT_EQ(choose(first, "p"), "s2");
+    EXPECT_EQ(choose(m_first, "p"), "s2");
     for (int n = 0; n < 12; n++) {
-        first.recordStart("s2", 0, {}, Start);
+        m_first.recordStart("s2", 0, {}, Start);
     }
-    EXPECT_NE(choose(first, "p"), "s2");
+    EXPECT_NE(choose(m_first, "p"), "s2");
 }
 
 // An answer to a request of before the limit arrives late, on another connection.
 TEST_F(HomeOfLimitedServers, OnlyAnswersToLaterRequestsEndALimit)
 {
-    EXPECT_TRUE(first.recordRateLimit("s0", 8.0, Start, Start + 1s));
-    EXPECT_FALSE(first.recordRateLimit("s0", 8.0, Start + 1s, Start + 2s));
-    EXPECT_FALSE(first.recordRateLimit("s0", std::nullopt, Start + 1500ms, Start + 3s));
-    EXPECT_TRUE(first.recordRateLimit("s0", 6.0, Start + 2s, Start + 3s));
-    EXPECT_TRUE(first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
-    EXPECT_FALSE(first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
+    EXPECT_TRUE(m_first.recordRateLimit("s0", 8.0, Start, Start + 1s));
+    EXPECT_FALSE(m_first.recordRateLimit("s0", 8.0, Start + 1s, Start + 2s));
+    EXPECT_FALSE(m_first.recordRateLimit("s0", std::nullopt, Start + 1500ms, Start + 3s));
+    EXPECT_TRUE(m_first.recordRateLimit("s0", 6.0, Start + 2s, Start + 3s));
+    EXPECT_TRUE(m_first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
+    EXPECT_FALSE(m_first.recordRateLimit("s0", std::nullopt, Start + 3500ms, Start + 4s));
 }
 
 } // namespace Vanillahall::Forward
