Log the content of failed attempts, and when shared records quarantine it

Event 1103 names the content's hash and the number of records that the process knows; event 1901 comes at each process that begins to refuse a content, also if the records are those of other proxies, which was silent so far. No decision changes.

--- a/packages/core/include/vanillahall/core/crash_tracker_base.h
+++ b/packages/core/include/vanillahall/core/crash_tracker_base.h
@@ -43,8 +43,11 @@
     CrashRecord recordCrash(std::uint64_t content, TimePoint now);
     /** Records an attempt that got a response, so its content doesn't crash servers. @return Records of this entry that no longer count. */
     std::vector<CrashRecord> recordSuccess(std::uint64_t content);
-    /** Replaces the counts of other entries by the contents of all records that they share. */
-    void updateShared(const std::vector<std::uint64_t> &contents);
+    /**
+     * Replaces the counts of other entries by the contents of all records that they share.
+     * @return Contents that are refused from now on.
+     */
+    std::vector<std::uint64_t> updateShared(const std::vector<std::uint64_t> &contents);
     /** Removes the expired records of this entry. @return The removed records. */
     std::vector<CrashRecord> removeExpired(TimePoint now);
 
@@ -52,6 +55,8 @@
 
     /** @return True if a content is refused. */
     [[nodiscard]] bool isRefused(std::uint64_t content) const;
+    /** @return Number of records of a content, of this entry and of the others. */
+    [[nodiscard]] std::size_t recordCount(std::uint64_t content) const;
 
 private:
     /** Records of this entry for one content. */
--- a/packages/core/src/commands/crash_tracker_cmd.cpp
+++ b/packages/core/src/commands/crash_tracker_cmd.cpp
@@ -1,5 +1,7 @@
 #include "vanillahall/core/crash_tracker_base.h"
 
+#include <set>
+
 namespace Vanillahall::Forward {
 
 CrashRecord CrashTracker::recordCrash(std::uint64_t content, TimePoint now)
@@ -28,12 +30,25 @@
     return own == m_own.end() ? std::vector<CrashRecord>() : removeRecords(own);
 }
 
-void CrashTracker::updateShared(const std::vector<std::uint64_t> &contents)
+std::vector<std::uint64_t> CrashTracker::updateShared(const std::vector<std::uint64_t> &contents)
 {
+    std::set<std::uint64_t> refusedBefore;
+    for (const auto it : contents) {
+        if (isRefused(it)) {
+            refusedBefore.insert(it);
+        }
+    }
     m_sharedCounts.clear();
     for (const auto it : contents) {
         m_sharedCounts[it]++;
     }
+    std::set<std::uint64_t> refused;
+    for (const auto it : contents) {
+        if (isRefused(it) && refusedBefore.count(it) == 0) {
+            refused.insert(it);
+        }
+    }
+    return {refused.begin(), refused.end()};
 }
 
 std::vector<CrashRecord> CrashTracker::removeExpired(TimePoint now)
--- a/packages/core/src/queries/crash_tracker_query.cpp
+++ b/packages/core/src/queries/crash_tracker_query.cpp
@@ -14,11 +14,15 @@
 }
 
 bool CrashTracker::isRefused(std::uint64_t content) const
+{
+    return recordCount(content) >= CrashLimit;
+}
+
+std::size_t CrashTracker::recordCount(std::uint64_t content) const
 {
     const auto own = m_own.find(content);
     const auto others = m_sharedCounts.find(content);
-    const auto records = (own == m_own.end() ? 0 : own->second.serials.size()) + (others == m_sharedCounts.end() ? 0 : others->second);
-    return records >= CrashLimit;
+    return (own == m_own.end() ? 0 : own->second.serials.size()) + (others == m_sharedCounts.end() ? 0 : others->second);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -51,6 +51,7 @@
     const auto step = m_isClientDisconnected ? NextStep::BreakOff : nextStep(history, failure);
     std::ostringstream line;
     line << "request=" << m_request.attributes.requestId << " program=" << m_request.attributes.program << " server=" << m_choice.server.id
+         << " content=" << m_contentHash << " crash_records=" << m_proxy.crashes.recordCount(m_contentHash)
          << " failure=" << failureName(failure) << " may_have_run=" << m_mayHaveRun << " tries=" << m_attempts << " step=" << stepName(step)
          << " why=\"" << message << '"';
     m_proxy.log(LogLevel::Warning, EventNumber::AttemptFailed, line.str());
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -160,10 +160,17 @@
     const bool wasRefused = crashes.isRefused(content);
     callStore(Platform::writeCrashCall(m_processName, crashes.recordCrash(content, now()), storeNowMs()), "share_break");
     if (!wasRefused && crashes.isRefused(content)) {
-        log(LogLevel::Warning, EventNumber::ContentQuarantined, "content=" + std::to_string(content));
+        logQuarantine(content);
     }
 }
 
+void ProxyState::logQuarantine(std::uint64_t content)
+{
+    log(LogLevel::Warning,
+        EventNumber::ContentQuarantined,
+        "content=" + std::to_string(content) + " records=" + std::to_string(crashes.recordCount(content)));
+}
+
 void ProxyState::recordContentSuccess(std::uint64_t content)
 {
     removeCrashRecords(crashes.recordSuccess(content));
@@ -229,7 +236,9 @@
             contents.push_back(crash->content);
         }
     }
-    crashes.updateShared(contents);
+    for (const auto it : crashes.updateShared(contents)) {
+        logQuarantine(it);
+    }
     if (!expiredKeys.empty() && claimCleaningRound()) {
         removeCrashRows(expiredKeys);
     }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -134,6 +134,8 @@
     void sendHeartbeat();
     void applyCrashes(const Platform::StoreRows &rows);
     void removeCrashRecords(const std::vector<CrashRecord> &records);
+    /** Logs that a content is refused from now on. */
+    void logQuarantine(std::uint64_t content);
     /**
      * Spreads the removal of expired rows over the proxies, since each of them finds the same rows.
      * @return True if this proxy has to remove them this time; with n proxies that is every nth call.
