Records of crashes are shared until the store has them, in batches

What callers saw: a request that crashes its servers was refused by the proxies that had seen three crashes themselves, and sent on by all others; each send ended another server with all requests there.

Cause: a record was written to the store once and forgotten if the call failed. A store that is away, answers 429 or loses the call left each proxy with its own count, so nine proxies let 27 servers end. A server that ends breaks all of its requests at once, and each was a write of its own in one part of the store (200 writes a second there), which makes the 429 likely just then. Reads of the shared records that failed were repeated after 2 s only.

Change: CrashTracker keeps records until their write is acknowledged, has one write under way at a time with up to 100 records, repeats it 0.4 s after a failure and at once when the store is back; it also decides when shared records are read: every 2 s as before, 0.4 s after a failed read and after the return of the store. Keys never come again and rows carry the time of the crash, so repeated and late writes change no count. Records of a content that turned out harmless are removed after their write has ended, not before.

Gauge vanillahall_crash_records_unshared; the line of a failed write names the number of records that wait.

--- a/packages/core/src/commands/crash_tracker_cmd.cpp
+++ b/packages/core/src/commands/crash_tracker_cmd.cpp
@@ -1,6 +1,8 @@
 #include "vanillahall/core/crash_tracker_base.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
@@ -9,7 +11,64 @@
     auto &own = m_own[content];
     own.serials.push_back(++m_serial);
     own.lastCrash = now;
-    return {content, m_serial};
+    const CrashRecord record{content, m_serial};
+    if (m_unshared.size() >= MaxUnsharedCrashes) {
+        m_unshared.erase(m_unshared.begin() + static_cast<std::ptrdiff_t>(m_sharing));
+    }
+    m_unshared.push_back({record, now});
+    return record;
+}
+
+std::optional<CrashBatch> CrashTracker::beginShare(TimePoint now)
+{
+    if (m_unshared.empty() || m_sharing != 0 || now < m_nextShareAt) {
+        return std::nullopt;
+    }
+    m_sharing = std::min(m_unshared.size(), MaxSharedCrashes);
+    CrashBatch batch;
+    batch.records.reserve(m_sharing);
+    for (std::size_t n = 0; n < m_sharing; n++) {
+        batch.records.push_back(m_unshared[n].record);
+    }
+    batch.newestAt = m_unshared[m_sharing - 1].madeAt;
+    return batch;
+}
+
+std::vector<CrashRecord> CrashTracker::endShare(bool isStored, TimePoint now)
+{
+    std::vector<CrashRecord> obsolete;
+    const auto end = m_unshared.begin() + static_cast<std::ptrdiff_t>(std::exchange(m_sharing, 0));
+    const auto rest = std::remove_if(m_unshared.begin(), end, [&obsolete, isStored](const UnsharedRecord &it) {
+        if (it.isObsolete) {
+            obsolete.push_back(it.record);
+        }
+        return isStored || it.isObsolete;
+    });
+    m_unshared.erase(rest, end);
+    if (!isStored) {
+        m_nextShareAt = now + CrashRetryInterval;
+    }
+    return obsolete;
+}
+
+bool CrashTracker::beginRead(TimePoint now)
+{
+    if (now < m_nextReadAt) {
+        return false;
+    }
+    m_nextReadAt = now + CrashReadInterval;
+    return true;
+}
+
+void CrashTracker::onReadFailed(TimePoint now)
+{
+    m_nextReadAt = std::min(m_nextReadAt, now + CrashRetryInterval);
+}
+
+void CrashTracker::onStoreBack(TimePoint now)
+{
+    m_nextShareAt = now;
+    m_nextReadAt = std::min(m_nextReadAt, now + CrashRetryInterval);
 }
 
 std::vector<CrashRecord> CrashTracker::removeRecords(std::unordered_map<std::uint64_t, OwnRecords>::iterator own)
@@ -17,6 +76,18 @@
     std::vector<CrashRecord> records;
     records.reserve(own->second.serials.size());
     for (const auto it : own->second.serials) {
+        const auto unshared = std::find_if(m_unshared.begin(), m_unshared.end(), [it](const UnsharedRecord &record) {
+            return record.record.serial == it;
+        });
+        if (unshared != m_unshared.end() && unshared - m_unshared.begin() < static_cast<std::ptrdiff_t>(m_sharing)) {
+            // Its write could come after the removal.
+            unshared->isObsolete = true;
+            continue;
+        }
+        if (unshared != m_unshared.end()) {
+            m_unshared.erase(unshared);
+        }
+        // An earlier write with an unknown outcome may have stored it.
         records.push_back({own->first, it});
     }
     m_own.erase(own);
--- a/packages/core/src/queries/crash_tracker_query.cpp
+++ b/packages/core/src/queries/crash_tracker_query.cpp
@@ -18,6 +18,11 @@
     return recordCount(content) >= CrashLimit;
 }
 
+std::size_t CrashTracker::unsharedCount() const
+{
+    return m_unshared.size();
+}
+
 std::size_t CrashTracker::recordCount(std::uint64_t content) const
 {
     const auto own = m_own.find(content);
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -13,8 +13,6 @@
     = std::chrono::milliseconds(1500); ///< The store counts as unavailable after this time without a reply.
 constexpr Duration MaxListAge = std::chrono::milliseconds(
     2500); ///< After a longer time without a list, servers may be missing from the next one only because their rows expired meanwhile.
-constexpr Duration CrashReadInterval = std::chrono::seconds(
-    2); ///< Interval between reads of the shared crash records; all proxies may refuse a content 3 s after it broke its third server.
 constexpr std::size_t MaxInvalidRows = 200; ///< Limit on remembered invalid rows, each of which is logged once.
 
 } // namespace
@@ -88,8 +86,8 @@
         return;
     }
     sendHeartbeat();
-    if (now() >= m_nextCrashReadAt) {
-        m_nextCrashReadAt = now() + CrashReadInterval;
+    shareCrashes();
+    if (crashes.beginRead(now())) {
         readCrashes();
     }
     removeExpiredRows();
@@ -188,6 +186,8 @@
     m_storeAnsweredAt = now();
     if (std::exchange(m_isStoreUnavailable, false)) {
         log(LogLevel::Info, EventNumber::StoreBack, "peer=store");
+        crashes.onStoreBack(now());
+        shareCrashes();
     }
     for (const auto &it : std::exchange(m_storeWaiters, {})) {
         if (const auto exchange = it.lock()) {
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -158,12 +158,46 @@
 void ProxyState::recordContentFailure(std::uint64_t content)
 {
     const bool wasRefused = crashes.isRefused(content);
-    callStore(Platform::writeCrashCall(m_processName, crashes.recordCrash(content, now()), storeNowMs()), "share_break");
+    crashes.recordCrash(content, now());
+    shareCrashes();
     if (!wasRefused && crashes.isRefused(content)) {
         logQuarantine(content);
     }
 }
 
+void ProxyState::shareCrashes()
+{
+    const auto batch = crashes.beginShare(now());
+    if (!batch) {
+        return;
+    }
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - batch->newestAt);
+    const auto madeAtMs = storeNowMs() - std::min(storeNowMs(), static_cast<std::uint64_t>(age.count()));
+    store.call(Platform::writeCrashesCall(m_processName, batch->records, madeAtMs),
+               StoreTimeout,
+               false,
+               [weak = weak_from_this(), n = batch->records.size()](const auto &reply, const Error &reason) {
+                   if (const auto self = weak.lock()) {
+                       self->onCrashesShared(n, reply, reason);
+                   }
+               });
+}
+
+void ProxyState::onCrashesShared(std::size_t count, const std::optional<StoreReply> &reply, const Error &reason)
+{
+    const bool isStored = reply && reply->status == StatusOk;
+    removeCrashRecords(crashes.endShare(isStored, now()));
+    if (!isStored) {
+        const auto why = reply ? "status " + std::to_string(reply->status) : reason.message;
+        onStoreFailure(why);
+        log(LogLevel::Warning,
+            EventNumber::DependencyLost,
+            "peer=store call=share_break records=" + std::to_string(count) + " waiting=" + std::to_string(crashes.unsharedCount())
+                + " why=\"" + why + '"');
+    }
+    shareCrashes();
+}
+
 void ProxyState::logQuarantine(std::uint64_t content)
 {
     log(LogLevel::Warning,
@@ -215,6 +249,8 @@
     readAll(Platform::readCrashesCall, false, [this](const auto &rows) {
         if (rows) {
             applyCrashes(*rows);
+        } else {
+            crashes.onReadFailed(now());
         }
     });
 }
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -260,6 +260,7 @@
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
     metrics.gauge("vanillahall_turn_cache_bytes", static_cast<double>(turns.bytes()));
+    metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -134,6 +134,9 @@
     void sendHeartbeat();
     void applyCrashes(const Platform::StoreRows &rows);
     void removeCrashRecords(const std::vector<CrashRecord> &records);
+    /** Writes the crash records that wait for it to the store. */
+    void shareCrashes();
+    void onCrashesShared(std::size_t count, const std::optional<StoreReply> &reply, const Error &reason);
     /** Logs that a content is refused from now on. */
     void logQuarantine(std::uint64_t content);
     /**
@@ -203,7 +206,6 @@
     std::uint64_t m_nextTokenPart = 0;                   ///< Partition of the token table that is swept next.
     std::uint64_t m_nextTurnPart = 0;                    ///< Partition of the turn table that is swept next.
     TimePoint m_nextTurnSweepAt{};                       ///< When the next partition of the turn table is swept.
-    TimePoint m_nextCrashReadAt{};                       ///< When the shared crash records are read next.
     std::uint64_t m_cleaningRounds = 0;                  ///< Number of calls of claimCleaningRound().
     std::function<void()> m_onStopped;                   ///< Called when the stop is complete.
     std::shared_ptr<TableWatcher> m_configWatcher;       ///< Watches the configuration table.
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -72,7 +72,7 @@
     expectWrite(removeMembersCall("eu", {member}),
                 R"({"expect":[{"key":"vm-1","part":"eu","table":"proxies","ver":9}],"remove":[{"key":"vm-1","part":"eu",)"
                 R"("table":"proxies"}],"writes":[]})");
-    expectWrite(writeCrashCall("vm-1/42", {0xabc, 7}, 5000),
+    expectWrite(writeCrashesCall("vm-1/42", {{0xabc, 7}}, 5000),
                 R"({"expect":[],"remove":[],"writes":[{"key":"abc/vm-1/42/7","part":"","table":"broken_contents",)"
                 R"("value":"eyJhdCI6NTAwMH0="}]})");
     expectWrite(removeCrashesCall({"abc/vm-1/42/7"}),
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -290,7 +290,7 @@
 TEST(StoreCalls, CrashRecordsAreDecodedAsWritten)
 {
     const Forward::CrashRecord record{0xabc, 7};
-    const auto call = writeCrashCall("vm-1/42", record, 5000);
+    const auto call = writeCrashesCall("vm-1/42", {record}, 5000);
     const auto written = nlohmann::json::parse(call.body)["writes"][0];
     EXPECT_EQ(written["key"], crashKey("vm-1/42", record));
     Error reason;
