The count of crashes is checked before each attempt

What callers saw: one server more ended after the third crash. The count was checked when a request arrived; a second attempt of the same request, or a request that waited for the store or for a server meanwhile, passed the check.

ProxyCrash.AnAttemptAfterTheLastAllowedCrashIsNotSent failed before: 4 requests at the servers, 3 allowed. Now selectServer() checks too, and answers 502 if an attempt of this request may have run, 503 otherwise.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -51,7 +51,8 @@
      "The client closed its connection first. `all_ms` and `first_ms` show whether it waited long or left early."},
     {Outcome::ContentQuarantined,
      "content_quarantined",
-     "503, not run: requests with this path and body broke three server connections within two minutes. Event 1901 says when."},
+     "503, not run, or 502 after an attempt of this request: requests with this path and body broke three server connections within two "
+     "minutes. Event 1901 says when."},
     {Outcome::ConversationAway,
      "conversation_away",
      "503, not run: the earlier turns of the conversation can't be read from the store. Event 1106 says which; see events 1501 and "
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -75,11 +75,22 @@
         return;
     }
     m_contentHash = contentHash(m_request.method, target, attributes.program, m_request.body);
-    if (m_proxy.crashes.isRefused(m_contentHash)) {
+    if (!refuseQuarantined()) {
+        queryStore();
+    }
+}
+
+bool Exchange::refuseQuarantined()
+{
+    if (!m_proxy.crashes.isRefused(m_contentHash)) {
+        return false;
+    }
+    if (m_mayHaveRun != 0) {
+        answer(StatusBadGateway, std::nullopt, Outcome::ContentQuarantined);
+    } else {
         answer(StatusUnavailable, CrashRecordLifetime, Outcome::ContentQuarantined);
-        return;
     }
-    queryStore();
+    return true;
 }
 
 void Exchange::queryStore()
@@ -174,6 +185,10 @@
 
 void Exchange::selectServer()
 {
+    // Earlier attempts, or those at other proxies, may have crashed servers since the request arrived.
+    if (refuseQuarantined()) {
+        return;
+    }
     const ChoiceRequest wanted{
         m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_request.attributes.program)};
     const auto choice = m_proxy.servers.choose(wanted, now());
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -48,6 +48,8 @@
     void requestTokens();
     void waitForStore();
     void setStoreTimer(Duration span);
+    /** Refuses the request if its content has crashed too many servers. @return True if it was refused. */
+    bool refuseQuarantined();
     void selectServer();
     void waitForServer();
     void send(const Choice &choice);
