What the end of an answer says about a content that crashes servers

What callers saw: contents that crash servers were sent on although three servers had ended, because the crash wasn't counted or the count was taken back.

Cause: three conclusions from the end of an answer. A stream without length and chunks that ends inside an event was a failed attempt, but not counted as a crash, nor against its server. Every response that wasn't a refusal took the count back, so an error of another server made the content harmless again; so did a response that ends with its connection, whose end may be the crash. And whether a resumed stream had ended inside an event was decided by the framing of the first attempt's response, so a second one that broke off looked complete.

Now a stream that ends inside an event is a broken attempt like any other, and only a success whose end is framed takes the count back. The framing is that of the attempt that has ended: ProxyStream.AResumedStreamThatEndsInsideAnEventIsNotComplete. Mutants for each safeguard of this matter.

--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -54,6 +54,8 @@
     void waitForServer();
     void send(const Choice &choice);
     [[nodiscard]] std::string requestText(const Server &server) const;
+    /** Handles the end of an attempt whose server has ended the response early, or sent one that can't be passed on. */
+    void onAttemptBroken(const std::string &message);
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
     void endAttempt();
     void recordRateLimit(std::optional<double> perSecond);
@@ -107,6 +109,7 @@
     EventSplitter m_events;                            ///< Splits the stream into events.
     std::string m_triedServers;                        ///< Servers of all attempts, for the log.
     bool m_isStreaming = false;                        ///< True if the current response is an event stream.
+    bool m_endsWithConnection = false;                 ///< True if the current response ends with its connection.
     bool m_hasBegunAnswer = false;                     ///< True if the head was sent to the client.
     bool m_hadFirstEvent = false;                      ///< True if the current attempt has received an event.
     bool m_isRefusal = false;                          ///< True if the server states that it didn't run the request.
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -56,6 +56,7 @@
         m_failureReason = "success without signature, or with a missing or different request id";
         return false;
     }
+    m_endsWithConnection = head.endsWithConnection;
     m_isStreaming = isSuccess(head.status) && isStream(m_route.repetition) && head.hasBody;
     if (m_hasBegunAnswer && !m_isStreaming) {
         m_failureReason = "status " + std::to_string(head.status) + " in response to a resumed stream";
@@ -189,8 +190,8 @@
         return;
     }
     const std::string rest = m_isStreaming ? m_events.takePartialEvent() : std::string();
-    if (m_isStreaming && !rest.empty() && m_head.endsWithConnection) {
-        onAttemptFailed(AttemptFailure::Broken, "stream ended inside an event");
+    if (m_isStreaming && !rest.empty() && m_endsWithConnection) {
+        onAttemptBroken("stream ended inside an event");
         return;
     }
     if (m_head.status >= StatusServerError) {
@@ -201,7 +202,10 @@
     if (m_isStreaming && m_attemptEvents > MaxUntimedEvents) {
         m_proxy.servers.recordEventInterval(m_choice.server.id, (now() - m_attemptFirstEventAt) / (m_attemptEvents - 1), now());
     }
-    m_proxy.recordContentSuccess(m_contentHash);
+    // Neither an error nor a response that ends with its connection shows that the server has survived the request.
+    if (isSuccess(m_head.status) && !m_endsWithConnection) {
+        m_proxy.recordContentSuccess(m_contentHash);
+    }
     endAttempt();
     if (!m_conversation || !isSuccess(m_head.status)) {
         endAnswer(rest);
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -24,16 +24,22 @@
 void Exchange::onConnectionFailure(const ServerConnectionFailure &failure)
 {
     m_connection.reset();
-    m_proxy.servers.recordFailure(m_choice.server.id, now());
     if (!failure.wasSent) {
         m_mayHaveRun--;
+        m_proxy.servers.recordFailure(m_choice.server.id, now());
         onAttemptFailed(AttemptFailure::NoConnection, failure.message);
         return;
     }
+    onAttemptBroken(failure.message);
+}
+
+void Exchange::onAttemptBroken(const std::string &message)
+{
+    m_proxy.servers.recordFailure(m_choice.server.id, now());
     if (m_failure == AttemptFailure::Broken) {
         m_proxy.recordContentFailure(m_contentHash);
     }
-    onAttemptFailed(m_failure, m_failureReason.empty() ? failure.message : m_failureReason);
+    onAttemptFailed(m_failure, m_failureReason.empty() ? message : m_failureReason);
 }
 
 void Exchange::endAttempt()
--- a/tests/proxy/proxy_stream_test.cpp
+++ b/tests/proxy/proxy_stream_test.cpp
@@ -57,6 +57,25 @@
     EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// The framing of the first attempt's response decided whether the end of the second one was complete.
+TEST(ProxyStream, AResumedStreamThatEndsInsideAnEventIsNotComplete)
+{
+    std::size_t requestCount = 0;
+    ProxyWorld world([&](const std::string &) {
+        if (requestCount++ == 0) {
+            return Script{streamHead() + eventChunk(1), true};
+        }
+        return Script{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n"
+                      "id: 2\ndata: e\n\nid: 3\nda",
+                      true};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_NE(answer.find("id: 2\n"), std::string::npos);
+    EXPECT_EQ(answer.find("id: 3"), std::string::npos);
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 TEST(ProxyStream, AnOverlongEventIsDropped)
 {
     const std::string endless(std::size_t{300} * 1024, 'x');
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -90,6 +90,15 @@
      "core_test", "HomeOfLimitedServers*"),
     ("an outage ends all other proxies", CORE + "commands/proxy_membership_cmd.cpp", "state.countedUntil += outage;", "", "core_test", "ProxyMembership*"),
     ("ready without a configuration", PROXY + "proxy_state.cpp", "return routes.isLoaded() && m_serversReadAt", "return m_serversReadAt", "proxy_test", "ProxyStart*"),
+    ("a record of a crash is written once", CORE + "commands/crash_tracker_cmd.cpp", "return isStored || it.isObsolete;", "return true;", "core_test", "*CrashSharing*"),
+    ("each crash is a write of its own", CORE + "commands/crash_tracker_cmd.cpp", "m_sharing = std::min(m_unshared.size(), MaxSharedCrashes);", "m_sharing = 1;", "core_test", "*CrashSharing*"),
+    ("the store's return is not used", CORE + "commands/crash_tracker_cmd.cpp", "    m_nextShareAt = now;\n    m_nextReadAt = std::min(m_nextReadAt, now + CrashRetryInterval);\n", "    (void)now;\n", "core_test", "*CrashSharing*"),
+    ("a failed read of crashes is repeated late", CORE + "commands/crash_tracker_cmd.cpp", "void CrashTracker::onReadFailed(TimePoint now)\n{\n", "void CrashTracker::onReadFailed(TimePoint now)\n{\n    return;\n", "core_test", "*CrashSharing*"),
+    ("crashes are checked on arrival only", PROXY + "exchange.cpp", "    if (refuseQuarantined()) {\n        return;\n    }\n", "", "proxy_test", "*ProxyCrash*"),
+    ("an error shows that a content is harmless", PROXY + "exchange_answer.cpp", "if (isSuccess(m_head.status) && !m_endsWithConnection) {", "if (!m_endsWithConnection) {", "proxy_test", "*ProxyCrash*"),
+    ("the end of a connection shows that a content is harmless", PROXY + "exchange_answer.cpp", "if (isSuccess(m_head.status) && !m_endsWithConnection) {", "if (isSuccess(m_head.status)) {", "proxy_test", "*ProxyCrash*"),
+    ("a stream that ends inside an event counts as complete", PROXY + "exchange_answer.cpp", "!rest.empty() && m_endsWithConnection", "!rest.empty() && m_head.endsWithConnection", "proxy_test", "*ProxyStream*"),
+    ("a stream that ends inside an event is no crash", PROXY + "exchange_answer.cpp", "onAttemptBroken(\"stream ended inside an event\");", "onAttemptFailed(AttemptFailure::Broken, \"stream ended inside an event\");", "proxy_test", "*ProxyCrash*"),
 ]
 
 
