Log the software version of servers, and which stream a request resumes

Servers' rows are decoded with the version of their software (a version that isn't a text names no server to use), requests with the stream that they resume; events 1102 and 1503 show both. No decision uses them yet.

--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -70,6 +70,15 @@
     ClientLimits limits;                     ///< Limits on clients.
 };
 
+/** Version of the software of backend servers. What two versions write in a stream doesn't fit together. */
+struct SoftwareVersion
+{
+    std::string service; ///< Service of the servers.
+    std::string version; ///< Version as the servers name it; empty if they don't.
+
+    bool operator==(const SoftwareVersion &) const = default;
+};
+
 /** Backend server as listed by the platform. */
 struct Server
 {
@@ -83,6 +92,13 @@
     Duration coldLeft{};             ///< Remaining time of its slow phase after the start.
     std::uint64_t startedMs{};       ///< Calendar time of its start, in Unix milliseconds; 0 if unknown.
     std::vector<std::string> models; ///< Models that it has loaded; empty for plain services.
+    std::string softwareVersion;     ///< Version of its software; empty if it isn't listed.
+
+    /** @return Version of its software, together with its service. */
+    [[nodiscard]] SoftwareVersion software() const
+    {
+        return {service, softwareVersion};
+    }
 };
 
 /** One part of a prompt, in prompt order. */
@@ -106,6 +122,8 @@
     std::vector<PromptPart> promptParts;      ///< Parts of the prompt; empty if not given.
     std::string model;                        ///< Requested model; empty if none.
     std::optional<std::uint64_t> lastEventId; ///< Last event that the client has received, if it resumes a stream.
+    bool resumesStream = false;               ///< True if the client resumes a stream, whether or not `lastEventId` could be read.
+    std::string resumedRequest;               ///< Id of the request that brought the first event of the resumed stream; empty if not given.
     std::string previousTurn;                 ///< Request id of the turn that this one continues; empty if none.
     bool isPreviousTurnInvalid = false;       ///< True if the previous turn is named twice or with an invalid name.
 };
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -187,7 +187,9 @@
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
          << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
          << " home_zone=" << m_proxy.ledger.homeZone(attributes.program) << " events=" << m_forwardedEvents
-         << " unread=" << m_choice.uncachedTokens << " previous=" << attributes.previousTurn
+         << " unread=" << m_choice.uncachedTokens << " version=" << m_choice.server.softwareVersion
+         << " last_event=" << (attributes.lastEventId ? std::to_string(*attributes.lastEventId) : "")
+         << " resumes=" << attributes.resumedRequest << " previous=" << attributes.previousTurn
          << " conversation=" << (m_conversation ? m_conversation->turn().bodySize() : 0) << " prompt=" << attributes.promptTokens
          << " budget=" << attributes.tokenBudget.value_or(0) << " most=" << attributes.maxGenerated
          << " program_left_ms=" << (attributes.programTimeLeft ? ms(*attributes.programTimeLeft) : -1);
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -272,7 +272,8 @@
         const char *state = !isListed ? "gone" : (listed->isDraining ? "draining" : "ready");
         log(LogLevel::Info,
             EventNumber::ServerChanged,
-            "server=" + it + " state=" + state + (isListed ? " service=" + listed->service + " zone=" + listed->zone : ""));
+            "server=" + it + " state=" + state
+                + (isListed ? " service=" + listed->service + " zone=" + listed->zone + " version=" + listed->softwareVersion : ""));
     }
 }
 
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -187,10 +187,11 @@
                                      R"("models":[{"name":"m","version":1},{"name":"n","version":2}],"coldLeftMs":50})",
                                      reason);
     ASSERT_TRUE(server) << reason.message;
-    const auto &[id, service, address, port, zone, slots, isDraining, coldLeft, startedMs, models] = *server;
+    const auto &[id, service, address, port, zone, slots, isDraining, coldLeft, startedMs, models, software] = *server;
     EXPECT_EQ(std::tie(id, service, address, port, zone), std::make_tuple("i-1", "s", "10.0.0.9", 8080U, "z"));
     EXPECT_EQ(std::tie(slots, isDraining, coldLeft, startedMs), std::make_tuple(24U, true, 50ms, 17U));
     EXPECT_EQ(models, (std::vector<std::string>{"m", "n"}));
+    EXPECT_EQ(software, "");
 }
 
 TEST(FixedRows, OfTheConfigurationAreReadAsBefore)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -52,7 +52,11 @@
     readRequestHeader(attributes, "Token-Budget", "2296");
     readRequestHeader(attributes, "Token-Usage", "1840,287");
     readRequestHeader(attributes, "Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,broken,x:y,e4402b7d:250");
+    EXPECT_FALSE(attributes.resumesStream);
     readRequestHeader(attributes, "Last-Event-Id", "12");
+    EXPECT_TRUE(attributes.resumesStream);
+    readRequestHeader(attributes, "resumes", " e5b2 ");
+    EXPECT_EQ(attributes.resumedRequest, "e5b2");
     EXPECT_EQ(attributes.requestId, "9c41");
     EXPECT_EQ(attributes.deadline, Duration(4s));
     EXPECT_EQ(attributes.program, "3fa81c");
@@ -131,7 +135,8 @@
 
 namespace {
 
-constexpr const char *GoodServer = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"ready","born":17,
+constexpr const char *GoodServer
+    = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"ready","version":"v1.1","born":17,
     "models":[{"name":"m","version":1}],"coldLeftMs":50,"unknown":[]})";
 
 constexpr const char *GoodConfig = R"({"version":7,"routes":[
@@ -165,6 +170,8 @@
     EXPECT_EQ(server->slots, 24U);
     EXPECT_EQ(server->startedMs, 17U);
     EXPECT_EQ(server->models, std::vector<std::string>{"m"});
+    EXPECT_EQ(server->software(), (Forward::SoftwareVersion{"s", "v1.1"}));
+    EXPECT_EQ(decodeServer("i-1", withField(GoodServer, "/version", nullptr), reason)->softwareVersion, "");
     EXPECT_FALSE(server->isDraining);
     EXPECT_TRUE(decodeServer("i-1", withField(GoodServer, "/state", "draining"), reason)->isDraining);
 }
@@ -195,6 +202,7 @@
                                            withField(GoodServer, "/slots", "24"),
                                            withField(GoodServer, "/slots", -1),
                                            withField(GoodServer, "/state", "sleeping"),
+                                           withField(GoodServer, "/version", 7),
                                            withField(GoodServer, "/zone", nullptr)));
 
 RC_GTEST_PROP(RowProperty, CorruptedRowsAreRefusedWithAReasonOrValid, ())
