--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -93,6 +93,15 @@
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
     }
+    if (request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos) {
+        tokenReads++;
+        Json list = Json::array();
+        const auto row = tokens.find(queryValue(request, "from"));
+        if (row != tokens.end()) {
+            list.push_back({{"key", row->first}, {"value", row->second.first}, {"ver", row->second.second}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
     if (request.find("GET /api/rows-get?") == 0) {
         return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -37,6 +37,7 @@
     std::set<std::string> removed;     ///< Keys of removed rows.
     std::uint64_t nowMs = 1;           ///< Clock of the store, in milliseconds.
     int version = 10;                  ///< Newest version.
+    std::size_t tokenReads = 0;        ///< Reads of single token rows so far.
     std::size_t writes = 0;            ///< Writes of token rows so far, refused ones included.
     std::size_t lostReplies = 0;       ///< Number of further writes to execute without a reply.
     bool refusesWrites = false;        ///< True to answer `refusalStatus` to writes.
