Streams go on only at the software version that began them

No code knew the version of a server, and a continuation went to the best server; knowing the versions alone would not have helped a client that resumes at another proxy, or after the loss of all proxies. The class of fault is a choice that later requests depend on and that only the process that made it knows.

Change: a program's row in the store names the software versions at which its streams may have begun (field begun), and a stream begins only at a version that the row names. The first reservation of tokens names it, so a program without a release costs no call more; a new version costs one write a program. Turns stay at the named versions while a server of them can take the turn. A proxy remembers the versions of the streams that it has forwarded; for others it reads the row after the request has arrived, and goes on only if the row names a single version. Otherwise, and if no server has that version any more, the request is refused at once (503, stream_origin_unknown, no_server_of_version). Within one request a proxy goes on at the version that began.

Rows of older releases count as unknown; old proxies read new rows as before. The fixed rows of platform_test change by the new field only.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -20,6 +20,7 @@
     NoOtherServer,       ///< An attempt failed and may be repeated, but no other server can take the request.
     NoRoute,             ///< No route matches.
     NoServer,            ///< The service has no server.
+    NoServerOfVersion,   ///< No server has the software version that began the stream.
     NoService,           ///< The route leads to an unknown service.
     NoSuchTurn,          ///< The previous turn doesn't exist.
     NoStoreForBudget,    ///< Tokens can't be reserved because the store is unavailable.
@@ -28,6 +29,7 @@
     ServersFull,         ///< All servers refused the request or are full.
     ServersLimited,      ///< The rate limits of all servers are reached.
     ServersUnreachable,  ///< No connection to a server could be established.
+    StreamOriginUnknown, ///< It isn't known which software version began the stream.
     TooManyBytesHeld,    ///< The proxy's limit for buffered bodies is reached.
     TurnNotKept,         ///< The response was aborted because the turn couldn't be stored.
     TimeLimit,           ///< The deadline or the route's time limit passed.
@@ -71,6 +73,9 @@
      "502: an attempt failed and the request may be repeated, but no other server can take it. See event 1103."},
     {Outcome::NoRoute, "no_route", "404: no route of configuration `config` matches host and path."},
     {Outcome::NoServer, "no_server", "503, not run: the service has no ready server. See earlier events 1503."},
+    {Outcome::NoServerOfVersion,
+     "no_server_of_version",
+     "503, not run: the client resumes a stream, and no ready server has the software version that began it. See events 1503."},
     {Outcome::NoService, "no_service", "503, not run: the route leads to a service that configuration `config` doesn't define."},
     {Outcome::NoSuchTurn,
      "no_such_turn",
@@ -94,6 +99,10 @@
     {Outcome::ServersUnreachable,
      "servers_unreachable",
      "503, not run: no connection to a server could be established. See event 1103 and check the network."},
+    {Outcome::StreamOriginUnknown,
+     "stream_origin_unknown",
+     "503, not run: the client resumes a stream, and it isn't known which software version began it: streams of the program have begun at "
+     "several versions, or its row in the store doesn't tell. Look for the request named by `resumes`."},
     {Outcome::TooManyBytesHeld,
      "too_many_bytes_held",
      "503, not run: the memory limit for bodies and conversations in progress is reached. See `vanillahall_body_bytes_held`."},
--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -73,9 +73,14 @@
 /** Version of the software of backend servers. What two versions write in a stream doesn't fit together. */
 struct SoftwareVersion
 {
-    std::string service; ///< Service of the servers.
+    std::string service; ///< Service of the servers; empty if the version is unknown.
     std::string version; ///< Version as the servers name it; empty if they don't.
 
+    [[nodiscard]] bool isUnknown() const
+    {
+        return service.empty();
+    }
+
     bool operator==(const SoftwareVersion &) const = default;
 };
 
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -35,11 +35,12 @@
 /** Request to choose a server for. */
 struct ChoiceRequest
 {
-    std::string service;                           ///< Name of the service.
-    const RequestAttributes *attributes = nullptr; ///< Attributes of the request.
-    std::uint32_t maxConnections = 16;             ///< Connections that one server accepts from all proxies together.
-    const std::set<std::string> *avoided;          ///< Servers that already refused or failed this request.
-    std::string homeZone;                          ///< Availability zone of the program's home server; empty for any.
+    std::string service;                                    ///< Name of the service.
+    const RequestAttributes *attributes = nullptr;          ///< Attributes of the request.
+    std::uint32_t maxConnections = 16;                      ///< Connections that one server accepts from all proxies together.
+    const std::set<std::string> *avoided;                   ///< Servers that already refused or failed this request.
+    std::string homeZone;                                   ///< Availability zone of the program's home server; empty for any.
+    const std::vector<SoftwareVersion> *software = nullptr; ///< Software versions of which the server has to be one; null for any.
 };
 
 /** Result of the choice. */
@@ -104,6 +105,8 @@
     [[nodiscard]] std::optional<Choice> choose(const ChoiceRequest &request, TimePoint now) const;
     /** @return True if a service has a usable server. */
     [[nodiscard]] bool hasServer(const std::string &service) const;
+    /** @return True if there is a usable server with a version of the software. */
+    [[nodiscard]] bool hasServer(const SoftwareVersion &software) const;
     /**
      * @return Time until the rate limit of a server of the service allows this proxy another request; nothing if a usable server has no
      * rate limit, or if there is no usable server.
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -2,11 +2,12 @@
  * Token budgets of programs, enforced across all entries.
  * Load pattern: the turns of one program run at several entries at once, and programs in an endless loop keep requesting more tokens. A row
  * per program in the platform's store holds the number of tokens reserved by all entries; an entry grants tokens only from its own
- * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails.
+ * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails. The row also names the software versions at
+ * which streams of the program may have begun, so that any entry knows where a stream may go on, also after the loss of all others.
  */
 #pragma once
 
-#include "vanillahall/core/time_type.h"
+#include "vanillahall/core/forward_type.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,6 +26,8 @@
     std::uint64_t maxTokens{}; ///< Maximum number of tokens that this turn generates.
     bool shouldReadFirst
         = false; ///< True to read an unknown row before writing it, because it probably exists or the store is short of writes.
+    std::optional<SoftwareVersion> streamVersion = {}; ///< Version at which the turn's stream is to begin; the row has to name it first.
+    TimePoint confirmedSince = {}; ///< A read or write of the row has to have started at this time or later and succeeded.
 };
 
 /** Row of a program in the store. */
@@ -34,8 +37,13 @@
     std::string writer;       ///< Unique name of the write that made this row.
     std::uint64_t version{};  ///< Version of the row; 0 if there is none.
     std::string homeZone;     ///< Availability zone where the program started; empty if unknown.
+    /** Versions at which streams of the program may have begun. An unknown one stands for those that the row doesn't name. */
+    std::vector<SoftwareVersion> streamVersions = {};
 };
 
+/** Versions that a row names at most; a program seldom outlives one release of its servers. */
+inline constexpr std::size_t MaxStreamVersions = 8;
+
 /** Conditional write of a program's row. */
 struct TokenWrite
 {
@@ -110,6 +118,8 @@
     [[nodiscard]] std::size_t size() const;
     /** @return Known row of a program; version 0 if unknown. */
     [[nodiscard]] TokenRow row(const std::string &program) const;
+    /** @return Row of a program as of a time or later; nothing if it wasn't read or written since. */
+    [[nodiscard]] std::optional<TokenRow> confirmedRow(const std::string &program, TimePoint since) const;
     /** @return Availability zone where a program started, from its row; empty if unknown. */
     [[nodiscard]] std::string homeZone(const std::string &program) const;
 
@@ -122,8 +132,10 @@
         std::uint64_t pendingTokens{};       ///< Tokens that the open or unconfirmed write reserves; 0 if there is none.
         std::optional<TokenWrite> openWrite; ///< Write that is under way or whose outcome is unknown.
         std::uint64_t waitingTokens{};       ///< Tokens requested by turns while a write was under way.
-        TimePoint writeRequestedAt{};        ///< When the open write was requested.
+        TimePoint writeRequestedAt{};        ///< When the last read or write was requested.
         TimePoint writtenAt{};               ///< When the row was last written by this entry.
+        TimePoint confirmedAt{};             ///< When the last call that has shown the row's content was requested.
+        bool hasReadFailed = false;          ///< True if the last read of the row failed.
         bool isWriting = false;              ///< True while the open write, or a read of the row, is under way.
         bool wasRead = false;                ///< True once a read of the row was requested.
         TimePoint lastUse{};                 ///< Time of the last request.
--- a/packages/core/src/commands/server_registry_cmd.cpp
+++ b/packages/core/src/commands/server_registry_cmd.cpp
@@ -19,7 +19,7 @@
 
 bool isSameRun(const Server &a, const Server &b)
 {
-    return a.address == b.address && a.port == b.port && a.startedMs == b.startedMs && a.service == b.service;
+    return a.address == b.address && a.port == b.port && a.startedMs == b.startedMs && a.software() == b.software();
 }
 
 } // namespace
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -11,12 +11,35 @@
 {
 }
 
+namespace {
+
+bool isNamed(const std::vector<SoftwareVersion> &versions, const SoftwareVersion &version)
+{
+    return std::find(versions.begin(), versions.end(), version) != versions.end();
+}
+
+/** Adds a version; beyond the limit, any version counts as named. */
+void addVersion(std::vector<SoftwareVersion> &versions, const SoftwareVersion &version)
+{
+    if (versions.size() >= MaxStreamVersions && !isNamed(versions, SoftwareVersion())) {
+        versions.front() = SoftwareVersion();
+    }
+    if (versions.size() >= MaxStreamVersions) {
+        versions.erase(versions.begin() + 1);
+    }
+    versions.push_back(version);
+}
+
+} // namespace
+
 TokenAnswer TokenLedger::reserve(const TokenRequest &request, TimePoint now)
 {
     auto &account = m_accounts[request.program];
     account.lastUse = std::max(account.lastUse, now);
     const bool isStale = now - account.writtenAt > TokenRowRefreshAge;
-    if (account.available >= request.maxTokens && !isStale) {
+    const bool isVersionNamed = !request.streamVersion || isNamed(account.row.streamVersions, *request.streamVersion);
+    const bool isConfirmed = account.confirmedAt >= request.confirmedSince;
+    if (account.available >= request.maxTokens && !isStale && isVersionNamed && isConfirmed) {
         account.available -= request.maxTokens;
         account.waitingTokens -= std::min(account.waitingTokens, request.maxTokens);
         return TokenGranted{};
@@ -30,7 +53,8 @@
         account.isWriting = true;
         return TokenNeedsWrite{*account.openWrite};
     }
-    if (request.shouldReadFirst && account.row.version == 0 && !account.wasRead) {
+    const bool shouldConfirm = !isConfirmed && !account.hasReadFailed;
+    if (shouldConfirm || (request.shouldReadFirst && account.row.version == 0 && !account.wasRead)) {
         account.wasRead = true;
         account.isWriting = true;
         return TokenNeedsRead{};
@@ -55,6 +79,9 @@
     if (write.row.version == 0) {
         write.row.homeZone = m_zone;
     }
+    if (!isVersionNamed) {
+        addVersion(write.row.streamVersions, *request.streamVersion);
+    }
     account.pendingTokens = amount;
     account.openWrite = write;
     account.isWriting = true;
@@ -68,7 +95,9 @@
         return;
     }
     it->second.isWriting = false;
+    it->second.hasReadFailed = !row;
     if (row) {
+        it->second.confirmedAt = it->second.writeRequestedAt;
         mergeRow(program, *row, now);
     }
 }
@@ -104,6 +133,8 @@
     account.openWrite.reset();
     account.isWriting = false;
     account.writtenAt = account.writeRequestedAt;
+    account.confirmedAt = account.writeRequestedAt;
+    account.hasReadFailed = false;
 }
 
 void TokenLedger::onConflict(const std::string &program, const TokenRow &row)
@@ -122,6 +153,8 @@
         it->second.available = 0;
     }
     it->second.row = row;
+    it->second.confirmedAt = it->second.writeRequestedAt;
+    it->second.hasReadFailed = false;
     it->second.openWrite.reset();
     it->second.isWriting = false;
 }
@@ -167,6 +200,15 @@
     return it == m_accounts.end() ? TokenRow() : it->second.row;
 }
 
+std::optional<TokenRow> TokenLedger::confirmedRow(const std::string &program, TimePoint since) const
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end() || it->second.confirmedAt < since) {
+        return std::nullopt;
+    }
+    return it->second.row;
+}
+
 std::string TokenLedger::homeZone(const std::string &program) const
 {
     const auto it = m_accounts.find(program);
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -32,6 +32,13 @@
     return XXH3_64bits_withSeed(&runHash, sizeof runHash, keyHash);
 }
 
+bool hasSoftware(const Server &server, const std::vector<SoftwareVersion> *wanted)
+{
+    return wanted == nullptr || std::any_of(wanted->begin(), wanted->end(), [&server](const SoftwareVersion &it) {
+               return it.version == server.softwareVersion && it.service == server.service;
+           });
+}
+
 bool hasModel(const Server &server, const std::string &model)
 {
     return model.empty() || server.models.empty() || std::find(server.models.begin(), server.models.end(), model) != server.models.end();
@@ -137,6 +144,9 @@
     }
     const auto key = keyHash(request.attributes->program);
     for (const auto *state : usableServers(request.service)) {
+        if (!hasSoftware(state->server, request.software)) {
+            continue;
+        }
         const auto rank = homeRank(key, state->runHash);
         const bool isInHomeZone = state->server.zone == request.homeZone;
         const bool isUnlimited = !state->rateLimit.rate();
@@ -172,7 +182,8 @@
     Choice choice;
     for (const auto *state : usableServers(request.service)) {
         if (!state->isUsable() || state->running >= share || request.avoided->count(state->server.id) != 0
-            || !hasModel(state->server, attributes.model) || state->rateLimit.nextSlot(m_position, now) > now) {
+            || !hasSoftware(state->server, request.software) || !hasModel(state->server, attributes.model)
+            || state->rateLimit.nextSlot(m_position, now) > now) {
             continue;
         }
         const std::uint32_t uncached = uncachedTokens(*state, lookup, attributes);
@@ -203,6 +214,14 @@
     });
 }
 
+bool ServerRegistry::hasServer(const SoftwareVersion &software) const
+{
+    const auto &servers = usableServers(software.service);
+    return std::any_of(servers.begin(), servers.end(), [&software](const auto *it) {
+        return it->isUsable() && it->server.softwareVersion == software.version;
+    });
+}
+
 std::optional<Duration> ServerRegistry::rateLimitDelay(const std::string &service, TimePoint now) const
 {
     std::optional<Duration> delay;
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -75,9 +75,61 @@
         return;
     }
     m_contentHash = contentHash(m_request.method, target, attributes.program, m_request.body);
-    if (!refuseQuarantined()) {
-        queryStore();
+    if (refuseQuarantined()) {
+        return;
+    }
+    if (isResumed()) {
+        m_origin = m_proxy.streamOrigins.find(attributes.resumedRequest);
     }
+    queryStore();
+}
+
+bool Exchange::isResumed() const
+{
+    return m_route.repetition == Repetition::Resumable && m_request.attributes.resumesStream;
+}
+
+bool Exchange::hasTokenBudget() const
+{
+    const auto &attributes = m_request.attributes;
+    return isStream(m_route.repetition) && !attributes.program.empty() && attributes.tokenBudget && attributes.maxGenerated != 0;
+}
+
+bool Exchange::isVersionInRow() const
+{
+    return m_route.repetition == Repetition::Resumable && hasTokenBudget();
+}
+
+bool Exchange::findOrigin()
+{
+    if (!isResumed() || m_origin) {
+        return true;
+    }
+    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_request.attributes.program, m_request.arrived) : TokenRow();
+    if (!row) {
+        return true;
+    }
+    if (row->streamVersions.size() == 1 && !row->streamVersions.front().isUnknown()) {
+        m_origin = row->streamVersions.front();
+        return true;
+    }
+    answerNotRun(Outcome::StreamOriginUnknown);
+    return false;
+}
+
+std::optional<SoftwareVersion> Exchange::versionToName() const
+{
+    if (!isVersionInRow() || m_origin || isResumed()) {
+        return m_origin;
+    }
+    const auto &program = m_request.attributes.program;
+    if (m_newVersion || !m_proxy.ledger.row(program).streamVersions.empty()) {
+        return m_newVersion;
+    }
+    // The first write of the row names the version of the server that would be chosen now.
+    const ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
+    const auto choice = m_proxy.servers.choose(wanted, now());
+    return choice ? std::optional(choice->server.software()) : std::nullopt;
 }
 
 bool Exchange::refuseQuarantined()
@@ -105,7 +157,10 @@
 void Exchange::requestTokens()
 {
     const auto &attributes = m_request.attributes;
-    if (!isStream(m_route.repetition) || attributes.program.empty() || !attributes.tokenBudget || attributes.maxGenerated == 0) {
+    if (!findOrigin()) {
+        return;
+    }
+    if (!hasTokenBudget()) {
         selectServer();
         return;
     }
@@ -114,7 +169,10 @@
     const std::uint64_t maxTokens = (attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
     // A turn of a sub-agent isn't the first one of its program, so the row exists.
     const bool shouldReadFirst = m_proxy.store.isBusy() || (!attributes.session.empty() && attributes.session != attributes.program);
-    const auto result = m_proxy.ledger.reserve({attributes.program, *attributes.tokenBudget, maxTokens, shouldReadFirst}, now());
+    // Another proxy may have named a version since this one last saw the row.
+    const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
+    const auto result = m_proxy.ledger.reserve(
+        {attributes.program, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince}, now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
         m_grantedTokens = maxTokens;
@@ -189,13 +247,56 @@
     if (refuseQuarantined()) {
         return;
     }
-    const ChoiceRequest wanted{
-        m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_request.attributes.program)};
-    const auto choice = m_proxy.servers.choose(wanted, now());
-    if (choice) {
-        send(*choice);
-    } else {
+    if (m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin))) {
+        answerVersionGone();
+        return;
+    }
+    const auto choice = chooseServer();
+    if (!choice) {
         waitForServer();
+        return;
+    }
+    const auto software = choice->server.software();
+    const auto named = m_proxy.ledger.row(m_request.attributes.program).streamVersions;
+    if (isVersionInRow() && !m_origin && std::find(named.begin(), named.end(), software) == named.end()) {
+        // The row names the version before the stream begins. The tokens are reserved anew together with it.
+        m_newVersion = software;
+        m_proxy.ledger.settle(m_request.attributes.program, std::exchange(m_grantedTokens, 0), 0);
+        requestTokens();
+        return;
+    }
+    send(*choice);
+}
+
+std::optional<Choice> Exchange::chooseServer()
+{
+    const auto &program = m_request.attributes.program;
+    ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
+    if (m_origin) {
+        const std::vector<SoftwareVersion> origin{*m_origin};
+        wanted.software = &origin;
+        return m_proxy.servers.choose(wanted, now());
+    }
+    if (!isVersionInRow()) {
+        return m_proxy.servers.choose(wanted, now());
+    }
+    const auto named = m_proxy.ledger.row(program).streamVersions;
+    wanted.software = &named;
+    auto choice = m_proxy.servers.choose(wanted, now());
+    if (choice || m_mayHaveRun != 0) {
+        // A request that may have run can't wait for the store: it might have to be refused as not run.
+        return choice;
+    }
+    wanted.software = nullptr;
+    return m_proxy.servers.choose(wanted, now());
+}
+
+void Exchange::answerVersionGone()
+{
+    if (m_mayHaveRun != 0) {
+        answer(StatusBadGateway, std::nullopt, Outcome::NoOtherServer);
+    } else {
+        answerNotRun(Outcome::NoServerOfVersion);
     }
 }
 
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -50,6 +50,22 @@
     void setStoreTimer(Duration span);
     /** Refuses the request if its content has crashed too many servers. @return True if it was refused. */
     bool refuseQuarantined();
+    /**
+     * Determines from the program's row which version began the stream that the client resumes.
+     * @return False if the request was refused because the version can't be known.
+     */
+    bool findOrigin();
+    /** @return Version at which the turn's stream is to begin, if the program's row has to name it before. */
+    [[nodiscard]] std::optional<SoftwareVersion> versionToName() const;
+    /** @return Server for the request, among those whose version fits. */
+    [[nodiscard]] std::optional<Choice> chooseServer();
+    /** @return True if the versions at which the stream may begin are those of the program's row. */
+    [[nodiscard]] bool isVersionInRow() const;
+    [[nodiscard]] bool hasTokenBudget() const;
+    /** @return True if the client resumes a stream that it has received in part. */
+    [[nodiscard]] bool isResumed() const;
+    /** Ends a request whose stream no server can continue. */
+    void answerVersionGone();
     void selectServer();
     void waitForServer();
     void send(const Choice &choice);
@@ -65,6 +81,8 @@
     void forwardToClient(std::string_view bytes);
     [[nodiscard]] BodyAction bodyAction();
     void forwardEvents(const CompleteEvents &events);
+    /** Records which version began the stream, once its first event is forwarded. */
+    void recordOrigin();
     void endAnswer(const std::string &rest);
     void finishAnswer();
     void onTimeout();
@@ -96,6 +114,8 @@
     TimePoint m_attemptStartedAt{};                    ///< When the current attempt started.
     TimePoint m_attemptFirstEventAt{};                 ///< When its first event was received.
     std::optional<std::uint64_t> m_lastEvent;          ///< Id of the last event forwarded to the client.
+    std::optional<SoftwareVersion> m_origin;           ///< Version that began the stream; nothing if it hasn't begun or isn't known.
+    std::optional<SoftwareVersion> m_newVersion;       ///< Version to begin at although the program's row doesn't name it yet.
     std::shared_ptr<ServerConnection> m_connection;    ///< Connection of the current attempt.
     std::set<std::string> m_excludedServers;           ///< Servers that refused or failed this request.
     Choice m_choice;                                   ///< Server of the current attempt.
@@ -110,6 +130,7 @@
     std::string m_triedServers;                        ///< Servers of all attempts, for the log.
     bool m_isStreaming = false;                        ///< True if the current response is an event stream.
     bool m_endsWithConnection = false;                 ///< True if the current response ends with its connection.
+    bool m_isOriginRecorded = false;                   ///< True once recordOrigin() has recorded the version.
     bool m_hasBegunAnswer = false;                     ///< True if the head was sent to the client.
     bool m_hadFirstEvent = false;                      ///< True if the current attempt has received an event.
     bool m_isRefusal = false;                          ///< True if the server states that it didn't run the request.
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -134,6 +134,7 @@
     if (!m_hasBegunAnswer) {
         beginAnswer();
     }
+    recordOrigin();
     m_forwardedEvents += events.count;
     if (m_conversation) {
         m_isTurnTooLong = !m_conversation->addEvents(events.bytes);
@@ -144,6 +145,19 @@
     forwardToClient(events.bytes);
 }
 
+void Exchange::recordOrigin()
+{
+    if (m_route.repetition != Repetition::Resumable || m_isOriginRecorded) {
+        return;
+    }
+    m_isOriginRecorded = true;
+    const auto &attributes = m_request.attributes;
+    if (!m_origin) {
+        m_origin = m_choice.server.software();
+    }
+    m_proxy.streamOrigins.record(attributes.resumedRequest.empty() ? attributes.requestId : attributes.resumedRequest, *m_origin, now());
+}
+
 void Exchange::beginAnswer()
 {
     m_hasBegunAnswer = true;
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -11,6 +11,7 @@
 #include "vanillahall/core/crash_tracker_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
+#include "vanillahall/core/stream_origins_base.h"
 #include "vanillahall/core/token_ledger_base.h"
 #include "vanillahall/core/turn_cache_base.h"
 #include "vanillahall/platform/wire_turn_func.h"
@@ -99,6 +100,7 @@
     TokenLedger ledger;
     TurnCache turns;
     CrashTracker crashes;
+    StreamOrigins streamOrigins;
     Metrics metrics;
     ProxyMembership members;
     StoreRouter store;
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -52,6 +52,47 @@
 
 } // namespace
 
+TEST(ServerRegistrySoftware, OnlyServersOfTheWantedVersionsAreChosen)
+{
+    ServerRegistry registry("z1", {});
+    std::vector<Server> list;
+    for (const auto *id : {"a1", "b1", "a2", "b2", "c2"}) {
+        list.push_back(makeServer(id));
+        list.back().softwareVersion = std::string("v") + id[1];
+    }
+    registry.update(list, false, Start);
+    EXPECT_TRUE(registry.hasServer(SoftwareVersion{"svc", "v1"}));
+    EXPECT_FALSE(registry.hasServer(SoftwareVersion{"svc", "v3"}));
+    EXPECT_FALSE(registry.hasServer(SoftwareVersion{"other", "v1"}));
+    const std::set<std::string> none;
+    for (int n = 0; n < 50; n++) {
+        // Many programs, so that the homes of some are servers of the other version.
+        const auto turn = makeTurn("p" + std::to_string(n), {{1, 100}});
+        const std::vector<SoftwareVersion> wanted{{"svc", "v1"}};
+        const auto choice = registry.choose({"svc", &turn, 120, &none, {}, &wanted}, Start);
+        ASSERT_TRUE(choice);
+        EXPECT_EQ(choice->server.softwareVersion, "v1");
+        // The home among the servers of the version is the same for all turns of the program, so its cache is used.
+        registry.recordStart(choice->server.id, 0, turn, Start);
+        EXPECT_EQ(registry.choose({"svc", &turn, 120, &none, {}, &wanted}, Start)->server.id, choice->server.id);
+        registry.recordEnd(choice->server.id, 0, false);
+        const std::vector<SoftwareVersion> gone{{"svc", "v3"}, {"other", "v1"}, {}};
+        EXPECT_FALSE(registry.choose({"svc", &turn, 120, &none, {}, &gone}, Start));
+    }
+}
+
+TEST(ServerRegistrySoftware, AServerThatComesBackWithAnotherVersionIsANewOne)
+{
+    ServerRegistry registry("z1", {});
+    auto server = makeServer("a");
+    server.softwareVersion = "v1";
+    registry.update({server}, false, Start);
+    server.softwareVersion = "v2";
+    EXPECT_EQ(registry.update({server}, false, Start), std::vector<std::string>{"a"});
+    EXPECT_FALSE(registry.hasServer(SoftwareVersion{"svc", "v1"}));
+    EXPECT_TRUE(registry.hasServer(SoftwareVersion{"svc", "v2"}));
+}
+
 /** Change of the list, and whether server "a" is usable afterwards. */
 struct ListCase
 {
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -99,6 +99,79 @@
     EXPECT_EQ(rows.row("p").homeZone, "z1");
 }
 
+/** Versions that a row names, and the turn that needs one. */
+struct StreamVersionCase
+{
+    const char *name;                   ///< For the test's name.
+    std::vector<SoftwareVersion> named; ///< Versions in the row.
+    SoftwareVersion wanted;             ///< Version at which the turn's stream is to begin.
+    std::vector<SoftwareVersion> after; ///< Expected versions in the row when the turn may begin.
+};
+
+class StreamVersions : public ::testing::TestWithParam<StreamVersionCase>
+{
+};
+
+// Clients got streams that were joined from two software versions, since no other entry knew which one had begun them.
+TEST_P(StreamVersions, StandInTheRowBeforeATurnMayBegin)
+{
+    const auto &param = GetParam();
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    TokenLedger other("b/1");
+    for (const auto &it : param.named) {
+        ASSERT_TRUE(isGranted(reserveWithWrites(other, rows, {"p", Budget, 1, false, it})));
+    }
+    ASSERT_TRUE(isGranted(reserveWithWrites(ledger, rows, {"p", Budget, Most, false, param.wanted})));
+    EXPECT_EQ(rows.row("p").streamVersions, param.after);
+    // Tokens that are left don't let a turn begin at a version that isn't named.
+    ledger.settle("p", Most, 0);
+    EXPECT_FALSE(isGranted(ledger.reserve({"p", Budget, 1, false, SoftwareVersion{"s", "another"}}, Start)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    StreamVersions,
+    ::testing::Values(StreamVersionCase{"first", {}, {"s", "v1"}, {{"s", "v1"}}},
+                      StreamVersionCase{"same", {{"s", "v1"}}, {"s", "v1"}, {{"s", "v1"}}},
+                      StreamVersionCase{"newer", {{"s", "v1"}}, {"s", "v2"}, {{"s", "v1"}, {"s", "v2"}}},
+                      StreamVersionCase{"otherService", {{"s", "v1"}}, {"t", "v1"}, {{"s", "v1"}, {"t", "v1"}}},
+                      StreamVersionCase{"unnamed", {}, {"s", ""}, {{"s", ""}}},
+                      // One entry stands for all that don't fit.
+                      StreamVersionCase{"tooMany",
+                                        {{"s", "1"}, {"s", "2"}, {"s", "3"}, {"s", "4"}, {"s", "5"}, {"s", "6"}, {"s", "7"}, {"s", "8"}},
+                                        {"s", "9"},
+                                        {{}, {"s", "3"}, {"s", "4"}, {"s", "5"}, {"s", "6"}, {"s", "7"}, {"s", "8"}, {"s", "9"}}}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
+TEST(TokenLedger, ARowIsConfirmedByACallThatStartsLater)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    ASSERT_TRUE(isGranted(reserveWithWrites(ledger, rows, {"p", Budget, Most})));
+    EXPECT_TRUE(ledger.confirmedRow("p", Start));
+    const TokenRequest later{"p", Budget, 1, false, std::nullopt, Start + 1s};
+    EXPECT_FALSE(ledger.confirmedRow("p", later.confirmedSince));
+    // A read that has failed is followed by a write, whose condition confirms the row, too.
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsRead>(ledger.reserve(later, Start + 2s)));
+    ledger.onRowRead("p", std::nullopt, Start + 3s);
+    const auto answer = ledger.reserve(later, Start + 4s);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsWrite>(answer));
+    const auto &write = std::get<TokenNeedsWrite>(answer).write;
+    ledger.onWritten("p", *rows.write(write));
+    EXPECT_TRUE(ledger.confirmedRow("p", Start + 4s));
+    EXPECT_TRUE(isGranted(ledger.reserve(later, Start + 5s)));
+    // A successful read confirms it as of its start.
+    const TokenRequest last{"p", Budget, 1, false, std::nullopt, Start + 6s};
+    EXPECT_TRUE(std::holds_alternative<TokenNeedsRead>(ledger.reserve(last, Start + 7s)));
+    ledger.onRowRead("p", rows.row("p"), Start + 9s);
+    EXPECT_TRUE(ledger.confirmedRow("p", Start + 7s));
+    EXPECT_FALSE(ledger.confirmedRow("p", Start + 8s));
+    EXPECT_TRUE(isGranted(ledger.reserve(last, Start + 9s)));
+}
+
 TEST(TokenLedger, ExhaustedBudgetIsRefused)
 {
     RowModel rows;
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -18,7 +18,7 @@
 Forward::TurnWrite turnWrite(std::string text)
 {
     return {std::make_shared<Forward::StoredTurn>(
-                Forward::StoredTurn{"t/1%", {"b1", "b2"}, std::move(text), 123456, "p1", {300, "a/1", 12, "z1"}}),
+                Forward::StoredTurn{"t/1%", {"b1", "b2"}, std::move(text), 123456, "p1", {300, "a/1", 12, "z1", {{"s", "v1"}}}}),
             1};
 }
 
@@ -56,13 +56,13 @@
 
 TEST(FixedCalls, ThatWriteAreAsBefore)
 {
-    const Forward::TokenWrite tokens{"p1", {300, "a/1", 12, "z1"}};
+    const Forward::TokenWrite tokens{"p1", {300, "a/1", 12, "z1", {{"s", "v1"}}}};
     const Forward::ProxyMember member{"vm-1", "10.0.0.1", 7000, 9};
     const ExpiredTurn due{"0000000000123456/t/", "t/", 2, 5};
     expectWrite(writeTokenRowCall(tokens, 7000),
                 R"({"expect":[{"key":"p1","part":"p356","table":"token_budgets","ver":12}],"remove":[],"writes":[{"key":"p1",)"
                 R"("part":"p356","table":"token_budgets",)"
-                R"("value":"eyJhdCI6NzAwMCwiaG9tZSI6InoxIiwicmVzZXJ2ZWQiOjMwMCwid3JpdGVyIjoiYS8xIn0="}]})");
+                R"("value":"eyJhdCI6NzAwMCwiYmVndW4iOltbInMiLCJ2MSJdXSwiaG9tZSI6InoxIiwicmVzZXJ2ZWQiOjMwMCwid3JpdGVyIjoiYS8xIn0="}]})");
     expectWrite(removeTokenRowsCall({tokens}),
                 R"({"expect":[{"key":"p1","part":"p356","table":"token_budgets","ver":12}],"remove":[{"key":"p1","part":"p356",)"
                 R"("table":"token_budgets"}],"writes":[]})");
@@ -78,10 +78,10 @@
     expectWrite(removeCrashesCall({"abc/vm-1/42/7"}),
                 R"({"expect":[],"remove":[{"key":"abc/vm-1/42/7","part":"","table":"broken_contents"}],"writes":[]})");
     expectWrite(writeTurnCall(turnWrite("in\nout\xff"), RowBytes),
-                R"({"expect":[],"remove":[],"writes":[{"key":"t%2F1%25/000","part":"t424","table":"turns",)"
-                R"("value":"eyJiYXNlcyI6WyJiMSIsImIyIl0sImJ5dGVzIjo3LCJwaWVjZXMiOjEsInByb2dyYW0iOiJwMSIsInRva2VucyI6eyJob21lIjoie)"
-                R"(jEiLCJyZXNlcnZlZCI6MzAwLCJ2ZXIiOjEyLCJ3cml0ZXIiOiJhLzEifSwidW50aWwiOjEyMzQ1Nn0KaW4Kb3V0/w=="},)"
-                R"({"key":"0000000000123456/t%2F1%25/","part":"t424","table":"turn_ends","value":"MQ=="}]})");
+                R"({"expect":[],"remove":[],"writes":[{"key":"t%2F1%25/000","part":"t424","table":"turns","value":"eyJiYXNlcyI6WyJiMSI)"
+                R"(sImIyIl0sImJ5dGVzIjo3LCJwaWVjZXMiOjEsInByb2dyYW0iOiJwMSIsInRva2VucyI6eyJiZWd1biI6W1sicyIsInYxIl1dLCJob21lIjoiejEiLC)"
+                R"(JyZXNlcnZlZCI6MzAwLCJ2ZXIiOjEyLCJ3cml0ZXIiOiJhLzEifSwidW50aWwiOjEyMzQ1Nn0KaW4Kb3V0/w=="},{"key":"0000000000123456/t)"
+                R"(%2F1%25/","part":"t424","table":"turn_ends","value":"MQ=="}]})");
     expectWrite(removeTurnCall({"t/1%", 1}, 2),
                 R"({"expect":[],"remove":[{"key":"t%2F1%25/000","part":"t424","table":"turns"},{"key":"t%2F1%25/001",)"
                 R"("part":"t424","table":"turns"}],"writes":[]})");
@@ -105,8 +105,8 @@
     ASSERT_NE(at, std::string::npos);
     EXPECT_EQ(call.body.substr(0, at),
               R"({"expect":[],"remove":[],"writes":[{"key":"t%2F1%25/000","part":"t424","table":"turns",)"
-              R"("value":"eyJiYXNlcyI6WyJiMSIsImIyIl0sImJ5dGVzIjoxMDI1LCJwaWVjZXMiOjIsInByb2dyYW0iOiJwMSIsInRva2VucyI6eyJob21lI)"
-              R"(joiejEiLCJyZXNlcnZlZCI6MzAwLCJ2ZXIiOjEyLCJ3cml0ZXIiOiJhLzEifSwidW50aWwiOjEyMzQ1Nn0K)");
+              R"("value":"eyJiYXNlcyI6WyJiMSIsImIyIl0sImJ5dGVzIjoxMDI1LCJwaWVjZXMiOjIsInByb2dyYW0iOiJwMSIsInRva2VucyI6eyJiZWd1)"
+              R"(biI6W1sicyIsInYxIl1dLCJob21lIjoiejEiLCJyZXNlcnZlZCI6MzAwLCJ2ZXIiOjEyLCJ3cml0ZXIiOiJhLzEifSwidW50aWwiOjEyMzQ1Nn0K)");
     EXPECT_EQ(call.body.substr(at + first.size()),
               R"(eA=="},{"key":"t%2F1%25/001","part":"t424","table":"turns","value":"eA=="},)"
               R"({"key":"0000000000123456/t%2F1%25/","part":"t424","table":"turn_ends","value":"Mg=="}]})");
@@ -146,8 +146,10 @@
     EXPECT_EQ(std::tie(name, address, port, memberVersion), std::make_tuple("vm-1", "10.0.0.1", 7000U, 9U));
     const auto tokens = decodeTokenRow(stored("p1", R"({"at":7000,"home":"z1","reserved":300,"writer":"a/1"})"), reason);
     ASSERT_TRUE(tokens) << reason.message;
-    const auto &[reserved, writer, tokenVersion, home] = *tokens;
+    const auto &[reserved, writer, tokenVersion, home, begun] = *tokens;
     EXPECT_EQ(std::tie(reserved, writer, tokenVersion, home), std::make_tuple(300U, "a/1", 9U, "z1"));
+    // Rows of older releases don't name the versions at which streams have begun.
+    EXPECT_EQ(begun, std::vector<Forward::SoftwareVersion>(1));
     const auto crash = decodeCrash(stored("abc/vm-1/42/7", R"({"at":5000})"), reason);
     ASSERT_TRUE(crash) << reason.message;
     const auto &[content, process, at] = *crash;
@@ -167,10 +169,11 @@
     const auto turn = decodeTurn({"t/1%", 1}, rows, reason);
     ASSERT_TRUE(turn && *turn) << reason.message;
     const auto &[id, bases, text, until, program, tokens] = **turn;
-    const auto &[reserved, writer, version, home] = tokens;
+    const auto &[reserved, writer, version, home, begun] = tokens;
     EXPECT_EQ(std::tie(id, text, until, program), std::make_tuple("t/1%", "in\nout", 123456U, "p1"));
     EXPECT_EQ(bases, (std::vector<std::string>{"b1", "b2"}));
     EXPECT_EQ(std::tie(reserved, writer, version, home), std::make_tuple(300U, "a/1", 12U, "z1"));
+    EXPECT_EQ(begun, std::vector<Forward::SoftwareVersion>(1));
     StoreRows marks;
     marks.rows = {stored("0000000000123456/t%2F1%25/", "2")};
     const auto due = decodeExpiredTurns(marks, reason);
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -275,7 +275,8 @@
 
 TEST(StoreCalls, TokenRowsAreDecodedAsWritten)
 {
-    const Forward::TokenWrite write{"p1", {300, "a/1", 12, "z1"}};
+    const std::vector<Forward::SoftwareVersion> begun{{"s", "v1"}, {}, {"t", ""}};
+    const Forward::TokenWrite write{"p1", {300, "a/1", 12, "z1", begun}};
     const auto call = writeTokenRowCall(write, 7000);
     const auto body = nlohmann::json::parse(call.body);
     EXPECT_EQ(call.method, "POST");
@@ -293,6 +294,17 @@
     EXPECT_EQ(tokens->writer, "a/1");
     EXPECT_EQ(tokens->version, 13U);
     EXPECT_EQ(tokens->homeZone, "z1");
+    EXPECT_EQ(tokens->streamVersions, begun);
+}
+
+TEST(StoreCalls, VersionsThatCanNotBeReadAreUnknown)
+{
+    Error reason;
+    for (const auto *begun : {"5", "[5]", R"([["s"]])", R"([["s",1]])", R"([["s","v1","x"]])"}) {
+        const auto row = decodeTokenRow({"p1", R"({"reserved":1,"writer":"a/1","begun":)" + std::string(begun) + "}", 3}, reason);
+        ASSERT_TRUE(row) << begun;
+        EXPECT_EQ(row->streamVersions, std::vector<Forward::SoftwareVersion>(1)) << begun;
+    }
 }
 
 TEST(StoreCalls, CrashRecordsAreDecodedAsWritten)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -99,6 +99,19 @@
     ("the end of a connection shows that a content is harmless", PROXY + "exchange_answer.cpp", "if (isSuccess(m_head.status) && !m_endsWithConnection) {", "if (isSuccess(m_head.status)) {", "proxy_test", "*ProxyCrash*"),
     ("a stream that ends inside an event counts as complete", PROXY + "exchange_answer.cpp", "!rest.empty() && m_endsWithConnection", "!rest.empty() && m_head.endsWithConnection", "proxy_test", "*ProxyStream*"),
     ("a stream that ends inside an event is no crash", PROXY + "exchange_answer.cpp", "onAttemptBroken(\"stream ended inside an event\");", "onAttemptFailed(AttemptFailure::Broken, \"stream ended inside an event\");", "proxy_test", "*ProxyCrash*"),
+    ("a stream begins at a version that isn't named", CORE + "commands/token_ledger_cmd.cpp", "&& !isStale && isVersionNamed && isConfirmed", "&& !isStale && isConfirmed", "core_test", "*StreamVersions*"),
+    ("an old row tells a stream's version", CORE + "commands/token_ledger_cmd.cpp", "&& !isStale && isVersionNamed && isConfirmed", "&& !isStale && isVersionNamed", "core_test", "TokenLedger*"),
+    ("versions beyond the limit are forgotten", CORE + "commands/token_ledger_cmd.cpp", "versions.front() = SoftwareVersion();", "", "core_test", "*StreamVersions*"),
+    ("a restart with another version goes unnoticed", CORE + "commands/server_registry_cmd.cpp", "a.software() == b.software()", "a.service == b.service", "core_test", "ServerRegistry*"),
+    ("the home has another version", CORE + "queries/server_registry_query.cpp", "        if (!hasSoftware(state->server, request.software)) {\n            continue;\n        }\n", "", "core_test", "ServerRegistry*"),
+    ("servers of other versions are chosen", CORE + "queries/server_registry_query.cpp", "|| !hasSoftware(state->server, request.software) ", "", "core_test", "ServerRegistry*"),
+    ("rows of older releases name no version", "platform/src/software_json_func.h", "return {Forward::SoftwareVersion()};", "return {};", "platform_test", "*"),
+    ("a program of two versions goes on at the first", PROXY + "exchange.cpp", "row->streamVersions.size() == 1 &&", "!row->streamVersions.empty() &&", "proxy_test", "*ProxyResume*"),
+    ("a resumed stream of an unknown version goes on", PROXY + "exchange.cpp", "    answerNotRun(Outcome::StreamOriginUnknown);\n    return false;", "    return true;", "proxy_test", "*ProxyResume*"),
+    ("a proxy forgets the streams that it has forwarded", PROXY + "exchange.cpp", "m_origin = m_proxy.streamOrigins.find(attributes.resumedRequest);", "", "proxy_test", "*ProxyResume*"),
+    ("a proxy goes on at another version itself", PROXY + "exchange_answer.cpp", "        m_origin = m_choice.server.software();\n", "        return;\n", "proxy_test", "*ProxyResume*"),
+    ("a stream waits for a version that has left", PROXY + "exchange.cpp", "    if (m_origin && (m_origin->service", "    if (false && (m_origin->service", "proxy_test", "*ProxyResume*"),
+    ("a stream begins before its version is named", PROXY + "exchange.cpp", "std::find(named.begin(), named.end(), software) == named.end()) {", "false) {", "proxy_test", "*ProxyResume*:*ProxyProgramVersion*"),
 ]
 
 
