Odd rows among those of the servers are refused, or their numbers bounded

A report from a system like ours: one odd row of another writer (deeply nested, a number too large, a port out of range) made processes end again and again, or stop following the list.

Slots beyond 32 bits were cut to a small number, a cold phase of 1e300 ms became an undefined time, and ids, zones and services with line breaks reached the heads of requests and the log. An id with a line break could have added a header to each request sent to that server.

--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -15,6 +15,21 @@
     2500); ///< After a longer time without a list, servers may be missing from the next one only because their rows expired meanwhile.
 constexpr std::size_t MaxInvalidRows = 200; ///< Limit on remembered invalid rows, each of which is logged once.
 
+/** @return Text for a log line: shortened, and without line breaks and other control characters. */
+std::string printable(const std::string &text)
+{
+    constexpr std::size_t MaxBytes = 200;
+    std::string line = text.substr(0, MaxBytes);
+    std::replace_if(
+        line.begin(),
+        line.end(),
+        [](char c) {
+            return c < ' ' || c > '~' || c == '"';
+        },
+        '?');
+    return line;
+}
+
 } // namespace
 
 void ProxyState::readAll(ReadCall call, bool isProbe, RowsHandler done)
@@ -229,7 +244,7 @@
     if (m_invalidRows.size() > MaxInvalidRows) {
         m_invalidRows.clear();
     }
-    log(LogLevel::Warning, EventNumber::ConfigRefused, "peer=" + reason.peer + " why=\"" + reason.message + '"');
+    log(LogLevel::Warning, EventNumber::ConfigRefused, "peer=" + printable(reason.peer) + " why=\"" + printable(reason.message) + '"');
 }
 
 void ProxyState::callStore(const Platform::StoreRequest &request, const char *name)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -205,6 +205,88 @@
                                            withField(GoodServer, "/version", 7),
                                            withField(GoodServer, "/zone", nullptr)));
 
+namespace {
+
+constexpr std::size_t DeepNesting = 24000; ///< As deep as a row of the store can be nested.
+
+std::string nested()
+{
+    return std::string(DeepNesting, '[') + std::string(DeepNesting, ']');
+}
+
+/** @return The valid row with a field replaced by unquoted text. */
+std::string withText(const char *field, const std::string &text)
+{
+    auto json = nlohmann::json::parse(GoodServer);
+    json[field] = "@";
+    auto row = json.dump();
+    return row.replace(row.find("\"@\""), 3, text);
+}
+
+} // namespace
+
+/** A row of a server by another writer. */
+struct OddServerRow
+{
+    const char *name;  ///< For the test's name.
+    const char *id;    ///< Key of the row.
+    std::string value; ///< Value of the row.
+    bool isUsed;       ///< True if it names a server to use.
+};
+
+class OddServer : public ::testing::TestWithParam<OddServerRow>
+{
+};
+
+// A row that another writer had left among those of the servers ended processes, or numbers in it were cut to other ones.
+TEST_P(OddServer, IsRefusedOrWithinBounds)
+{
+    const auto &param = GetParam();
+    Error reason;
+    const auto server = decodeServer(param.id, param.value, reason);
+    ASSERT_EQ(server.has_value(), param.isUsed) << reason.message;
+    if (server) {
+        EXPECT_GE(server->coldLeft, Duration::zero());
+        EXPECT_LE(server->coldLeft, MaxReadTime);
+        EXPECT_LE(server->slots, MaxServerSlots);
+    } else {
+        EXPECT_FALSE(reason.message.empty());
+        EXPECT_LE(reason.message.size(), 200U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         OddServer,
+                         ::testing::Values(OddServerRow{"nestedValue", "i-1", nested(), false},
+                                           OddServerRow{"nestedWithoutEnd", "i-1", std::string(2 * DeepNesting, '['), false},
+                                           OddServerRow{"nestedField", "i-1", withText("unknown", nested()), true},
+                                           OddServerRow{"nestedModels", "i-1", withText("models", nested()), true},
+                                           OddServerRow{"nestedSlots", "i-1", withText("slots", nested()), false},
+                                           OddServerRow{"slotsAboveLimit", "i-1", withText("slots", "1000001"), false},
+                                           OddServerRow{"slotsOver32Bits", "i-1", withText("slots", "4294967320"), false},
+                                           OddServerRow{"slotsOver64Bits", "i-1", withText("slots", "18446744073709551640"), false},
+                                           OddServerRow{"slotsBeyondAllNumbers", "i-1", withText("slots", "1e999"), false},
+                                           OddServerRow{"coldForever", "i-1", withText("coldLeftMs", "1e300"), true},
+                                           OddServerRow{"coldBeforeTheStart", "i-1", withText("coldLeftMs", "-1e300"), true},
+                                           OddServerRow{"startBeyondAllNumbers", "i-1", withText("born", "1e999"), false},
+                                           OddServerRow{"startOver64Bits", "i-1", withText("born", "18446744073709551640"), true},
+                                           OddServerRow{"portZero", "i-1", withText("address", R"("10.0.0.9:0")"), false},
+                                           OddServerRow{"portOver16Bits", "i-1", withText("address", R"("10.0.0.9:73616")"), false},
+                                           OddServerRow{"portNegative", "i-1", withText("address", R"("10.0.0.9:-80")"), false},
+                                           OddServerRow{
+                                               "portOver64Bits", "i-1", withText("address", R"("10.0.0.9:18446744073709551696")"), false},
+                                           OddServerRow{"hostName", "i-1", withText("address", R"("server:80")"), false},
+                                           OddServerRow{"noIpNumber", "i-1", withText("address", R"("10.0.0.256:80")"), false},
+                                           OddServerRow{"idWithLineBreak", "i-1\r\nHold: x", GoodServer, false},
+                                           OddServerRow{"idWithSpace", "i 1", GoodServer, false},
+                                           OddServerRow{"emptyId", "", GoodServer, false},
+                                           OddServerRow{"zoneWithLineBreak", "i-1", withText("zone", R"("z\nevent=1")"), false},
+                                           OddServerRow{"versionWithSpace", "i-1", withText("version", R"("v 1")"), false},
+                                           OddServerRow{"serviceWithLineBreak", "i-1", withText("service", R"("s\r\n")"), false}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 RC_GTEST_PROP(RowProperty, CorruptedRowsAreRefusedWithAReasonOrValid, ())
 {
     const auto corrupted = [](std::string text) {
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -39,6 +39,70 @@
     EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
 }
 
+/** Row that another writer leaves among those of the servers. */
+struct OddRowCase
+{
+    const char *name;  ///< For the test's name.
+    const char *key;   ///< Key of the row.
+    std::string value; ///< Value of the row.
+};
+
+class ProxyOddServerRow : public ::testing::TestWithParam<OddRowCase>
+{
+};
+
+// Processes that read one odd row ended again and again, or stopped following the list.
+TEST_P(ProxyOddServerRow, DoesNotKeepTheListFromBeingFollowed)
+{
+    const auto &param = GetParam();
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    ASSERT_TRUE(world.start());
+    world.rows.servers[param.key] = param.value;
+    ASSERT_TRUE(world.run([&world] {
+        return world.hasLine("1802 peer=");
+    }));
+    // A process that starts while the row is there gets ready, and both follow later changes.
+    const auto beside = world.addProxy("beside");
+    ASSERT_NE(beside, nullptr);
+    world.rows.servers.erase("s1");
+    ASSERT_TRUE(world.run([&world] {
+        return world.lineCount("server=s1 state=gone") == 2;
+    }));
+    for (const auto *it : {world.proxy.get(), beside.get()}) {
+        EXPECT_EQ(statusOf(world.ask(*it, ProxyWorld::request("GET", "/call/1", "r1"))), 200U);
+    }
+    EXPECT_EQ(world.second.requests.size(), 2U);
+    EXPECT_EQ(world.lineCount("\n"), 0U);
+}
+
+namespace {
+
+std::string serverRow(const std::string &address, const std::string &slots)
+{
+    return R"({"service":"svc","zone":"z","state":"ready","address":")" + address + R"(","slots":)" + slots + "}";
+}
+
+constexpr std::size_t DeepNesting = 24000; ///< As deep as a row of the store can be nested.
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ProxyOddServerRow,
+    ::testing::Values(OddRowCase{"nested", "s9", std::string(DeepNesting, '[') + std::string(DeepNesting, ']')},
+                      OddRowCase{
+                          "nestedSlots", "s9", serverRow("127.0.0.1:1", std::string(DeepNesting, '[') + std::string(DeepNesting, ']'))},
+                      OddRowCase{"numberTooLarge", "s9", serverRow("127.0.0.1:1", "4294967297")},
+                      OddRowCase{"numberBeyondAll", "s9", serverRow("127.0.0.1:1", "1e999")},
+                      OddRowCase{"portOutOfRange", "s9", serverRow("127.0.0.1:65537", "1")},
+                      OddRowCase{"notUtf8", "s9", "{\"service\":\"\xff\xfe\"}"},
+                      OddRowCase{"idWithLineBreak", "s9\nevent=1", serverRow("127.0.0.1:1", "1")}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
 /** Turns of a program with a token budget, and the state of the store. */
 struct BudgetCase
 {
