A refusal without an id isn't believed on a connection that was used before

A report from a system like ours: a faulty server wrote an earlier refusal once more on a kept connection. Clients were told "not run, try again" for requests that a server was running, or such a request ran at a second server.

A copy that names another request was skipped already.

Now a refusal (also 421) has to name the request, or to come on a new connection; otherwise the attempt counts as one that may have run. A request goes back to a server that has refused it on a new connection only.

ProxyProgramVersion.ATurnThatNoServerOfItsVersionTakesGoesToAnother failed with this change since its refusals named no request, as those of servers do; they do now.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -363,8 +363,10 @@
     }
     m_triedServers += (m_triedServers.empty() ? "" : ",") + choice.server.id;
     m_proxy.servers.recordStart(choice.server.id, choice.uncachedTokens, m_request.attributes, now());
-    // A fault that breaks one idle connection often breaks all of them, and a request may be repeated only a few times.
-    m_connection = m_proxy.acquireConnection(choice.server, m_mayHaveRun > 1 ? ConnectionChoice::New : ConnectionChoice::Any);
+    // A fault that breaks one idle connection often breaks all of them, and a request may be repeated only a few times. On the connection
+    // of an earlier refusal, a copy of it couldn't be told from the answer.
+    const bool needsNewConnection = m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0;
+    m_connection = m_proxy.acquireConnection(choice.server, needsNewConnection ? ConnectionChoice::New : ConnectionChoice::Any);
     m_connection->send(this, requestText(choice.server), m_request.attributes.requestId, m_request.method == "HEAD");
 }
 
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -118,6 +118,7 @@
     std::optional<SoftwareVersion> m_newVersion;       ///< Version to begin at although the program's row doesn't name it yet.
     std::shared_ptr<ServerConnection> m_connection;    ///< Connection of the current attempt.
     std::set<std::string> m_excludedServers;           ///< Servers that refused or failed this request.
+    std::set<std::string> m_refusedBy;                 ///< Servers that have stated that they didn't run this request.
     Choice m_choice;                                   ///< Server of the current attempt.
     AttemptFailure m_failure = AttemptFailure::Broken; ///< Type of failure if the connection ends now.
     std::string m_failureReason;                       ///< Why the response of the current attempt was rejected.
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -39,6 +39,12 @@
         recordRateLimit(attributes.rateLimit);
     }
     if (attributes.isNotRun || head.status == StatusMisdirected) {
+        // A refusal without an id may be that of an earlier request, written once more.
+        if (!matchesRequest && m_connection->isReused()) {
+            m_failure = AttemptFailure::BadAnswer;
+            m_failureReason = "refusal without request id on a connection that was used before";
+            return false;
+        }
         m_isRefusal = true;
         m_refusalStatus = head.status;
         return true;
@@ -195,6 +201,7 @@
     m_connection.reset();
     if (m_isRefusal) {
         m_mayHaveRun--;
+        m_refusedBy.insert(m_choice.server.id);
         if (m_refusalStatus == StatusMisdirected) {
             m_proxy.servers.recordMisdirection(m_choice.server.id);
         } else {
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -52,6 +52,11 @@
     return m_wasSent;
 }
 
+bool ServerConnection::isReused() const
+{
+    return m_requests > 1;
+}
+
 bool ServerConnection::isFresh(TimePoint now) const
 {
     const Duration limit = m_keepAlive ? *m_keepAlive - KeepAliveMargin : DefaultKeepAlive;
@@ -61,6 +66,7 @@
 void ServerConnection::send(ServerConnectionListener *listener, std::string text, std::string requestId, bool isHead)
 {
     m_listener = listener;
+    m_requests++;
     m_out = std::move(text);
     m_requestId = std::move(requestId);
     m_isHead = isHead;
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -91,6 +91,8 @@
     [[nodiscard]] bool isFresh(TimePoint now) const;
     /** @return True if any byte of the current request may have reached the server. */
     [[nodiscard]] bool wasSent() const;
+    /** @return True if the connection has carried another request before the current one. */
+    [[nodiscard]] bool isReused() const;
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -128,6 +130,7 @@
     bool m_isWriting = false;                       ///< True while the request is being sent.
     bool m_isReading = false;                       ///< True while a read is pending.
     bool m_isPaused = false;                        ///< True from BodyAction::Pause to resume().
+    std::size_t m_requests = 0;                     ///< Requests sent so far.
     bool m_wasSent = false;                         ///< True if any byte of the request may have been sent.
     bool m_isStale = false;                         ///< True while a response to another request is skipped.
     bool m_isDone = false;                          ///< True between the end of a response and the next request.
--- a/tests/proxy/proxy_stream_version_test.cpp
+++ b/tests/proxy/proxy_stream_version_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr const char *ProgramHeaders = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 4000\r\n";
-constexpr const char *NotRun = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *NotRun = "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 void setVersion(StoreModel &rows, const std::string &server, const std::string &version)
 {
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -112,6 +112,8 @@
     ("a proxy goes on at another version itself", PROXY + "exchange_answer.cpp", "        m_origin = m_choice.server.software();\n", "        return;\n", "proxy_test", "*ProxyResume*"),
     ("a stream waits for a version that has left", PROXY + "exchange.cpp", "    if (m_origin && (m_origin->service", "    if (false && (m_origin->service", "proxy_test", "*ProxyResume*"),
     ("a stream begins before its version is named", PROXY + "exchange.cpp", "std::find(named.begin(), named.end(), software) == named.end()) {", "false) {", "proxy_test", "*ProxyResume*:*ProxyProgramVersion*"),
+    ("a refusal without an id is believed on any connection", PROXY + "exchange_answer.cpp", "if (!matchesRequest && m_connection->isReused()) {", "if (false) {", "proxy_test", "*Refusal*"),
+    ("a refused request is sent again on the same connection", PROXY + "exchange.cpp", "m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0", "m_mayHaveRun > 1", "proxy_test", "*Refusal*"),
 ]
 
 
