Servers that say in an answer that they are leaving get no new requests

Callers' requests were sent to it until the list of servers said so, which may be late or never while the store is away.

Now the header is decoded once (a value of 1 counts, everything else says nothing); any answer but a misdirected one marks that run of the server in this process. It takes no new request, retry, resumption or home, its idle connections are closed, requests under way end in order. The mark outlasts the row of the server, so a list that says ready again changes nothing; a new start is a new server. LeavingNews: with 1, 8 and 127 proxies each sends one request and none after the news. Event 1506, gauge vanillahall_servers_leaving, explain shows the event. Not in this commit: the rows of answers that end with their connection, and telling other proxies.

--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -150,6 +150,7 @@
     bool isEncoded = false;               ///< True if the body has a content encoding, which was not requested.
     std::optional<ServerLoad> load;       ///< Server load at the time of the response.
     std::optional<double> rateLimit;      ///< Requests per second that the server accepts from all proxies together, if it is limited.
+    bool isLeaving = false;               ///< True if the server states that it is leaving.
     bool isEventStream = false;           ///< True if the body is an event stream.
     std::optional<Duration> keepAlive;    ///< How long the server keeps an idle connection open.
 };
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -37,6 +37,7 @@
     ServerChanged = 1503,      ///< A backend server was added to the list, is draining or was removed.
     DependencyLost = 1504,     ///< A dependency of the process has failed.
     ServerLimited = 1505,      ///< A backend server has named a rate limit, changed it, or names none any more.
+    ServerLeaving = 1506,      ///< A backend server has stated in an answer that it is leaving.
     StoreAway = 1501,          ///< The platform's store is unavailable.
     StoreBack = 1502,          ///< The platform's store is available again.
     OrderRefused = 1601,       ///< A gate refused an order.
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -8,6 +8,7 @@
 #include "vanillahall/core/forward_type.h"
 #include "vanillahall/core/server_rate_limit_base.h"
 
+#include <deque>
 #include <list>
 #include <set>
 #include <string>
@@ -84,6 +85,11 @@
      * @return True if the limit has begun, changed or ended.
      */
     bool recordRateLimit(const std::string &id, std::optional<double> rate, TimePoint sentAt, TimePoint now);
+    /**
+     * Records that a server has stated that it is leaving. It gets no new requests until it has restarted, whatever the list says.
+     * @return True if it wasn't known to be leaving.
+     */
+    bool recordLeaving(const std::string &id);
     /** Records that a server couldn't be reached or broke a connection. */
     void recordFailure(const std::string &id, TimePoint now);
     /** Records a proper response of a server. */
@@ -116,6 +122,10 @@
     [[nodiscard]] std::size_t size() const;
     /** @return Number of known servers that have named a rate limit. */
     [[nodiscard]] std::size_t limitedCount() const;
+    /** @return Number of known servers that have stated that they are leaving. */
+    [[nodiscard]] std::size_t leavingCount() const;
+    /** @return State of a server in the list: "ready", "draining" or "gone". */
+    [[nodiscard]] std::string_view listedState(const std::string &id) const;
     /** @return Number of connections to one server that this entry may open. */
     [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
 
@@ -140,13 +150,14 @@
         ServerRateLimit rateLimit;         ///< Requests per second that it accepts from all proxies together, if it is limited.
         TimePoint rateLimitAt{};           ///< When `rateLimit` was last named.
         std::optional<TimePoint> removeAt; ///< Removed at this time if it is still not listed.
+        bool isLeaving = false;            ///< True once recordLeaving() was called for it.
         bool isUnlisted = false;           ///< True if it isn't listed any more.
         bool hasLostAddress = false;       ///< True once recordMisdirection() was called for it.
 
         /** @return True if it can take new requests. */
         [[nodiscard]] bool isUsable() const
         {
-            return !isUnlisted && !hasLostAddress && !server.isDraining;
+            return !isUnlisted && !hasLostAddress && !isLeaving && !server.isDraining;
         }
     };
 
@@ -187,6 +198,8 @@
     ChoiceSettings m_settings;
     SharePosition m_position; ///< Position of this proxy among those that share connections and rate limits.
     std::unordered_map<std::string, ServerState> m_servers;
+    std::unordered_map<std::string, Server> m_leaving; ///< Servers that have stated that they are leaving, also those no longer listed.
+    std::deque<std::string> m_leavingIds;              ///< Ids in `m_leaving`, oldest first.
     std::unordered_map<std::string, std::vector<const ServerState *>> m_byService; ///< Usable servers by service, as of the last update.
     std::unordered_map<std::uint64_t, CachedPart> m_parts;
     std::unordered_map<std::string, double> m_usualMsPerEvent; ///< Usual time per event, by service.
@@ -196,7 +209,8 @@
 inline constexpr Duration ListingGrace
     = std::chrono::milliseconds(1900); ///< After the list was unavailable, missing servers are kept this long, since their rows may have
                                        ///< expired; a server that is alive is listed again within 2 s.
-inline constexpr std::size_t MaxPromptParts = 20000; ///< Maximum number of prompt parts tracked; 2.7 MB by `make bench-capacity`.
-inline constexpr std::size_t MaxServersPerPart = 16; ///< Maximum number of servers tracked per part.
+inline constexpr std::size_t MaxPromptParts = 20000;   ///< Maximum number of prompt parts tracked; 2.7 MB by `make bench-capacity`.
+inline constexpr std::size_t MaxLeavingServers = 4000; ///< Leaving servers that are remembered; all of a large deployment fit.
+inline constexpr std::size_t MaxServersPerPart = 16;   ///< Maximum number of servers tracked per part.
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/commands/server_registry_cmd.cpp
+++ b/packages/core/src/commands/server_registry_cmd.cpp
@@ -45,6 +45,8 @@
             state.runHash = XXH3_64bits_withSeed(it.id.data(), it.id.size(), it.startedMs);
             state.rateLimit = ServerRateLimit(state.runHash);
             state.coldUntil = now + it.coldLeft;
+            const auto leaving = m_leaving.find(it.id);
+            state.isLeaving = leaving != m_leaving.end() && isSameRun(leaving->second, it);
             m_servers[it.id] = std::move(state);
             changed.push_back(it.id);
             continue;
@@ -155,6 +157,23 @@
     return hasChanged;
 }
 
+bool ServerRegistry::recordLeaving(const std::string &id)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end() || it->second.isLeaving) {
+        return false;
+    }
+    it->second.isLeaving = true;
+    if (m_leaving.insert_or_assign(id, it->second.server).second) {
+        m_leavingIds.push_back(id);
+    }
+    if (m_leavingIds.size() > MaxLeavingServers) {
+        m_leaving.erase(m_leavingIds.front());
+        m_leavingIds.pop_front();
+    }
+    return true;
+}
+
 void ServerRegistry::recordFailure(const std::string &id, TimePoint now)
 {
     const auto it = m_servers.find(id);
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -243,6 +243,22 @@
     return m_servers.size();
 }
 
+std::size_t ServerRegistry::leavingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [](const auto &it) {
+        return it.second.isLeaving;
+    }));
+}
+
+std::string_view ServerRegistry::listedState(const std::string &id) const
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end() || it->second.isUnlisted) {
+        return "gone";
+    }
+    return it->second.server.isDraining ? "draining" : "ready";
+}
+
 std::size_t ServerRegistry::limitedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [](const auto &it) {
--- a/packages/ctl/src/log_explanation.cpp
+++ b/packages/ctl/src/log_explanation.cpp
@@ -92,7 +92,7 @@
     });
     const std::set<std::string> contextEvents{
         "store_away", "store_back", "config_in_force", "process_started", "stop_begun", "content_quarantined"};
-    const std::set<std::string> serverEvents{"server_changed", "server_limited"};
+    const std::set<std::string> serverEvents{"server_changed", "server_limited", "server_leaving"};
     std::vector<std::string> explanation;
     for (const auto &it : lines) {
         const bool isContext = processes.count(it.get("process")) != 0 && it.time <= last
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -41,6 +41,7 @@
     {EventNumber::ShardHandedOver, "shard_handed_over"},
     {EventNumber::ServerChanged, "server_changed"},
     {EventNumber::ServerLimited, "server_limited"},
+    {EventNumber::ServerLeaving, "server_leaving"},
     {EventNumber::DependencyLost, "dependency_lost"},
     {EventNumber::StoreAway, "store_away"},
     {EventNumber::StoreBack, "store_back"},
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -75,6 +75,7 @@
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
     void endAttempt();
     void recordRateLimit(std::optional<double> perSecond);
+    void recordLeaving();
     void answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome);
     void answerNotRun(Outcome outcome);
     void beginAnswer();
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -33,6 +33,10 @@
     if (attributes.load) {
         m_proxy.servers.recordLoad(m_choice.server.id, *attributes.load, now());
     }
+    // A misdirected response comes from another server.
+    if (attributes.isLeaving && head.status != StatusMisdirected) {
+        recordLeaving();
+    }
     const bool matchesRequest = attributes.requestId && *attributes.requestId == m_request.attributes.requestId;
     // A misdirected response comes from another server; one without a signature may lack the limit although it is in force.
     if (head.status != StatusMisdirected && (attributes.rateLimit || (attributes.isSigned && matchesRequest))) {
@@ -90,6 +94,21 @@
     m_proxy.log(LogLevel::Warning, EventNumber::ServerLimited, line.str());
 }
 
+void Exchange::recordLeaving()
+{
+    const auto &server = m_choice.server.id;
+    const auto listed = m_proxy.servers.listedState(server);
+    if (!m_proxy.servers.recordLeaving(server)) {
+        return;
+    }
+    m_proxy.closeIdleConnections(server);
+    std::ostringstream line;
+    line << "server=" << server << " service=" << m_choice.server.service << " started_ms=" << m_choice.server.startedMs
+         << " request=" << m_request.attributes.requestId << " listed=" << listed
+         << " list_age_ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(m_proxy.listAge()).count();
+    m_proxy.log(LogLevel::Info, EventNumber::ServerLeaving, line.str());
+}
+
 BodyAction Exchange::bodyAction()
 {
     return m_isClientDisconnected || m_session->write({}) ? BodyAction::More : BodyAction::Pause;
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -232,6 +232,13 @@
         });
 }
 
+void ProxyState::closeIdleConnections(const std::string &server)
+{
+    while (const auto connection = popIdleConnection(server)) {
+        connection->abandon();
+    }
+}
+
 void ProxyState::onConnectionReleased(const std::shared_ptr<ServerConnection> &connection, bool isReusable)
 {
     if (!isReusable) {
@@ -256,6 +263,7 @@
     metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(m_reservedBytes));
     metrics.gauge("vanillahall_servers_known", static_cast<double>(servers.size()));
     metrics.gauge("vanillahall_servers_limited", static_cast<double>(servers.limitedCount()));
+    metrics.gauge("vanillahall_servers_leaving", static_cast<double>(servers.leavingCount()));
     metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -51,6 +51,8 @@
 
     /** @return A connection to a server: an idle one if allowed and if the server will keep it open, else a new one. */
     std::shared_ptr<ServerConnection> acquireConnection(const Server &server, ConnectionChoice choice);
+    /** Closes the idle connections to a server. */
+    void closeIdleConnections(const std::string &server);
     /** Writes a token row and notifies the exchanges that wait for the program. */
     void writeTokens(const TokenWrite &write);
     /** Reads a program's token row and notifies the exchanges that wait for the program. */
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "vanillahall/core/server_registry_base.h"
 
+#include <memory>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -93,6 +95,110 @@
     EXPECT_TRUE(registry.hasServer(SoftwareVersion{"svc", "v2"}));
 }
 
+/** What the list says after server "a" has stated that it is leaving. */
+struct LeavingCase
+{
+    const char *name;                       ///< For the test's name.
+    std::vector<std::vector<Server>> lists; ///< Lists that follow.
+    bool isUsable;                          ///< True if "a" is usable then.
+};
+
+class LeavingServer : public ::testing::TestWithParam<LeavingCase>
+{
+};
+
+TEST_P(LeavingServer, IsUnusableUntilItHasRestarted)
+{
+    ServerRegistry registry("z1", {});
+    registry.update({makeServer("a")}, false, Start);
+    ASSERT_TRUE(registry.hasServer("svc"));
+    EXPECT_TRUE(registry.recordLeaving("a"));
+    EXPECT_FALSE(registry.recordLeaving("a"));
+    EXPECT_FALSE(registry.hasServer("svc"));
+    EXPECT_EQ(registry.listedState("a"), "ready");
+    EXPECT_EQ(registry.leavingCount(), 1U);
+    auto now = Start;
+    for (const auto &it : GetParam().lists) {
+        registry.update(it, false, now += 1s);
+    }
+    EXPECT_EQ(registry.hasServer("svc"), GetParam().isUsable);
+    const RequestAttributes attributes;
+    EXPECT_EQ(chooseServer(registry, attributes), GetParam().isUsable ? "a" : "");
+}
+
+Server restartedServer(std::uint64_t startedMs, std::uint16_t port)
+{
+    auto server = makeServer("a");
+    server.startedMs = startedMs;
+    server.port = port;
+    return server;
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         LeavingServer,
+                         ::testing::Values(LeavingCase{"listedAsBefore", {{makeServer("a")}}, false},
+                                           LeavingCase{"removed", {{}}, false},
+                                           LeavingCase{"removedAndListedAgain", {{}, {makeServer("a")}}, false},
+                                           LeavingCase{"restarted", {{restartedServer(5, makeServer("a").port)}}, true},
+                                           LeavingCase{"removedAndRestarted", {{}, {restartedServer(5, makeServer("a").port)}}, true},
+                                           LeavingCase{"otherPort", {{restartedServer(0, 99)}}, true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+/** Proxies that hear from a server that it is leaving, while the list of servers stays as it was. */
+class LeavingNews : public ::testing::TestWithParam<std::size_t>
+{
+};
+
+// A proxy sends no request to a server later than it has heard the news, however many proxies have not heard them.
+TEST_P(LeavingNews, NoRequestFollowsThem)
+{
+    std::vector<std::unique_ptr<ServerRegistry>> proxies;
+    for (std::size_t n = 0; n < GetParam(); n++) {
+        proxies.push_back(std::make_unique<ServerRegistry>("z1", ChoiceSettings()));
+        proxies.back()->update({makeServer("a"), makeServer("b")}, false, Start);
+    }
+    constexpr std::size_t Requests = 40;
+    std::size_t sentAfterTheNews = 0;
+    std::size_t sentAtAll = 0;
+    for (std::size_t n = 0; n < Requests * GetParam(); n++) {
+        const auto now = Start + 10ms * static_cast<std::int64_t>(n / GetParam());
+        auto &proxy = *proxies[n % GetParam()];
+        const auto turn = makeTurn("p" + std::to_string(n), {{n, 100}});
+        const std::set<std::string> none;
+        const auto choice = proxy.choose({"svc", &turn, 1000, &none, {}}, now);
+        ASSERT_TRUE(choice);
+        if (choice->server.id == "a") {
+            sentAtAll++;
+            // Each answer of the server says that it is leaving.
+            sentAfterTheNews += proxy.recordLeaving("a") ? 0 : 1;
+        }
+    }
+    EXPECT_EQ(sentAfterTheNews, 0U);
+    EXPECT_EQ(sentAtAll, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Proxies, LeavingNews, ::testing::Values(1, 8, 127));
+
+TEST(LeavingServers, TheirNumberIsBounded)
+{
+    ServerRegistry registry("z1", {});
+    std::vector<Server> list;
+    for (std::size_t n = 0; n <= MaxLeavingServers; n++) {
+        auto server = makeServer("a" + std::to_string(n));
+        server.port = static_cast<std::uint16_t>(1 + n);
+        list.push_back(server);
+    }
+    registry.update(list, false, Start);
+    for (const auto &it : list) {
+        registry.recordLeaving(it.id);
+    }
+    registry.update({}, false, Start + 1s);
+    registry.update(list, false, Start + 2s);
+    EXPECT_EQ(registry.leavingCount(), MaxLeavingServers);
+}
+
 /** Change of the list, and whether server "a" is usable afterwards. */
 struct ListCase
 {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -133,6 +133,45 @@
     EXPECT_EQ(text, "Deadline-Ms: 1\r\nExpect-Instance: i-7\r\n");
 }
 
+/** Values of the header that says that a server is leaving, in the order of the response. */
+struct LeavingHeaderCase
+{
+    const char *name;                     ///< For the test's name.
+    std::vector<std::string_view> values; ///< Values.
+    bool isLeaving;                       ///< Expected meaning.
+};
+
+class LeavingHeader : public ::testing::TestWithParam<LeavingHeaderCase>
+{
+};
+
+TEST_P(LeavingHeader, CountsIfAValueIsOne)
+{
+    Forward::ResponseAttributes attributes;
+    for (const auto it : GetParam().values) {
+        readResponseHeader(attributes, "server-Leaving", it);
+    }
+    EXPECT_EQ(attributes.isLeaving, GetParam().isLeaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         LeavingHeader,
+                         ::testing::Values(LeavingHeaderCase{"absent", {}, false},
+                                           LeavingHeaderCase{"one", {" 1\t"}, true},
+                                           LeavingHeaderCase{"empty", {""}, false},
+                                           LeavingHeaderCase{"zero", {"0"}, false},
+                                           LeavingHeaderCase{"list", {"1,1"}, false},
+                                           LeavingHeaderCase{"oneAmongOthers", {"0", "1", "x"}, true},
+                                           LeavingHeaderCase{"oddBytes",
+                                                             {std::string_view("\xff\0"
+                                                                               "1",
+                                                                               3)},
+                                                             false},
+                                           LeavingHeaderCase{"longNumber", {"11111111111111111111111111"}, false}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 namespace {
 
 constexpr const char *GoodServer
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -114,6 +114,12 @@
     ("a stream begins before its version is named", PROXY + "exchange.cpp", "std::find(named.begin(), named.end(), software) == named.end()) {", "false) {", "proxy_test", "*ProxyResume*:*ProxyProgramVersion*"),
     ("a refusal without an id is believed on any connection", PROXY + "exchange_answer.cpp", "if (!matchesRequest && m_connection->isReused()) {", "if (false) {", "proxy_test", "*Refusal*"),
     ("a refused request is sent again on the same connection", PROXY + "exchange.cpp", "m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0", "m_mayHaveRun > 1", "proxy_test", "*Refusal*"),
+    ("leaving servers are used", "packages/core/include/vanillahall/core/server_registry_base.h", " && !isLeaving", "", "core_test", "*LeavingServer*"),
+    ("a leaving server is forgotten with its row", CORE + "commands/server_registry_cmd.cpp", "            state.isLeaving = leaving != m_leaving.end() && isSameRun(leaving->second, it);\n", "", "core_test", "*LeavingServer*"),
+    ("a restarted server counts as leaving", CORE + "commands/server_registry_cmd.cpp", "leaving != m_leaving.end() && isSameRun(leaving->second, it);", "leaving != m_leaving.end();", "core_test", "*LeavingServer*"),
+    ("any value of Server-Leaving counts", "platform/src/wire_header.cpp", "attributes.isLeaving || trimmed(value) == \"1\";", "true;", "platform_test", "*Leaving*"),
+    ("another server's answer says that a server leaves", PROXY + "exchange_answer.cpp", "if (attributes.isLeaving && head.status != StatusMisdirected) {", "if (attributes.isLeaving) {", "proxy_test", "*Leaving*"),
+    ("only refusals say that a server leaves", PROXY + "exchange_answer.cpp", "if (attributes.isLeaving && head.status != StatusMisdirected) {", "if (attributes.isLeaving && attributes.isNotRun) {", "proxy_test", "*Leaving*"),
 ]
 
 
