--- a/tests/proxy/proxy_stream_version_test.cpp
+++ b/tests/proxy/proxy_stream_version_test.cpp
@@ -128,6 +128,8 @@
     }
     EXPECT_EQ(began.requests.size() - before, param.goesOn ? Streams : 0U);
     EXPECT_EQ(streams.other(began).requests.size(), 0U);
+    // A version that has left is not waited for.
+    EXPECT_EQ(world.lineCount("outcome=no_server_of_version"), param.hasLeft ? Streams : 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(All,
