--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -139,8 +139,12 @@
 
     def put(self, table, part, key, value):
         """Writes a row as the operator or a worker does. Returns its version."""
+        return self.put_raw(table, part, key, base64.b64encode(value.encode()).decode())
+
+    def put_raw(self, table, part, key, text):
+        """Writes a row whose value is this text as it stands."""
         self.version += 1
-        row = {"table": table, "part": part, "key": key, "value": base64.b64encode(value.encode()).decode(), "ver": self.version}
+        row = {"table": table, "part": part, "key": key, "value": text, "ver": self.version}
         self.rows[(table, part, key)] = row
         self._note(row)
         return self.version
--- a/review/soak/soak.py
+++ b/review/soak/soak.py
@@ -391,6 +391,7 @@
         entry = RNG.choice(deployment.entries)
         deployment.record.line("trouble", f"{kind} {entry.name}")
         if kind == "term" and entry.is_running:
+            S.planned.append((entry.front, now()))
             await entry.stop(restart_after_s=0.3)
         elif kind == "kill" and entry.is_running:
             entry.process.kill()
@@ -443,6 +444,19 @@
 SERVICES = [engine("llm"), plain("app")]
 
 
+def check_stops():
+    """Requests that a planned stop has cut; only where nothing but planned work that breaks no worker was played."""
+    if not set(KINDS) <= {"term", "config", "hup"}:
+        return
+    for answer, _ in S.answers:
+        it = S.sent[answer.id]
+        if answer.complete or not it["runs"] or it.get("gave_up"):
+            continue
+        for front, at in S.planned:
+            if it["front"] == front and -4 < it["sent_at"] - at < 9 and it["ended_at"] > at:
+                broke(f"LOST {answer.id} sent {it['sent_at'] - at:.3f} s after SIGTERM, ended {it['ended_at'] - at:.3f} s after it: {answer.error}")
+
+
 async def play(deployment):
     S.frozen, S.tasks, S.n, S.core = {}, [], 10, 0
     deployment.configure(1, ROUTES, SERVICES)
@@ -465,6 +479,7 @@
             print("exception", repr(it))
     await faults
     looks.cancel()
+    check_stops()
     for rid, it in S.sent.items():
         if it.get("late_drain") and not it.get("gave_up"):
             count("late drain")
