--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -130,7 +130,9 @@
         self.delay_s = 0.004
         self.calls = 0
         self.drop_writes = 0.0   # Share of writes that are done and not answered.
-        self.away = None         # None, "busy" (503), "silent" or "reset".
+        self.late_writes = 0.0   # Share of writes that are done 1 to 6 s later, if their condition still holds, and not answered.
+        self.away = None         # None, "busy" (503), "many" (429), "silent" or "reset".
+        self.forgets = False     # The feed has lost its history.
         self.random = random.Random(1)
 
     async def start(self, ip="127.0.0.1"):
@@ -219,8 +221,14 @@
                     reset(writer)
                     return
                 await asyncio.sleep(self.delay_s)
-                if self.away == "busy":
-                    status, answer = 503, {}
+                if self.away in ("busy", "many"):
+                    status, answer = (503 if self.away == "busy" else 429), {}
+                elif path == "/api/rows-feed" and self.forgets:
+                    status, answer = 410, {}
+                elif path == "/api/rows-tx" and self.random.random() < self.late_writes:
+                    await asyncio.sleep(self.random.uniform(1, 6))
+                    self._transaction(json.loads(body))
+                    await asyncio.sleep(3600)
                 elif path == "/api/rows-get":
                     status, answer = self._get(query)
                 elif path == "/api/rows-feed":
--- a/review/soak/soak.py
+++ b/review/soak/soak.py
@@ -1,6 +1,7 @@
 """Plays random disruptions against three entries on the real clock and checks the promises from what clients, workers and the platform see.
 
-Usage: soak.py SEED SECONDS [KIND,...]. Kinds: term, kill, freeze, store, lost, release, crash, garble, config, hup, giveup.
+Usage: soak.py SEED SECONDS [KIND,...]. Kinds: term, kill, freeze, store, lost, release, crash, garble, config, hup, giveup, late, slow,
+forget.
 """
 
 import asyncio
@@ -18,7 +19,8 @@
 from standins import Connection, Deployment, Worker, engine, field, now, plain, reset, route  # pylint: disable=wrong-import-position
 
 SEED, SECONDS = int(sys.argv[1]), float(sys.argv[2])
-KINDS = sys.argv[3].split(",") if len(sys.argv) > 3 else ["term", "kill", "freeze", "store", "lost", "release", "crash", "garble", "config", "hup", "giveup"]
+KINDS = sys.argv[3].split(",") if len(sys.argv) > 3 else ["term", "kill", "freeze", "store", "lost", "release", "crash", "garble", "config", "hup", "giveup", "late", "slow",
+                                                                  "forget"]
 RNG = random.Random(SEED)
 PER_EVENT = 7
 PROMISES = (429, 503, 408, 421)
@@ -404,7 +406,7 @@
             await asyncio.sleep(RNG.uniform(0.5, 4))
             entry.process.send_signal(signal.SIGCONT)
         elif kind == "store":
-            deployment.store.away = RNG.choice(["busy", "silent", "reset"])
+            deployment.store.away = RNG.choice(["busy", "many", "silent", "reset"])
             S.core = now() + 9
             await asyncio.sleep(RNG.uniform(0.5, 5))
             deployment.store.away = None
@@ -413,6 +415,18 @@
             S.core = now() + 9
             await asyncio.sleep(RNG.uniform(1, 5))
             deployment.store.drop_writes = 0.0
+        elif kind == "late":
+            deployment.store.late_writes = 0.35
+            await asyncio.sleep(RNG.uniform(1, 5))
+            deployment.store.late_writes = 0.0
+        elif kind == "slow":
+            deployment.store.delay_s = 0.24
+            await asyncio.sleep(RNG.uniform(1, 5))
+            deployment.store.delay_s = 0.004
+        elif kind == "forget":
+            deployment.store.forgets = True
+            await asyncio.sleep(RNG.uniform(0.1, 2))
+            deployment.store.forgets = False
         elif kind in ("release", "crash"):
             S.tasks.append(asyncio.create_task(release(deployment, kind)))
         elif kind == "garble":
