--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -248,6 +248,58 @@
             writer.close()
 
 
+# ---- links ----------------------------------------------------------------------------------------------------------------------------
+
+
+class Link:
+    """A loopback proxy of the review's own between two programs: passes bytes on, late, one way only, or not at all."""
+
+    def __init__(self, target):
+        self.target = target
+        self.server = None
+        self.address = None
+        self.delay_s = 0.0
+        self.silent = set()      # Directions that are held back: "there", "back".
+        self.pairs = set()
+
+    async def start(self, ip="127.0.0.1"):
+        self.server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+
+    def reset_all(self):
+        for a, b in list(self.pairs):
+            reset(a)
+            reset(b)
+
+    async def _pass_on(self, reader, writer, way):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while way in self.silent:
+                    await asyncio.sleep(0.02)
+                if not data:
+                    writer.close()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        host, port = self.target.split(":")
+        try:
+            other_reader, other = await asyncio.open_connection(host, int(port))
+        except OSError:
+            reset(writer)
+            return
+        pair = (writer, other)
+        self.pairs.add(pair)
+        await asyncio.gather(self._pass_on(reader, other, "there"), self._pass_on(other_reader, writer, "back"))
+        self.pairs.discard(pair)
+
+
 # ---- workers --------------------------------------------------------------------------------------------------------------------------
 
 
@@ -492,6 +544,7 @@
         self.ready = f"{self.ip}:{free_port(self.ip)}"
         self.peer_port = free_port(self.ip)
         self.process = None
+        self.store_address = None   # Another address by which it reaches the store.
         self.log = os.path.join(deployment.folder, name + ".log")
         self.settings = os.path.join(deployment.folder, name + ".json")
 
@@ -502,7 +555,7 @@
         values = {"node": self.name, "zone": self.zone, "region": "region", "ip": self.ip,
                   "listen": {"front": self.front, "ready": self.ready}, "portRange": [self.peer_port, self.peer_port + 15],
                   "limits": {"maxFds": 8200, "memoryMb": 120},
-                  "provider": {"address": self.deployment.store.address, "rowBytes": 65536}}
+                  "provider": {"address": self.store_address or self.deployment.store.address, "rowBytes": 65536}}
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(fill_template(open(os.path.join(ROOT, template), encoding="utf-8").read(), values))
         words = run.replace("/etc/vanillahall/local.json", self.settings).split(" ")
@@ -590,12 +643,13 @@
         self.workers.append(worker)
         return worker
 
-    async def start_entries(self, count, zones=("zone-a", "zone-b", "zone-c")):
+    async def start_entries(self, count, zones=("zone-a", "zone-b", "zone-c"), store_links=()):
         binary = os.path.join(ROOT, "target", "packages", "daemon", "vanillahalld")
         if not os.access(binary, os.X_OK):
             raise CannotRun("the build of the deploy file is missing")
         for n in range(count):
             entry = Entry(self, f"edge-{n + 1}", zones[n % len(zones)])
+            entry.store_address = store_links[n].address if store_links else None
             self.entries.append(entry)
             entry.start()
         for it in self.entries:
--- a/review/soak/soak.py
+++ b/review/soak/soak.py
@@ -1,7 +1,7 @@
 """Plays random disruptions against three entries on the real clock and checks the promises from what clients, workers and the platform see.
 
 Usage: soak.py SEED SECONDS [KIND,...]. Kinds: term, kill, freeze, store, lost, release, crash, garble, config, hup, giveup, late, slow,
-forget.
+forget, links.
 """
 
 import asyncio
@@ -16,11 +16,11 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 
 import standins  # pylint: disable=wrong-import-position
-from standins import Connection, Deployment, Worker, engine, field, now, plain, reset, route  # pylint: disable=wrong-import-position
+from standins import Connection, Deployment, Link, Worker, engine, field, now, plain, reset, route  # pylint: disable=wrong-import-position
 
 SEED, SECONDS = int(sys.argv[1]), float(sys.argv[2])
 KINDS = sys.argv[3].split(",") if len(sys.argv) > 3 else ["term", "kill", "freeze", "store", "lost", "release", "crash", "garble", "config", "hup", "giveup", "late", "slow",
-                                                                  "forget"]
+                                                                  "forget", "links"]
 RNG = random.Random(SEED)
 PER_EVENT = 7
 PROMISES = (429, 503, 408, 421)
@@ -224,6 +224,11 @@
     if same_id:
         worker.id = same_id
     await worker.start()
+    if "links" in KINDS:
+        link = Link(worker.address)
+        await link.start()
+        S.links.append(link)
+        worker.real_address, worker.address = worker.address, link.address
     worker.register()
     deployment.workers.append(worker)
     return worker
@@ -427,6 +432,21 @@
             deployment.store.forgets = True
             await asyncio.sleep(RNG.uniform(0.1, 2))
             deployment.store.forgets = False
+        elif kind == "links":
+            some = RNG.sample(S.links, min(len(S.links), RNG.randint(1, 3)))
+            how = RNG.choice(["late", "there", "back", "both", "reset"])
+            count("links " + how)
+            for it in some:
+                if how == "reset":
+                    it.reset_all()
+                elif how == "late":
+                    it.delay_s = RNG.uniform(0.05, 1.5)
+                else:
+                    it.silent = {"there", "back"} if how == "both" else {how}
+            await asyncio.sleep(RNG.uniform(0.5, 4))
+            for it in some:
+                it.delay_s = 0.0
+                it.silent = set()
         elif kind in ("release", "crash"):
             S.tasks.append(asyncio.create_task(release(deployment, kind)))
         elif kind == "garble":
@@ -474,10 +494,18 @@
 async def play(deployment):
     S.frozen, S.tasks, S.n, S.core = {}, [], 10, 0
     deployment.configure(1, ROUTES, SERVICES)
+    S.links = []
     for n in range(4):
         await add_worker(deployment, "llm", n)
         await add_worker(deployment, "app", n)
-    await deployment.start_entries(3)
+    store_links = []
+    if "links" in KINDS:
+        for _ in range(3):
+            link = Link(deployment.store.address)
+            await link.start()
+            store_links.append(link)
+            S.links.append(link)
+    await deployment.start_entries(3, store_links=store_links)
     ready = {it.name: True for it in deployment.entries}
     looks = asyncio.create_task(readiness(deployment, ready))
     stop_at = now() + SECONDS
