--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -528,11 +528,19 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(look_up(m.group(1)) if look_up(m.group(1)) is not None else ""), text)
 
 
-def free_port(ip):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+def free_ports(ip, count):
+    """Returns different ports that are free; all are held until the last one is found, so that none comes twice."""
+    sockets = []
+    try:
+        for _ in range(count):
+            sock = socket.socket()
+            sockets.append(sock)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((ip, 0))
+        return [it.getsockname()[1] for it in sockets]
+    finally:
+        for it in sockets:
+            it.close()
 
 
 def free_ip():
@@ -553,9 +561,9 @@
     def __init__(self, deployment, name, zone):
         self.deployment, self.name, self.zone = deployment, name, zone
         self.ip = free_ip()
-        self.front = f"{self.ip}:{free_port(self.ip)}"
-        self.ready = f"{self.ip}:{free_port(self.ip)}"
-        self.peer_port = free_port(self.ip)
+        front, ready, self.peer_port = free_ports(self.ip, 3)
+        self.front = f"{self.ip}:{front}"
+        self.ready = f"{self.ip}:{ready}"
         self.process = None
         self.store_address = None   # Another address by which it reaches the store.
         self.log = os.path.join(deployment.folder, name + ".log")
@@ -601,7 +609,8 @@
         end = now() + seconds
         while now() < end:
             if not self.is_running:
-                raise CannotRun(f"{self.name} has ended")
+                with open(self.log, encoding="utf-8", errors="replace") as log:
+                    raise CannotRun(f"{self.name} has ended with {self.process.returncode}: {log.read()[-300:]}")
             if await self.is_ready():
                 return
             await asyncio.sleep(0.05)
