--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -23,6 +23,7 @@
     TokensReserved = 1104,     ///< A write of a program's token row has ended.
     TurnKept = 1105,           ///< A write of a turn of a stored conversation to the store has succeeded or failed.
     ConversationRead = 1106,   ///< The look-up of the conversation before a turn has succeeded or failed.
+    AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -28,6 +28,7 @@
     {EventNumber::TokensReserved, "tokens_reserved"},
     {EventNumber::TurnKept, "turn_kept"},
     {EventNumber::ConversationRead, "conversation_read"},
+    {EventNumber::AttemptAbandoned, "attempt_abandoned"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -75,6 +75,9 @@
     void onAttemptBroken(const std::string &message);
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
     void endAttempt();
+    /** Ends the current attempt, which its server may still run. @param why Reason for the log. */
+    void abandonAttempt(std::string_view why);
+    void logAbandoned(std::string_view why);
     void recordRateLimit(std::optional<double> perSecond);
     /** Records that the server of the current attempt has stated that it is leaving. */
     void recordLeaving();
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -38,6 +38,8 @@
     m_proxy.servers.recordFailure(m_choice.server.id, now());
     if (m_failure == AttemptFailure::Broken) {
         m_proxy.recordContentFailure(m_contentHash);
+    } else {
+        logAbandoned("answer_rejected");
     }
     onAttemptFailed(m_failure, m_failureReason.empty() ? message : m_failureReason);
 }
@@ -116,9 +118,7 @@
         if (!wasSent) {
             m_mayHaveRun--;
         }
-        m_connection->abandon();
-        m_connection.reset();
-        endAttempt();
+        abandonAttempt("time_limit");
     }
     if (m_hasBegunAnswer) {
         abortResponse(m_isStoringTurn ? Outcome::TurnNotKept : Outcome::TimeLimit);
@@ -148,13 +148,31 @@
         return;
     }
     if (m_connection) {
-        m_connection->abandon();
-        m_connection.reset();
-        endAttempt();
+        abandonAttempt("client_gone");
     }
     end(0, Outcome::ClientGone);
 }
 
+void Exchange::abandonAttempt(std::string_view why)
+{
+    if (m_connection->wasSent()) {
+        logAbandoned(why);
+    }
+    m_connection->abandon();
+    m_connection.reset();
+    endAttempt();
+}
+
+void Exchange::logAbandoned(std::string_view why)
+{
+    std::ostringstream line;
+    line << "request=" << m_request.attributes.requestId << " server=" << m_choice.server.id << " content=" << m_contentHash
+         << " crash_records=" << m_proxy.crashes.recordCount(m_contentHash) << " sent_ms_ago=" << ms(now() - m_attemptStartedAt)
+         << " left_ms=" << ms(timeLeft()) << " why=" << why;
+    m_proxy.log(LogLevel::Info, EventNumber::AttemptAbandoned, line.str());
+    m_proxy.metrics.count("vanillahall_attempts_abandoned_total", {"why", std::string(why)});
+}
+
 void Exchange::settleTokens()
 {
     if (m_grantedTokens != 0) {
--- a/packages/proxy/src/socket_option.cpp
+++ b/packages/proxy/src/socket_option.cpp
@@ -30,19 +30,19 @@
 void connectTo(boost::asio::ip::tcp::socket &socket,
                const std::string &address,
                std::uint16_t port,
-               std::function<void(const std::string &fault)> connected)
+               std::function<void(const ConnectError &error)> connected)
 {
     boost::system::error_code ec;
     const auto ip = boost::asio::ip::make_address(address, ec);
     if (ec) {
         boost::asio::post(socket.get_executor(), [connected = std::move(connected)] {
-            connected("address can't be read");
+            connected({"address can't be read", false});
         });
         return;
     }
     socket.async_connect({ip, port}, [&socket, connected = std::move(connected)](const boost::system::error_code &error) {
         if (error) {
-            connected("connect: " + error.message());
+            connected({"connect: " + error.message(), error == boost::asio::error::connection_refused});
             return;
         }
         setSocketOptions(socket);
--- a/packages/proxy/src/socket_option_func.h
+++ b/packages/proxy/src/socket_option_func.h
@@ -11,14 +11,21 @@
 /** Disables Nagle's algorithm and enables the detection of unresponsive peers. Options that the system doesn't support are ignored. */
 void setSocketOptions(boost::asio::ip::tcp::socket &socket);
 
+/** Why a socket couldn't be connected. */
+struct ConnectError
+{
+    std::string message;     ///< Error text for the log; empty on success.
+    bool wasRefused = false; ///< True if no process listens at the port.
+};
+
 /**
  * Connects a socket and sets its options.
  * @param socket Must live until `connected` is called; `connected` may hold a reference to its owner for that.
- * @param connected Called later, with an empty string on success or with the error.
+ * @param connected Called later, with an empty message on success or with the error.
  */
 void connectTo(boost::asio::ip::tcp::socket &socket,
                const std::string &address,
                std::uint16_t port,
-               std::function<void(const std::string &fault)> connected);
+               std::function<void(const ConnectError &error)> connected);
 
 } // namespace Vanillahall::Forward
