--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -39,6 +39,7 @@
     DependencyLost = 1504,     ///< A dependency of the process has failed.
     ServerLimited = 1505,      ///< A backend server has named a rate limit, changed it, or names none any more.
     ServerLeaving = 1506,      ///< A backend server has stated in an answer that it is leaving.
+    ServerEnded = 1507,        ///< A backend server has ended while it may have been running abandoned attempts.
     StoreAway = 1501,          ///< The platform's store is unavailable.
     StoreBack = 1502,          ///< The platform's store is available again.
     OrderRefused = 1601,       ///< A gate refused an order.
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -43,6 +43,7 @@
     {EventNumber::ServerChanged, "server_changed"},
     {EventNumber::ServerLimited, "server_limited"},
     {EventNumber::ServerLeaving, "server_leaving"},
+    {EventNumber::ServerEnded, "server_ended"},
     {EventNumber::DependencyLost, "dependency_lost"},
     {EventNumber::StoreAway, "store_away"},
     {EventNumber::StoreBack, "store_back"},
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -77,7 +77,8 @@
     void endAttempt();
     /** Ends the current attempt, which its server may still run. @param why Reason for the log. */
     void abandonAttempt(std::string_view why);
-    void logAbandoned(std::string_view why);
+    /** Records that the current attempt has ended for the proxy, while its server may still run it. */
+    void recordAbandoned(std::string_view why);
     void recordRateLimit(std::optional<double> perSecond);
     /** Records that the server of the current attempt has stated that it is leaving. */
     void recordLeaving();
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -27,6 +27,7 @@
     if (!failure.wasSent) {
         m_mayHaveRun--;
         m_proxy.servers.recordFailure(m_choice.server.id, now());
+        m_proxy.onServerConnect(m_choice.server.id, failure.wasRefused ? ConnectResult::Refused : ConnectResult::Failed);
         onAttemptFailed(AttemptFailure::NoConnection, failure.message);
         return;
     }
@@ -39,7 +40,7 @@
     if (m_failure == AttemptFailure::Broken) {
         m_proxy.recordContentFailure(m_contentHash);
     } else {
-        logAbandoned("answer_rejected");
+        recordAbandoned("answer_rejected");
     }
     onAttemptFailed(m_failure, m_failureReason.empty() ? message : m_failureReason);
 }
@@ -156,15 +157,16 @@
 void Exchange::abandonAttempt(std::string_view why)
 {
     if (m_connection->wasSent()) {
-        logAbandoned(why);
+        recordAbandoned(why);
     }
     m_connection->abandon();
     m_connection.reset();
     endAttempt();
 }
 
-void Exchange::logAbandoned(std::string_view why)
+void Exchange::recordAbandoned(std::string_view why)
 {
+    m_proxy.recordAbandonedAttempt(m_choice.server, m_contentHash, m_limitAt);
     std::ostringstream line;
     line << "request=" << m_request.attributes.requestId << " server=" << m_choice.server.id << " content=" << m_contentHash
          << " crash_records=" << m_proxy.crashes.recordCount(m_contentHash) << " sent_ms_ago=" << ms(now() - m_attemptStartedAt)
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -58,6 +58,7 @@
     , m_expiryTimer(ioLoop)
     , m_stopTimer(ioLoop)
     , m_acceptTimer(ioLoop)
+    , m_watchTimer(ioLoop)
 {
 }
 
@@ -223,6 +224,11 @@
         }
         connection->abandon();
     }
+    return newConnection(server);
+}
+
+std::shared_ptr<ServerConnection> ProxyState::newConnection(const Server &server)
+{
     metrics.count("vanillahall_server_connections_total", {"service", server.service});
     return std::make_shared<ServerConnection>(
         loop, server, [weak = weak_from_this()](const std::shared_ptr<ServerConnection> &connection, bool isReusable) {
@@ -269,6 +275,7 @@
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
     metrics.gauge("vanillahall_turn_cache_bytes", static_cast<double>(turns.bytes()));
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
+    metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
 }
@@ -361,6 +368,7 @@
     stopTimer(m_expiryTimer);
     stopTimer(m_stopTimer);
     stopTimer(m_acceptTimer);
+    stopTimer(m_watchTimer);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -8,6 +8,7 @@
 #include "store_router.h"
 #include "table_watcher.h"
 
+#include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/crash_tracker_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -18,6 +19,7 @@
 #include "vanillahall/proxy/proxy_base.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -65,6 +67,13 @@
     void recordContentFailure(std::uint64_t content);
     /** Records an attempt with this content that succeeded, and with a response whose end is framed. */
     void recordContentSuccess(std::uint64_t content);
+    /**
+     * Records an attempt that has ended for the proxy while its server may still run it, and watches the server.
+     * @param runsUntil Deadline that the server was given.
+     */
+    void recordAbandonedAttempt(const Server &server, std::uint64_t content, TimePoint runsUntil);
+    /** Handles the result of a connection attempt to a server. */
+    void onServerConnect(const std::string &server, ConnectResult result);
     /** Removes the exchange of a session after its end. */
     void removeExchange(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
@@ -102,6 +111,7 @@
     TokenLedger ledger;
     TurnCache turns;
     CrashTracker crashes;
+    AbandonedAttempts abandoned;
     StreamOrigins streamOrigins;
     Metrics metrics;
     ProxyMembership members;
@@ -141,6 +151,13 @@
     /** Writes the crash records that wait for it to the store. */
     void shareCrashes();
     void onCrashesShared(std::size_t count, const std::optional<StoreReply> &reply, const Error &reason);
+    /** Keeps a connection open to each server with abandoned attempts, so that its end is noticed. */
+    void watchServers();
+    void openWatch(const Server &server);
+    /** Counts the end of servers against the contents that they may have been running. */
+    void recordEndedServers(const std::vector<EndedServer> &ended);
+    /** @return A new connection to a server. */
+    std::shared_ptr<ServerConnection> newConnection(const Server &server);
     /** Logs that a content is refused from now on. */
     void logQuarantine(std::uint64_t content);
     /**
@@ -189,10 +206,12 @@
     boost::asio::steady_timer m_expiryTimer;   ///< Delay before expired servers are removed.
     boost::asio::steady_timer m_stopTimer;     ///< Delay before the next check whether a stop is complete.
     boost::asio::steady_timer m_acceptTimer;   ///< Delay after a failed accept.
+    boost::asio::steady_timer m_watchTimer;    ///< Delay before the next watchServers().
     std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> m_sessions; ///< Client connections by id.
     std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> m_exchanges;     ///< Requests in progress, by id of the session.
     std::unordered_map<std::string, std::vector<std::shared_ptr<ServerConnection>>>
-        m_idleConnections; ///< Idle connections by server; no entry is empty.
+        m_idleConnections;                  ///< Idle connections by server; no entry is empty.
+    std::set<std::string> m_openingWatches; ///< Servers to which a connection is being opened by openWatch().
     std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
         m_tokenWaiters;                                  ///< Exchanges to notify after a token call, by program.
     std::vector<std::weak_ptr<Exchange>> m_storeWaiters; ///< Exchanges to notify when the store answers.
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -82,21 +82,34 @@
     }
 }
 
+void ServerConnection::open(OpenedHandler opened)
+{
+    m_openedHandler = std::move(opened);
+    connect();
+}
+
 void ServerConnection::connect()
 {
     runAfter(m_connectTimer, ConnectTimeout, *this, [](ServerConnection &self) {
         self.fail("connection not established in time");
     });
-    connectTo(m_socket, m_server.address, m_server.port, [self = shared_from_this()](const std::string &fault) {
+    connectTo(m_socket, m_server.address, m_server.port, [self = shared_from_this()](const ConnectError &error) {
         if (self->m_isClosed) {
             return;
         }
         stopTimer(self->m_connectTimer);
-        if (!fault.empty()) {
-            self->fail(fault);
+        if (!error.message.empty()) {
+            self->m_wasRefused = error.wasRefused;
+            self->fail(error.message);
             return;
         }
         self->m_isOpen = true;
+        if (self->m_openedHandler) {
+            self->read();
+            self->release(true);
+            std::exchange(self->m_openedHandler, nullptr)(ConnectResult::Connected);
+            return;
+        }
         self->write();
         self->read();
     });
@@ -325,11 +338,14 @@
     }
     const auto self = shared_from_this();
     auto *listener = std::exchange(m_listener, nullptr);
-    const ServerConnectionFailure failure{m_wasSent, message};
+    const ServerConnectionFailure failure{m_wasSent, m_wasRefused, message};
     release(false);
     if (listener != nullptr) {
         listener->onConnectionFailure(failure);
     }
+    if (m_openedHandler) {
+        std::exchange(m_openedHandler, nullptr)(m_wasRefused ? ConnectResult::Refused : ConnectResult::Failed);
+    }
 }
 
 void ServerConnection::abandon()
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -1,6 +1,7 @@
 /** HTTP connection to a backend server; carries one request at a time. */
 #pragma once
 
+#include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/forward_type.h"
 
 #include <functional>
@@ -28,8 +29,9 @@
 /** Describes a connection that ended before the response was complete. */
 struct ServerConnectionFailure
 {
-    bool wasSent = false; ///< True if any byte of the request may have reached the server.
-    std::string message;  ///< Error text for the log.
+    bool wasSent = false;    ///< True if any byte of the request may have reached the server.
+    bool wasRefused = false; ///< True if no process listens at the server's port.
+    std::string message;     ///< Error text for the log.
 };
 
 /** How to proceed after a piece of a body. */
@@ -79,6 +81,11 @@
      * @param isHead True for the method HEAD, whose responses have no body.
      */
     void send(ServerConnectionListener *listener, std::string text, std::string requestId, bool isHead);
+    /** Called with the result of open(). */
+    using OpenedHandler = std::function<void(ConnectResult result)>;
+
+    /** Connects without a request. An established connection becomes idle, before the handler is called. */
+    void open(OpenedHandler opened);
     /** Continues reading after BodyAction::Pause. */
     void resume();
     /** Closes the connection; the listener isn't called after this. */
@@ -114,6 +121,7 @@
     boost::asio::steady_timer m_connectTimer;       ///< Limits the time for connecting.
     Server m_server;                                ///< Server as listed when the connection was created.
     ReleasedHandler m_releasedHandler;              ///< Called when the connection becomes idle or closed.
+    OpenedHandler m_openedHandler;                  ///< Receives the result of open(); null once called.
     ServerConnectionListener *m_listener = nullptr; ///< Receiver of the current response; null when idle.
     std::string m_out;                              ///< Request that is being sent.
     std::string m_requestId;                        ///< Id of the current request.
@@ -132,6 +140,7 @@
     bool m_isPaused = false;                        ///< True from BodyAction::Pause to resume().
     std::size_t m_requests = 0;                     ///< Requests sent so far.
     bool m_wasSent = false;                         ///< True if any byte of the request may have been sent.
+    bool m_wasRefused = false;                      ///< True if the server has refused the connection.
     bool m_isStale = false;                         ///< True while a response to another request is skipped.
     bool m_isDone = false;                          ///< True between the end of a response and the next request.
     bool m_isParsing = false;                       ///< True inside parse(); guards against recursion from callbacks.
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -87,12 +87,12 @@
 private:
     void connect()
     {
-        connectTo(m_socket, m_store.address, m_store.port, [self = shared_from_this()](const std::string &fault) {
+        connectTo(m_socket, m_store.address, m_store.port, [self = shared_from_this()](const ConnectError &error) {
             if (self->m_isClosed) {
                 return;
             }
-            if (!fault.empty()) {
-                self->fail(fault);
+            if (!error.message.empty()) {
+                self->fail(error.message);
                 return;
             }
             self->m_isOpen = true;
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -49,6 +49,7 @@
 
 ScriptedPeer::ScriptedPeer(boost::asio::io_context &loop, Answer answer)
     : m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    , m_endpoint(m_acceptor.local_endpoint())
     , m_answer(std::move(answer))
 {
     accept();
@@ -56,7 +57,28 @@
 
 std::uint16_t ScriptedPeer::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_endpoint.port();
+}
+
+void ScriptedPeer::crash()
+{
+    m_acceptor.close();
+    for (const auto &it : m_connections) {
+        if (const auto connection = it.lock(); connection && connection->socket.is_open()) {
+            connection->socket.set_option(boost::asio::socket_base::linger(true, 0));
+            connection->socket.close();
+        }
+    }
+    m_connections.clear();
+}
+
+void ScriptedPeer::restart()
+{
+    m_acceptor.open(m_endpoint.protocol());
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    m_acceptor.bind(m_endpoint);
+    m_acceptor.listen();
+    accept();
 }
 
 void ScriptedPeer::accept()
@@ -66,7 +88,9 @@
             return;
         }
         opened++;
-        read(std::make_shared<Connection>(std::move(socket)));
+        const auto connection = std::make_shared<Connection>(std::move(socket));
+        m_connections.push_back(connection);
+        read(connection);
         accept();
     });
 }
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -27,6 +27,10 @@
     ScriptedPeer(boost::asio::io_context &loop, Answer answer);
 
     [[nodiscard]] std::uint16_t port() const;
+    /** Ends like a process that crashes: the port refuses connections, and open connections are reset. */
+    void crash();
+    /** Listens at the same port again after crash(). */
+    void restart();
 
     std::vector<std::string> requests; ///< Requests received so far.
     std::size_t opened = 0;            ///< Connections accepted so far.
@@ -40,6 +44,8 @@
     void serve(const std::shared_ptr<Connection> &connection);
 
     tcp::acceptor m_acceptor;
+    tcp::endpoint m_endpoint;
+    std::vector<std::weak_ptr<Connection>> m_connections; ///< Connections accepted so far.
     Answer m_answer;
 };
 
