--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -339,7 +339,9 @@
     const bool isIdle = std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &it) {
         return it.second->isBusy();
     });
-    if ((!takesClients && isIdle && m_exchanges.empty()) || age > settings.stopLimit) {
+    // Records that the store doesn't have yet would be lost with the process.
+    const bool isDone = !takesClients && isIdle && m_exchanges.empty() && crashes.unsharedCount() == 0;
+    if (isDone || age > settings.stopLimit) {
         shutDown();
         if (m_onStopped) {
             m_onStopped();
--- a/tests/proxy/proxy_crash_test.cpp
+++ b/tests/proxy/proxy_crash_test.cpp
@@ -154,6 +154,28 @@
                              return it.param.name;
                          });
 
+// Records that the store hadn't acknowledged were lost with a proxy that was stopped.
+TEST(ProxyCrash, APlannedStopWritesTheRecordsThatTheStoreDoesNotHaveYet)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{"", true};
+    });
+    ASSERT_TRUE(world.start());
+    world.rows.refusesWrites = true;
+    world.ask(poison(1, "/once/1"));
+    bool isStopped = false;
+    world.proxy->stop([&isStopped] {
+        isStopped = true;
+    });
+    constexpr auto UsualStop = 4s; // A proxy without requests stops sooner.
+    const auto storeBackAt = std::chrono::steady_clock::now() + UsualStop;
+    EXPECT_TRUE(world.run([&world, &isStopped, storeBackAt] {
+        world.rows.refusesWrites = std::chrono::steady_clock::now() < storeBackAt;
+        return isStopped;
+    }));
+    EXPECT_EQ(world.rows.crashRecords.size(), 1U);
+}
+
 TEST(ProxyCrash, AnAttemptAfterTheLastAllowedCrashIsNotSent)
 {
     ProxyWorld world([](const std::string &) {
