--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -266,6 +266,7 @@
     const auto present = now();
     const bool wasUnavailable = m_serversReadAt && present - *m_serversReadAt > MaxListAge;
     m_serversReadAt = present;
+    m_serversFirstReadAt = m_serversFirstReadAt.value_or(present);
     recordEndedServers(abandoned.onServerList(m_serverList, present));
     updateServers(wasUnavailable);
     if (wasUnavailable) {
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -258,6 +258,7 @@
 void ProxyState::applyCrashes(const Platform::StoreRows &rows)
 {
     constexpr auto Life = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(CrashRecordLifetime).count());
+    m_areCrashesRead = true;
     std::vector<std::uint64_t> contents;
     std::vector<std::string> expiredKeys;
     for (const auto &it : rows.rows) {
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -19,7 +19,9 @@
 constexpr Duration AcceptRetryDelay
     = std::chrono::milliseconds(50); ///< Delay after a failed accept, for example if no file descriptor is free.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50); ///< Interval between checks whether a stop is complete.
-constexpr std::size_t MaxIdleConnections = 6;                         ///< Limit on idle connections to one server.
+constexpr Duration MaxCrashReadWait
+    = std::chrono::seconds(3);                ///< A proxy reports ready without the crash records if it can't read them for this time.
+constexpr std::size_t MaxIdleConnections = 6; ///< Limit on idle connections to one server.
 constexpr Duration RejectionLogInterval
     = std::chrono::seconds(10); ///< Interval between log lines about rejected clients; the metric counts all of them.
 
@@ -189,7 +191,9 @@
 
 bool ProxyState::isReady() const
 {
-    return routes.isLoaded() && m_serversReadAt.has_value() && !m_isStopping;
+    // Without the crash records of the other proxies, contents that they refuse would be sent on.
+    const bool hasCrashRecords = m_areCrashesRead || (m_serversFirstReadAt && now() - *m_serversFirstReadAt > MaxCrashReadWait);
+    return routes.isLoaded() && m_serversReadAt.has_value() && hasCrashRecords && !m_isStopping;
 }
 
 std::size_t ProxyState::clientCount() const
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -219,6 +219,7 @@
     std::uint64_t m_nextSession = 1;                     ///< Id of the next session.
     std::size_t m_reservedBytes = 0;                     ///< Memory reserved for bodies.
     std::optional<TimePoint> m_serversReadAt;            ///< When the server list was last known to be up to date.
+    std::optional<TimePoint> m_serversFirstReadAt;       ///< When the server list was first read.
     std::optional<TimePoint> m_storeAnsweredAt;          ///< When the store last answered.
     TimePoint m_storeFailedAt{};                         ///< When a store call last failed.
     TimePoint m_stopStartedAt{};                         ///< When the stop started.
@@ -235,6 +236,7 @@
     std::shared_ptr<TableWatcher> m_serverWatcher;       ///< Watches the server table.
     std::vector<Server> m_serverList;                    ///< Server list as last read.
     std::optional<TimePoint> m_rejectionLoggedAt;        ///< When rejected clients were last logged.
+    bool m_areCrashesRead = false;                       ///< True once the crash records of the other proxies were read.
     bool m_isStopping = false;                           ///< True after stop().
     bool m_isShutDown = false;                           ///< True after shutDown().
     bool m_isStoreUnavailable = false;                   ///< True between events 1501 (store unavailable) and 1502 (store available again).
--- a/tests/proxy/proxy_crash_test.cpp
+++ b/tests/proxy/proxy_crash_test.cpp
@@ -154,6 +154,46 @@
                              return it.param.name;
                          });
 
+/** How long the store refuses to give a new proxy the crash records of the others. */
+struct CrashReadCase
+{
+    const char *name;  ///< For the test's name.
+    Duration refusal;  ///< How long reads are refused.
+    unsigned expected; ///< Status of the content once the proxy is ready.
+};
+
+class ProxyCrashRead : public ::testing::TestWithParam<CrashReadCase>
+{
+};
+
+// A proxy that was ready before it had read the crash records sent contents on that the others refused.
+TEST_P(ProxyCrashRead, ComesBeforeAProxyIsReadyUnlessItTakesTooLong)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{goodAnswer("ok")};
+    });
+    std::ostringstream content;
+    content << std::hex << contentHash("POST", "/call/1", "", "poison");
+    for (int n = 0; n < 3; n++) {
+        world.rows.crashRecords[content.str() + "/gone/1/" + std::to_string(n)] = R"({"breaks":1,"at":1})";
+    }
+    const auto refusedUntil = std::chrono::steady_clock::now() + GetParam().refusal;
+    Error reason;
+    ASSERT_TRUE(world.proxy->start(reason));
+    ASSERT_TRUE(world.run([&world, refusedUntil] {
+        world.rows.refusesCrashReads = std::chrono::steady_clock::now() < refusedUntil;
+        return world.proxy->isReady();
+    }));
+    EXPECT_EQ(statusOf(world.ask(poison(1))), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyCrashRead,
+                         ::testing::Values(CrashReadCase{"aWhile", 500ms, 503}, CrashReadCase{"tooLong", 20s, 200}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 // Records that the store hadn't acknowledged were lost with a proxy that was stopped.
 TEST(ProxyCrash, APlannedStopWritesTheRecordsThatTheStoreDoesNotHaveYet)
 {
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -84,6 +84,9 @@
         return changes(m_servers, request);
     }
     if (request.find("GET /api/rows-get?table=broken_contents") == 0) {
+        if (refusesCrashReads) {
+            return {json(Json::object(), 503)};
+        }
         Json list = Json::array();
         for (const auto &[key, value] : crashRecords) {
             list.push_back({{"key", key}, {"value", base64(value)}, {"ver", version}});
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -43,6 +43,7 @@
     bool refusesWrites = false;        ///< True to answer `refusalStatus` to writes.
     unsigned refusalStatus = 503;      ///< Status of refused writes.
     bool refusesAll = false;           ///< True to answer 503 to all calls.
+    bool refusesCrashReads = false;    ///< True to answer 503 to reads of the crash records.
     bool suppressesChanges = false;    ///< True to report no changes to watch calls.
     bool hasNoHistory = false;         ///< True to answer 410 to watch calls.
     std::size_t unansweredWatches = 0; ///< Number of further watch calls that get no reply.
