--- a/packages/core/include/vanillahall/core/crash_tracker_base.h
+++ b/packages/core/include/vanillahall/core/crash_tracker_base.h
@@ -46,7 +46,10 @@
     TimePoint newestAt{}; ///< When the newest of them was made.
 };
 
-/** @return Hash that identifies the content of a request: method, target and body, or the program instead of an empty body. */
+/**
+ * @param target Path of the request; its query, if any, doesn't count.
+ * @return Hash that identifies the content of a request: method, path and body, or the program instead of an empty body.
+ */
 std::uint64_t contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body);
 
 /** Counts broken attempts of this entry and of the other entries. */
--- a/packages/core/src/queries/crash_tracker_query.cpp
+++ b/packages/core/src/queries/crash_tracker_query.cpp
@@ -6,8 +6,9 @@
 
 std::uint64_t contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body)
 {
+    const auto path = target.substr(0, target.find('?'));
     auto hash = XXH3_64bits(method.data(), method.size());
-    hash = XXH3_64bits_withSeed(target.data(), target.size(), hash);
+    hash = XXH3_64bits_withSeed(path.data(), path.size(), hash);
     // A body identifies a content by itself; requests without a body differ only by their program.
     const auto &content = body.empty() ? program : body;
     return XXH3_64bits_withSeed(content.data(), content.size(), hash);
--- a/tests/core/crash_tracker_test.cpp
+++ b/tests/core/crash_tracker_test.cpp
@@ -72,6 +72,8 @@
                          ::testing::Values(ContentCase{"same", "/a", "p", "body", true},
                                            ContentCase{"otherProgram", "/a", "q", "body", true},
                                            ContentCase{"otherPath", "/b", "p", "body", false},
+                                           ContentCase{"otherQuery", "/a?n=1", "p", "body", true},
+                                           ContentCase{"noBodyOtherQuery", "/a?n=1", "p", "", true},
                                            ContentCase{"noBody", "/a", "p", "", true},
                                            ContentCase{"noBodyOtherProgram", "/a", "q", "", false}),
                          [](const auto &it) {
