--- a/packages/core/include/vanillahall/core/crash_tracker_base.h
+++ b/packages/core/include/vanillahall/core/crash_tracker_base.h
@@ -74,8 +74,12 @@
     void onReadFailed(TimePoint now);
     /** Handles the return of the store after an outage: waiting records are written at once, and those of the other entries read soon. */
     void onStoreBack(TimePoint now);
-    /** Records an attempt that succeeded, so its content doesn't crash servers. @return Records of this entry that no longer count. */
-    std::vector<CrashRecord> recordSuccess(std::uint64_t content);
+    /**
+     * Records an attempt that succeeded: its content doesn't crash servers, unless it has crashed one since the attempt was sent.
+     * @param sentAt When the attempt was sent.
+     * @return Records of this entry that no longer count.
+     */
+    std::vector<CrashRecord> recordSuccess(std::uint64_t content, TimePoint sentAt);
     /**
      * Replaces the counts of other entries by the contents of all records that they share.
      * @return Contents that are refused from now on.
--- a/packages/core/src/commands/crash_tracker_cmd.cpp
+++ b/packages/core/src/commands/crash_tracker_cmd.cpp
@@ -94,11 +94,10 @@
     return records;
 }
 
-std::vector<CrashRecord> CrashTracker::recordSuccess(std::uint64_t content)
+std::vector<CrashRecord> CrashTracker::recordSuccess(std::uint64_t content, TimePoint sentAt)
 {
-    m_sharedCounts.erase(content);
     const auto own = m_own.find(content);
-    return own == m_own.end() ? std::vector<CrashRecord>() : removeRecords(own);
+    return own == m_own.end() || own->second.lastCrash > sentAt ? std::vector<CrashRecord>() : removeRecords(own);
 }
 
 std::vector<std::uint64_t> CrashTracker::updateShared(const std::vector<std::uint64_t> &contents)
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -244,7 +244,7 @@
     }
     // Neither an error nor a response that ends with its connection shows that the server has survived the request.
     if (isSuccess(m_head.status) && !m_endsWithConnection) {
-        m_proxy.recordContentSuccess(m_contentHash);
+        m_proxy.recordContentSuccess(m_contentHash, m_attemptStartedAt);
     }
     endAttempt();
     if (!m_conversation || !isSuccess(m_head.status)) {
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -205,9 +205,9 @@
         "content=" + std::to_string(content) + " records=" + std::to_string(crashes.recordCount(content)));
 }
 
-void ProxyState::recordContentSuccess(std::uint64_t content)
+void ProxyState::recordContentSuccess(std::uint64_t content, TimePoint sentAt)
 {
-    removeCrashRecords(crashes.recordSuccess(content));
+    removeCrashRecords(crashes.recordSuccess(content, sentAt));
 }
 
 void ProxyState::removeCrashRecords(const std::vector<CrashRecord> &records)
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -65,8 +65,11 @@
     void addStoreWaiter(const std::shared_ptr<Exchange> &exchange);
     /** Records an attempt with this content that broke the connection, and shares the record with the other proxies. */
     void recordContentFailure(std::uint64_t content);
-    /** Records an attempt with this content that succeeded, and with a response whose end is framed. */
-    void recordContentSuccess(std::uint64_t content);
+    /**
+     * Records an attempt with this content that succeeded, and with a response whose end is framed.
+     * @param sentAt When the attempt was sent.
+     */
+    void recordContentSuccess(std::uint64_t content, TimePoint sentAt);
     /**
      * Records an attempt that has ended for the proxy while its server may still run it, and watches the server.
      * @param runsUntil Deadline that the server was given.
--- a/tests/core/crash_sharing_test.cpp
+++ b/tests/core/crash_sharing_test.cpp
@@ -201,7 +201,7 @@
     ASSERT_TRUE(tracker.beginShare(Start));
     const auto waiting = tracker.recordCrash(7, Start);
     // The removal of a record whose write is under way has to come after that write.
-    EXPECT_EQ(tracker.recordSuccess(7), std::vector<CrashRecord>{waiting});
+    EXPECT_EQ(tracker.recordSuccess(7, Start), std::vector<CrashRecord>{waiting});
     EXPECT_EQ(tracker.endShare(false, Start), std::vector<CrashRecord>{written});
     EXPECT_EQ(tracker.unsharedCount(), 0U);
     EXPECT_EQ(tracker.recordCount(7), 0U);
--- a/tests/core/crash_tracker_test.cpp
+++ b/tests/core/crash_tracker_test.cpp
@@ -30,8 +30,8 @@
     CrashTracker tracker;
     const auto first = tracker.recordCrash(7, Start);
     const auto second = tracker.recordCrash(7, Start);
-    EXPECT_EQ(tracker.recordSuccess(7), (std::vector<CrashRecord>{first, second}));
-    EXPECT_TRUE(tracker.recordSuccess(7).empty());
+    EXPECT_EQ(tracker.recordSuccess(7, Start), (std::vector<CrashRecord>{first, second}));
+    EXPECT_TRUE(tracker.recordSuccess(7, Start).empty());
     // A new record differs from the removed ones, so that a late removal of these doesn't remove it too.
     const auto third = tracker.recordCrash(7, Start);
     EXPECT_NE(third, first);
@@ -39,6 +39,18 @@
     EXPECT_FALSE(tracker.isRefused(7));
 }
 
+// A long stream that began before the crashes took their records back when it ended.
+TEST(CrashTracker, AResponseToAnAttemptFromBeforeTheLastCrashClearsNothing)
+{
+    CrashTracker tracker;
+    tracker.updateShared({7, 7});
+    const auto record = tracker.recordCrash(7, Start + 1s);
+    EXPECT_TRUE(tracker.recordSuccess(7, Start).empty());
+    EXPECT_TRUE(tracker.isRefused(7));
+    EXPECT_EQ(tracker.recordSuccess(7, Start + 2s), std::vector<CrashRecord>{record});
+    EXPECT_EQ(tracker.recordCount(7), 2U) << "only the proxies that made them take the other records back";
+}
+
 TEST(CrashTracker, ExpiredRecordsAreRemoved)
 {
     CrashTracker tracker;
