--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -2,6 +2,9 @@
 
 #include "vanillahall/platform/wire_header_func.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -32,8 +35,34 @@
     return std::nullopt;
 }
 
+/** @return True if each line of a text is a comment or has the name of a field. */
+bool hasEventForm(std::string_view text)
+{
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        auto line = text.substr(0, end);
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        const auto nameEnd = std::find_if_not(line.begin(), line.end(), [](unsigned char c) {
+            return std::isalpha(c) != 0 || c == '-' || c == '_';
+        });
+        if (!line.empty() && (nameEnd == line.end() || *nameEnd != ':')) {
+            return false;
+        }
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return true;
+}
+
 } // namespace
 
+bool isNextEvent(std::string_view event, std::optional<std::uint64_t> after)
+{
+    const auto id = eventId(event);
+    return id && (!after || *id > *after);
+}
+
 CompleteEvents EventSplitter::append(std::string_view bytes, std::optional<std::uint64_t> after)
 {
     m_partialEvent.append(bytes);
@@ -48,6 +77,7 @@
             continue;
         }
         events.bytes.append(event);
+        events.hasOtherText = events.hasOtherText || (!id && !hasEventForm(event));
         if (id) {
             events.count++;
             events.firstId = events.firstId ? events.firstId : id;
--- a/packages/proxy/src/event_splitter.h
+++ b/packages/proxy/src/event_splitter.h
@@ -18,8 +18,12 @@
     std::uint32_t count = 0;              ///< Number of events that have an id.
     std::optional<std::uint64_t> firstId; ///< Id of the first event with an id.
     std::optional<std::uint64_t> lastId;  ///< Id of the last event with an id.
+    bool hasOtherText = false;            ///< True if a part without an id doesn't have the form of an event either.
 };
 
+/** @return True if a text is an event, possibly without its empty line, whose id is greater than `after`. */
+bool isNextEvent(std::string_view event, std::optional<std::uint64_t> after);
+
 /** Buffers a partial event until its end is received, such that only complete events are forwarded. */
 class EventSplitter
 {
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -350,6 +350,7 @@
     m_attempts++;
     m_mayHaveRun++;
     m_isRefusal = false;
+    m_continuesAnswer = m_hasBegunAnswer;
     m_isStreaming = false;
     m_hadFirstEvent = false;
     m_attemptEvents = 0;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -140,6 +140,7 @@
     bool m_endsWithConnection = false;                 ///< True if the current response ends with its connection.
     bool m_isOriginRecorded = false;                   ///< True once recordOrigin() has recorded the version.
     bool m_hasBegunAnswer = false;                     ///< True if the head was sent to the client.
+    bool m_continuesAnswer = false;                    ///< True if the current attempt continues the answer of an earlier one.
     bool m_hadFirstEvent = false;                      ///< True if the current attempt has received an event.
     bool m_isRefusal = false;                          ///< True if the server states that it didn't run the request.
     bool m_isEnded = false;                            ///< True after end().
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -68,10 +68,15 @@
     }
     m_endsWithConnection = head.endsWithConnection;
     m_isStreaming = isSuccess(head.status) && isStream(m_route.repetition) && head.hasBody;
-    if (m_hasBegunAnswer && !m_isStreaming) {
+    if (m_continuesAnswer && !m_isStreaming) {
         m_failureReason = "status " + std::to_string(head.status) + " in response to a resumed stream";
         return false;
     }
+    const bool isOtherType = attributes.isEventStream != m_head.attributes.isEventStream;
+    if (m_continuesAnswer && (isOtherType || (head.length && !attributes.isEventStream))) {
+        m_failureReason = "no event stream in response to a resumed stream";
+        return false;
+    }
     m_failure = AttemptFailure::Broken;
     if (!m_hasBegunAnswer) {
         m_head = head;
@@ -120,7 +125,13 @@
         return BodyAction::More;
     }
     if (m_isStreaming) {
-        forwardEvents(m_events.append(piece, m_hasBegunAnswer ? m_lastEvent : std::nullopt));
+        const auto events = m_events.append(piece, m_hasBegunAnswer ? m_lastEvent : std::nullopt);
+        if (m_continuesAnswer && events.hasOtherText) {
+            m_failure = AttemptFailure::BadAnswer;
+            m_failureReason = "bytes that are no event in a resumed stream";
+            return BodyAction::Drop;
+        }
+        forwardEvents(events);
         if (m_events.hasOverlongEvent()) {
             m_failure = AttemptFailure::BadAnswer;
             m_failureReason = "event too long";
@@ -234,6 +245,12 @@
         onAttemptBroken("stream ended inside an event");
         return;
     }
+    // The last event may lack its empty line; other text doesn't belong into a stream that another server has begun.
+    if (m_continuesAnswer && !rest.empty() && !isNextEvent(rest, m_lastEvent)) {
+        m_failure = AttemptFailure::BadAnswer;
+        onAttemptBroken("resumed stream ends with bytes that are no event");
+        return;
+    }
     if (m_head.status >= StatusServerError) {
         m_proxy.servers.recordFailure(m_choice.server.id, now());
     } else {
--- a/tests/proxy/proxy_stream_test.cpp
+++ b/tests/proxy/proxy_stream_test.cpp
@@ -76,6 +76,100 @@
     EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+/** Response of the next server to a stream that has begun and broken off. */
+struct ForeignAnswerCase
+{
+    const char *name;   ///< For the test's name.
+    std::string answer; ///< Response; contains the word "trouble".
+};
+
+class ProxyForeignAnswer : public ::testing::TestWithParam<ForeignAnswerCase>
+{
+};
+
+// Clients found the text of an error in the middle of their stream, which then ended as if it were complete.
+TEST_P(ProxyForeignAnswer, DoesNotGetIntoAStreamThatAnotherServerBegan)
+{
+    std::size_t requestCount = 0;
+    ProxyWorld world([&](const std::string &) {
+        return requestCount++ == 0 ? Script{streamHead() + eventChunk(1), true} : Script{GetParam().answer, true};
+    });
+    ASSERT_TRUE(world.start());
+    const auto answer = world.ask(ProxyWorld::request("POST", "/resumed/1", "r1"));
+    EXPECT_EQ(requestCount, 2U);
+    EXPECT_NE(answer.find("id: 1\n"), std::string::npos);
+    EXPECT_EQ(answer.find("HTTP/1.1 500"), std::string::npos);
+    EXPECT_EQ(answer.find("trouble"), std::string::npos);
+    EXPECT_EQ(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+    EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ProxyForeignAnswer,
+    ::testing::Values(
+        ForeignAnswerCase{"error", "HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 7\r\n\r\ntrouble"},
+        ForeignAnswerCase{"unsignedError", "HTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\ntrouble"},
+        ForeignAnswerCase{"successWithoutType", goodAnswer("trouble")},
+        ForeignAnswerCase{"plainText", goodAnswer("trouble", "Content-Type: text/plain\r\n")},
+        ForeignAnswerCase{"plainTextWithEmptyLines", goodAnswer("trouble\n\ntrouble\n\n", "Content-Type: text/plain\r\n")},
+        ForeignAnswerCase{"plainTextInChunks",
+                          "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Type: text/plain\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n7\r\ntrouble\r\n0\r\n\r\n"},
+        ForeignAnswerCase{"textInsideAnEventStream", streamHead() + "7\r\ntrouble\r\n0\r\n\r\n"},
+        ForeignAnswerCase{"wholeHeadInsideAnEventStream", streamHead() + "1f\r\nHTTP/1.1 500 X\r\nA: b\r\n\r\ntrouble\r\n0\r\n\r\n"},
+        ForeignAnswerCase{"oldEventWithoutItsEmptyLine", streamHead() + "13\r\nid: 1\ndata: trouble\r\n0\r\n\r\n"},
+        ForeignAnswerCase{"textWithoutHead", "trouble\r\n"}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
+/** Response that is cut after each of its bytes. */
+struct CutCase
+{
+    const char *name;   ///< For the test's name.
+    const char *path;   ///< Target of the request.
+    std::string answer; ///< The whole response.
+};
+
+class ProxyCut : public ::testing::TestWithParam<CutCase>
+{
+};
+
+// A response that was cut inside its head reached clients as a success with an empty or short body.
+TEST_P(ProxyCut, AResponseThatEndsEarlyIsNeverASuccess)
+{
+    std::size_t cut = 0;
+    ProxyWorld world([&cut](const std::string &) {
+        return Script{GetParam().answer.substr(0, cut), true};
+    });
+    ASSERT_TRUE(world.start());
+    for (cut = 0; cut < GetParam().answer.size(); cut++) {
+        // Different contents, since each of them breaks a connection.
+        const auto id = "r" + std::to_string(cut);
+        const auto answer = world.ask(ProxyWorld::request("POST", GetParam().path, id, {}, id));
+        const bool isSuccess = statusOf(answer) == 200;
+        const bool isComplete = answer.find("\r\n0\r\n\r\n") != std::string::npos || answer.find("Content-Length") != std::string::npos;
+        EXPECT_FALSE(isSuccess && isComplete) << "cut after " << cut << " bytes: " << answer;
+    }
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", GetParam().path, "whole", {}, "whole"))), 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    ProxyCut,
+    ::testing::Values(CutCase{"withLength",
+                              "/once/1",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Length: 5\r\n\r\nwhole"},
+                      CutCase{"inChunks",
+                              "/once/1",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nwhole\r\n0\r\n\r\n"},
+                      CutCase{"stream", "/stream/1", streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"}),
+    [](const auto &it) {
+        return it.param.name;
+    });
+
 TEST(ProxyStream, AnOverlongEventIsDropped)
 {
     const std::string endless(std::size_t{300} * 1024, 'x');
