--- a/packages/core/include/vanillahall/core/abandoned_attempts_base.h
+++ b/packages/core/include/vanillahall/core/abandoned_attempts_base.h
@@ -18,7 +18,7 @@
 /** How the end of a server became known. */
 enum class ServerEnd : std::uint8_t {
     Refused,     ///< It refuses connections: no process listens at its port.
-    Restarted,   ///< The list shows a later start of it.
+    Restarted,   ///< The list shows a later start of it, or of another server at its address.
     Unreachable, ///< It is gone from the list without having drained, and no connection to it can be established.
 };
 
--- a/packages/core/src/commands/abandoned_attempts_cmd.cpp
+++ b/packages/core/src/commands/abandoned_attempts_cmd.cpp
@@ -1,6 +1,8 @@
 #include "vanillahall/core/abandoned_attempts_base.h"
 
 #include <iterator>
+#include <map>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
@@ -59,13 +61,15 @@
     if (m_servers.empty()) {
         return ended;
     }
+    std::multimap<std::pair<std::string, std::uint16_t>, std::string> idsByAddress;
     for (auto &[id, state] : m_servers) {
         state.isUnlisted = !state.hasLeft;
+        idsByAddress.insert({{state.server.address, state.server.port}, id});
     }
-    for (const auto &listed : list) {
-        const auto it = m_servers.find(listed.id);
+    const auto observe = [this, &ended, now](const std::string &id, const Server &listed) {
+        const auto it = m_servers.find(id);
         if (it == m_servers.end()) {
-            continue;
+            return;
         }
         auto &state = it->second;
         const bool hasRestarted = state.server.startedMs != 0 && listed.startedMs > state.server.startedMs;
@@ -73,10 +77,18 @@
             ended.push_back(end(it, ServerEnd::Restarted, now - ListDelay));
         } else if (hasRestarted) {
             m_servers.erase(it);
-        } else {
+        } else if (id == listed.id) {
             state.isUnlisted = false;
             state.hasLeft = listed.isDraining;
         }
+    };
+    for (const auto &listed : list) {
+        observe(listed.id, listed);
+        // A server that restarts mostly has another id at the same address.
+        const auto [begin, end] = idsByAddress.equal_range({listed.address, listed.port});
+        for (auto it = begin; it != end; ++it) {
+            observe(it->second, listed);
+        }
     }
     return ended;
 }
--- a/tests/core/abandoned_attempts_test.cpp
+++ b/tests/core/abandoned_attempts_test.cpp
@@ -14,10 +14,11 @@
 constexpr Duration Deadline = 3s;
 constexpr std::uint64_t Content = 7;
 
-Server server(std::uint64_t startedMs = 1000, bool isDraining = false)
+Server server(std::uint64_t startedMs = 1000, bool isDraining = false, const char *id = "s1")
 {
     Server it;
-    it.id = "s1";
+    it.id = id;
+    it.address = "10.0.0.1";
     it.startedMs = startedMs;
     it.isDraining = isDraining;
     return it;
@@ -88,6 +89,28 @@
                                                        return it.onServerList({server(2000)}, Start + 2s);
                                                    },
                                                    0},
+                                           EndCase{"restartedWithAnotherId",
+                                                   [](auto &it) {
+                                                       return it.onServerList({server(2000, false, "s2")}, Start + 2s);
+                                                   },
+                                                   1},
+                                           // Its address is used again before its own row is removed.
+                                           EndCase{"bothRowsAreListed",
+                                                   [](auto &it) {
+                                                       return it.onServerList({server(), server(2000, false, "s2")}, Start + 2s);
+                                                   },
+                                                   1},
+                                           EndCase{"anotherIdAtItsAddressAfterDraining",
+                                                   [](auto &it) {
+                                                       it.onServerList({server(1000, true)}, Start + 1s);
+                                                       return it.onServerList({server(2000, false, "s2")}, Start + 2s);
+                                                   },
+                                                   0},
+                                           EndCase{"formerServerOfItsAddressIsStillListed",
+                                                   [](auto &it) {
+                                                       return it.onServerList({server(500, false, "s0"), server()}, Start + 2s);
+                                                   },
+                                                   0},
                                            EndCase{"olderRowComesLate",
                                                    [](auto &it) {
                                                        return it.onServerList({server(500)}, Start + 1s);
