--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -120,6 +120,22 @@
     ("any value of Server-Leaving counts", "platform/src/wire_header.cpp", "attributes.isLeaving || trimmed(value) == \"1\";", "true;", "platform_test", "*Leaving*"),
     ("another server's answer says that a server leaves", PROXY + "exchange_answer.cpp", "if (attributes.isLeaving && head.status != StatusMisdirected) {", "if (attributes.isLeaving) {", "proxy_test", "*Leaving*"),
     ("only refusals say that a server leaves", PROXY + "exchange_answer.cpp", "if (attributes.isLeaving && head.status != StatusMisdirected) {", "if (attributes.isLeaving && attributes.isNotRun) {", "proxy_test", "*Leaving*"),
+    ("a crash after the end of an attempt doesn't count", PROXY + "exchange_end.cpp", "    m_proxy.recordAbandonedAttempt(m_choice.server, m_contentHash, m_limitAt);\n", "", "proxy_test", "*ProxyAbandoned*"),
+    ("servers with abandoned attempts aren't watched", PROXY + "proxy_watch.cpp", "                openWatch(it);\n", "", "proxy_test", "*ProxyAbandoned*"),
+    ("a later start of a server is no end", CORE + "commands/abandoned_attempts_cmd.cpp", "if (hasRestarted && !state.hasLeft) {", "if (false) {", "core_test", "*Abandoned*"),
+    ("a planned restart is an end", CORE + "commands/abandoned_attempts_cmd.cpp", "if (hasRestarted && !state.hasLeft) {", "if (hasRestarted) {", "core_test", "*Abandoned*"),
+    ("a planned end counts", CORE + "commands/abandoned_attempts_cmd.cpp", "result == ConnectResult::Refused && state.hasLeft", "false", "core_test", "*Abandoned*"),
+    ("a server without power never ends", CORE + "commands/abandoned_attempts_cmd.cpp", "if (state.isUnlisted && result == ConnectResult::Failed) {", "if (false) {", "core_test", "*Abandoned*"),
+    ("a listed server that doesn't respond has ended", CORE + "commands/abandoned_attempts_cmd.cpp", "if (state.isUnlisted && result == ConnectResult::Failed) {", "if (result == ConnectResult::Failed) {", "core_test", "*Abandoned*"),
+    ("the end of a server counts however late", CORE + "commands/abandoned_attempts_cmd.cpp", "if (attempt.runsUntil >= runningAfter) {", "if (true) {", "core_test", "*Abandoned*"),
+    ("a stop leaves crash records unwritten", PROXY + "proxy_state.cpp", " && crashes.unsharedCount() == 0", "", "proxy_test", "ProxyCrash.*"),
+    ("ready without the crash records", PROXY + "proxy_state.cpp", " && hasCrashRecords", "", "proxy_test", "*ProxyCrashRead*"),
+    ("never ready without the crash records", PROXY + "proxy_state.cpp", "m_areCrashesRead || (m_serversFirstReadAt && now() - *m_serversFirstReadAt > MaxCrashReadWait)", "m_areCrashesRead", "proxy_test", "*ProxyCrashRead*"),
+    ("the query is part of a content", CORE + "queries/crash_tracker_query.cpp", "target.substr(0, target.find('?'))", "target", "core_test", "*Content*"),
+    ("a late success takes crashes back", CORE + "commands/crash_tracker_cmd.cpp", "own == m_own.end() || own->second.lastCrash > sentAt", "own == m_own.end()", "core_test", "CrashTracker*"),
+    ("any type continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && (isOtherType || (head.length && !attributes.isEventStream))) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
+    ("any text continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && events.hasOtherText) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
+    ("any rest continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && !rest.empty() && !isNextEvent(rest, m_lastEvent)) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
 ]
 
 
