Test: the type of a resumed stream is checked on its own

The mutant 'any type continues a stream' was not caught, since the checks of the bytes stopped each of the texts. New case: plain text in the form of an event. With it the mutant is caught; the other seven mutants of CrashTracker, the stop, readiness and resumption were caught before.

--- a/tests/proxy/proxy_stream_test.cpp
+++ b/tests/proxy/proxy_stream_test.cpp
@@ -113,6 +113,7 @@
         ForeignAnswerCase{"successWithoutType", goodAnswer("trouble")},
         ForeignAnswerCase{"plainText", goodAnswer("trouble", "Content-Type: text/plain\r\n")},
         ForeignAnswerCase{"plainTextWithEmptyLines", goodAnswer("trouble\n\ntrouble\n\n", "Content-Type: text/plain\r\n")},
+        ForeignAnswerCase{"plainTextInTheFormOfAnEvent", goodAnswer("error: trouble\n\n", "Content-Type: text/plain\r\n")},
         ForeignAnswerCase{"plainTextInChunks",
                           "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig\r\nContent-Type: text/plain\r\n"
                           "Transfer-Encoding: chunked\r\n\r\n7\r\ntrouble\r\n0\r\n\r\n"},
