--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -29,6 +29,7 @@
     ServersFull,         ///< All servers refused the request or are full.
     ServersLimited,      ///< The rate limits of all servers are reached.
     ServersUnreachable,  ///< No connection to a server could be established.
+    Stopping,            ///< The proxy is stopping, and the request can't or didn't end in time.
     StreamOriginUnknown, ///< It isn't known which software version began the stream.
     TooManyBytesHeld,    ///< The proxy's limit for buffered bodies is reached.
     TurnNotKept,         ///< The response was aborted because the turn couldn't be stored.
@@ -99,6 +100,10 @@
     {Outcome::ServersUnreachable,
      "servers_unreachable",
      "503, not run: no connection to a server could be established. See event 1103 and check the network."},
+    {Outcome::Stopping,
+     "stopping",
+     "503, not run: the request came late in a planned stop, and its time limit is after the end of the stop. 504, or response aborted: it "
+     "was still running at the limit of the stop. `stop_left_ms` says how much time was left when the line was written."},
     {Outcome::StreamOriginUnknown,
      "stream_origin_unknown",
      "503, not run: the client resumes a stream, and it isn't known which software version began it: streams of the program have begun at "
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -17,6 +17,7 @@
     SettingsFault = 1004,      ///< A setting is invalid; the process does not start.
     SettingsReloaded = 1005,   ///< A changed settings file was loaded and is in effect.
     LinesLeftOut = 1006,       ///< Log lines were dropped because the log was not read fast enough.
+    StopLimitReached = 1007,   ///< Requests still in progress at the limit of a planned stop are ended.
     RequestRefused = 1101,     ///< A caller's request was refused.
     RequestEnded = 1102,       ///< A forwarded request has ended.
     AttemptFailed = 1103,      ///< An attempt of a forwarded request at one server failed.
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -30,6 +30,13 @@
     return {endpoint.address, endpoint.port};
 }
 
+Forward::StopSettings toStopSettings(const Settings &settings)
+{
+    auto stop = settings.proxyGracePeriod ? Forward::stopSettingsFor(*settings.proxyGracePeriod) : Forward::StopSettings();
+    stop.limit = settings.proxyStopLimit.value_or(stop.limit);
+    return stop;
+}
+
 Forward::ProxySettings toProxySettings(const Settings &settings)
 {
     Forward::ProxySettings proxy;
@@ -48,7 +55,7 @@
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.watchWait = settings.proxyWatchWait;
-    proxy.stopLimit = settings.proxyStopLimit;
+    proxy.stop = toStopSettings(settings);
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
@@ -147,6 +154,7 @@
         }
         setLogLevel(settings->logLevel);
         m_proxy.setStore(toAddress(settings->store));
+        m_proxy.setStopSettings(toStopSettings(*settings));
         writeFields(LogLevel::Info, EventNumber::SettingsReloaded, std::string("cause=") + cause);
     }
 
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -122,6 +122,30 @@
     return true;
 }
 
+bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value)
+{
+    Duration span{};
+    if (!setMilliseconds(span, value)) {
+        return false;
+    }
+    field = span;
+    return true;
+}
+
+bool setOptionalSeconds(std::optional<Duration> &field, const std::string &value)
+{
+    double number = 0;
+    const char *end = value.data() + value.size();
+    const auto read = std::from_chars(value.data(), end, number);
+    const std::chrono::duration<double> span(number);
+    const bool isInRange = span >= std::chrono::milliseconds(1) && span <= std::chrono::milliseconds(MaxMilliseconds);
+    if (read.ec != std::errc() || read.ptr != end || !isInRange) {
+        return false;
+    }
+    field = std::chrono::duration_cast<Duration>(span);
+    return true;
+}
+
 bool setEndpoint(Endpoint &field, const std::string &value)
 {
     const auto colon = value.rfind(':');
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -5,6 +5,7 @@
 #include "vanillahall/net/http_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,7 +69,8 @@
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
     Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
-    Duration proxyStopLimit = std::chrono::seconds(7);           ///< proxy.stop_limit_ms
+    std::optional<Duration> proxyStopLimit;                      ///< proxy.stop_limit_ms
+    std::optional<Duration> proxyGracePeriod;                    ///< proxy.grace_s
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -22,6 +22,7 @@
     {EventNumber::SettingsFault, "settings_fault"},
     {EventNumber::SettingsReloaded, "settings_reloaded"},
     {EventNumber::LinesLeftOut, "lines_left_out"},
+    {EventNumber::StopLimitReached, "stop_limit_reached"},
     {EventNumber::RequestRefused, "request_refused"},
     {EventNumber::RequestEnded, "request_ended"},
     {EventNumber::AttemptFailed, "attempt_failed"},
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -33,6 +33,8 @@
 bool setText(std::string &field, const std::string &value);
 bool setNumber(std::uint64_t &field, const std::string &value);
 bool setMilliseconds(Duration &field, const std::string &value);
+bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value);
+bool setOptionalSeconds(std::optional<Duration> &field, const std::string &value);
 bool setEndpoint(Endpoint &field, const std::string &value);
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
@@ -46,6 +48,7 @@
 inline constexpr std::string_view TextForm = "a non-empty text";
 inline constexpr std::string_view NumberForm = "a whole number from 1 to 1000000000";
 inline constexpr std::string_view MillisecondsForm = "a whole number of milliseconds from 1 to 86400000";
+inline constexpr std::string_view SecondsForm = "a number of seconds, whole or with a fraction, from 0.001 to 86400";
 inline constexpr std::string_view EndpointForm = "an IP number and a port, as 10.0.0.1:8080 or [::1]:8080";
 inline constexpr std::string_view PathForm = "a path of a file";
 
@@ -243,8 +246,14 @@
      "stop_limit_ms",
      MillisecondsForm,
      RequiredBy::Nobody,
-     VH_SETTING(setMilliseconds, proxyStopLimit),
-     "Longest planned stop of a proxy."},
+     VH_SETTING(setOptionalMilliseconds, proxyStopLimit),
+     "Longest planned stop of a proxy; without it, a little less than proxy.grace_s, or 7000."},
+    {"proxy",
+     "grace_s",
+     SecondsForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setOptionalSeconds, proxyGracePeriod),
+     "Time from SIGTERM until the process is killed."},
     {"log",
      "level",
      "info, warning or error",
--- a/packages/proxy/include/vanillahall/proxy/proxy_base.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_base.h
@@ -35,6 +35,8 @@
     bool start(Error &reason);
     /** Starts a graceful stop: reports not ready, completes the requests in progress, then calls `stopped`. */
     void stop(std::function<void()> stopped);
+    /** Changes the parameters of a planned stop, also of one that has begun. */
+    void setStopSettings(const StopSettings &settings);
     /** Switches to a store at another address. */
     void setStore(const ProxyAddress &store);
 
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "vanillahall/core/log_type.h"
+#include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/server_registry_base.h"
 
 #include <functional>
@@ -31,7 +32,7 @@
     Duration pollInterval = std::chrono::milliseconds(500); ///< Interval between reads of tables without change notification.
     Duration watchWait = std::chrono::milliseconds(1000); ///< Longest time for which the store may hold a watch call open without changes.
     Duration turnSweepCycle = std::chrono::minutes(5); ///< Time in which all proxies together scan all stored turns once for expired ones.
-    Duration stopLimit = std::chrono::seconds(7);      ///< Time limit of a graceful stop.
+    StopSettings stop;                                 ///< Parameters of a planned stop.
     std::size_t maxBufferedBytes = std::size_t{24} * 1024 * 1024; ///< Limit on request bodies in memory, over all connections.
     std::size_t maxTurnBytes = std::size_t{8} * 1024 * 1024;      ///< Capacity of the cache for turns of stored conversations.
     std::size_t rowBytes = 65536;                                 ///< Longest value of a row in the store, in base64.
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -153,7 +153,8 @@
     m_isAnswering = false;
     m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
     m_reservedBodyBytes = 0;
-    if (!keepsAlive) {
+    // The client may not know that the proxy is stopping, if its response began before that.
+    if (!keepsAlive || (m_in.empty() && !m_handler.keepsConnections())) {
         beginClose();
         return;
     }
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -34,8 +34,8 @@
     /** Changes the memory reserved for a body from `oldSize` to `newSize` bytes. @return False if that would exceed the limit; nothing
      * changes then. */
     virtual bool reserveBodyBytes(std::size_t oldSize, std::size_t newSize) = 0;
-    /** @return True if connections have to be closed after their current response. */
-    [[nodiscard]] virtual bool isStopping() const = 0;
+    /** @return False if connections have to be closed once they are idle. */
+    [[nodiscard]] virtual bool keepsConnections() const = 0;
 };
 
 /** Reads requests one at a time and writes the responses. */
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -70,6 +70,10 @@
     runAfter(m_limitTimer, std::max(Duration::zero(), timeLeft() + AnswerGrace), *this, [](Exchange &self) {
         self.onTimeout();
     });
+    if (!m_proxy.plannedStop.canTake(m_limitAt, now())) {
+        answerNotRun(Outcome::Stopping);
+        return;
+    }
     if (!isTurnNameValid()) {
         answer(StatusBadRequest, std::nullopt, Outcome::FaultyTurnName);
         return;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -30,6 +30,8 @@
     void onStoreUpdate(bool hasFailed);
     /** Called when the client has closed its connection. */
     void onClientDisconnected();
+    /** Called when the request is still in progress at the limit of a planned stop. */
+    void onStopLimit();
     /** Called when the client's send buffer has drained. */
     void onClientDrained();
 
@@ -93,6 +95,8 @@
     void endAnswer(const std::string &rest);
     void finishAnswer();
     void onTimeout();
+    /** Ends the request although it may be running. @param outcome Reason. */
+    void endEarly(Outcome outcome);
     void abortResponse(Outcome outcome);
     void recordUnresponsiveServer();
     void end(unsigned status, Outcome outcome);
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -113,20 +113,33 @@
 
 void Exchange::onTimeout()
 {
+    endEarly(Outcome::TimeLimit);
+}
+
+void Exchange::onStopLimit()
+{
+    endEarly(Outcome::Stopping);
+}
+
+void Exchange::endEarly(Outcome outcome)
+{
+    if (m_isEnded) {
+        return;
+    }
     const bool wasSent = m_connection && m_connection->wasSent();
     recordUnresponsiveServer();
     if (m_connection) {
         if (!wasSent) {
             m_mayHaveRun--;
         }
-        abandonAttempt("time_limit");
+        abandonAttempt(outcomeName(outcome));
     }
     if (m_hasBegunAnswer) {
-        abortResponse(m_isStoringTurn ? Outcome::TurnNotKept : Outcome::TimeLimit);
+        abortResponse(m_isStoringTurn ? Outcome::TurnNotKept : outcome);
     } else if (m_mayHaveRun != 0) {
-        answer(StatusGatewayTimeout, std::nullopt, Outcome::TimeLimit);
+        answer(StatusGatewayTimeout, std::nullopt, outcome);
     } else {
-        answerNotRun(Outcome::TimeLimit);
+        answerNotRun(outcome);
     }
 }
 
@@ -213,6 +226,9 @@
          << " conversation=" << (m_conversation ? m_conversation->turn().bodySize() : 0) << " prompt=" << attributes.promptTokens
          << " budget=" << attributes.tokenBudget.value_or(0) << " most=" << attributes.maxGenerated
          << " program_left_ms=" << (attributes.programTimeLeft ? ms(*attributes.programTimeLeft) : -1);
+    if (const auto left = m_proxy.plannedStop.timeLeft(ended)) {
+        line << " stop_left_ms=" << ms(*left);
+    }
     m_proxy.log(LogLevel::Info, EventNumber::RequestEnded, line.str());
     m_proxy.metrics.count("vanillahall_requests_total", {"outcome", std::string(outcomeName(outcome))});
     m_proxy.metrics.observe("vanillahall_request_seconds", {"route", m_route.name}, ended - m_request.arrived);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -24,6 +24,11 @@
     m_state->stop(std::move(stopped));
 }
 
+void Proxy::setStopSettings(const StopSettings &settings)
+{
+    m_state->plannedStop.setSettings(settings);
+}
+
 void Proxy::setStore(const ProxyAddress &store)
 {
     m_state->store.setStore(store);
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -14,8 +14,6 @@
 
 using boost::asio::ip::tcp;
 
-constexpr Duration StopAcceptPeriod = std::chrono::milliseconds(3500); ///< Clients are accepted for this time after a stop was started:
-                                                                       ///< enough for two failed readiness checks and a connection attempt.
 constexpr Duration AcceptRetryDelay
     = std::chrono::milliseconds(50); ///< Delay after a failed accept, for example if no file descriptor is free.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50); ///< Interval between checks whether a stop is complete.
@@ -40,6 +38,7 @@
     , ledger(processName(settings), settings.zone)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
+    , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
     , readinessServer(ioLoop,
@@ -186,14 +185,19 @@
 
 bool ProxyState::isStopping() const
 {
-    return m_isStopping;
+    return plannedStop.hasBegun();
+}
+
+bool ProxyState::keepsConnections() const
+{
+    return plannedStop.acceptsConnections(now());
 }
 
 bool ProxyState::isReady() const
 {
     // Without the crash records of the other proxies, contents that they refuse would be sent on.
     const bool hasCrashRecords = m_areCrashesRead || (m_serversFirstReadAt && now() - *m_serversFirstReadAt > MaxCrashReadWait);
-    return routes.isLoaded() && m_serversReadAt.has_value() && hasCrashRecords && !m_isStopping;
+    return routes.isLoaded() && m_serversReadAt.has_value() && hasCrashRecords && !isStopping();
 }
 
 std::size_t ProxyState::clientCount() const
@@ -319,20 +323,18 @@
 
 void ProxyState::stop(std::function<void()> stopped)
 {
-    if (m_isStopping) {
+    if (isStopping()) {
         return;
     }
-    m_isStopping = true;
+    plannedStop.begin(now());
     m_onStopped = std::move(stopped);
-    m_stopStartedAt = now();
     continueStop();
 }
 
 void ProxyState::continueStop()
 {
-    const auto age = now() - m_stopStartedAt;
-    const bool takesClients = age < StopAcceptPeriod;
-    if (!takesClients && clientAcceptor.is_open()) {
+    const bool acceptsConnections = plannedStop.acceptsConnections(now());
+    if (!acceptsConnections && clientAcceptor.is_open()) {
         boost::system::error_code ec;
         clientAcceptor.close(ec);
         const auto sessions = m_sessions;
@@ -340,12 +342,15 @@
             session->closeIfIdle();
         }
     }
+    if (plannedStop.isLimitReached(now()) && !m_areRequestsEnded) {
+        endRequests();
+    }
     const bool isIdle = std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &it) {
         return it.second->isBusy();
     });
     // Records that the store doesn't have yet would be lost with the process.
-    const bool isDone = !takesClients && isIdle && m_exchanges.empty() && crashes.unsharedCount() == 0;
-    if (isDone || age > settings.stopLimit) {
+    const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && crashes.unsharedCount() == 0;
+    if (isDone || plannedStop.isOverdue(now())) {
         shutDown();
         if (m_onStopped) {
             m_onStopped();
@@ -357,6 +362,18 @@
     });
 }
 
+void ProxyState::endRequests()
+{
+    m_areRequestsEnded = true;
+    const auto exchanges = m_exchanges;
+    if (!exchanges.empty()) {
+        log(LogLevel::Warning, EventNumber::StopLimitReached, "requests=" + std::to_string(exchanges.size()));
+    }
+    for (const auto &[session, exchange] : exchanges) {
+        exchange->onStopLimit();
+    }
+}
+
 void ProxyState::shutDown()
 {
     m_isShutDown = true;
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -10,6 +10,7 @@
 
 #include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/crash_tracker_base.h"
+#include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
 #include "vanillahall/core/stream_origins_base.h"
@@ -47,7 +48,9 @@
     void onSessionClosed(const std::shared_ptr<ClientSession> &session) override;
     [[nodiscard]] const ClientLimits &limits() const override;
     bool reserveBodyBytes(std::size_t oldSize, std::size_t newSize) override;
-    [[nodiscard]] bool isStopping() const override;
+    [[nodiscard]] bool keepsConnections() const override;
+    /** @return True after stop(). */
+    [[nodiscard]] bool isStopping() const;
 
     // For exchanges.
 
@@ -118,6 +121,7 @@
     StreamOrigins streamOrigins;
     Metrics metrics;
     ProxyMembership members;
+    PlannedStop plannedStop;
     StoreRouter store;
     boost::asio::ip::tcp::acceptor clientAcceptor;
     MessageServer readinessServer;
@@ -201,6 +205,8 @@
     void sweepTokens();
     void removeTokens(const std::vector<TokenWrite> &rows);
     void continueStop();
+    /** Ends all requests in progress because the limit of the stop is reached. */
+    void endRequests();
     void onConnectionReleased(const std::shared_ptr<ServerConnection> &connection, bool isReusable);
 
     std::string m_processName;                 ///< Name of this incarnation of the process.
@@ -225,7 +231,6 @@
     std::optional<TimePoint> m_serversFirstReadAt;       ///< When the server list was first read.
     std::optional<TimePoint> m_storeAnsweredAt;          ///< When the store last answered.
     TimePoint m_storeFailedAt{};                         ///< When a store call last failed.
-    TimePoint m_stopStartedAt{};                         ///< When the stop started.
     TimePoint m_nextCleanAt{};                           ///< When expired rows are removed next.
     TimePoint m_nextHeartbeatAt{};                       ///< When the next heartbeat is sent.
     TimePoint m_storeClockAt{};                          ///< When m_storeClockMs was received.
@@ -240,7 +245,7 @@
     std::vector<Server> m_serverList;                    ///< Server list as last read.
     std::optional<TimePoint> m_rejectionLoggedAt;        ///< When rejected clients were last logged.
     bool m_areCrashesRead = false;                       ///< True once the crash records of the other proxies were read.
-    bool m_isStopping = false;                           ///< True after stop().
+    bool m_areRequestsEnded = false;                     ///< True once the limit of a stop has ended the requests in progress.
     bool m_isShutDown = false;                           ///< True after shutDown().
     bool m_isStoreUnavailable = false;                   ///< True between events 1501 (store unavailable) and 1502 (store available again).
 };
--- /dev/null
+++ b/tests/proxy/proxy_stop_test.cpp
@@ -0,0 +1,179 @@
+/** Planned stops of a proxy under load. */
+#include "proxy_world.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A stop that ends requests in progress soon, so that the tests are short. */
+constexpr Duration BriefLimit = 300ms;
+
+/** @return Number of requests that the servers received. */
+std::size_t sentCount(const ProxyWorld &world)
+{
+    return world.first.requests.size() + world.second.requests.size();
+}
+
+} // namespace
+
+/** A request in progress at the limit of a planned stop. */
+struct StopLimitCase
+{
+    const char *name;   ///< For the test's name.
+    const char *path;   ///< Path of the request.
+    std::string answer; ///< What the server has sent by then.
+    unsigned status;    ///< Expected status of the response.
+    bool isComplete;    ///< True if the response has to look complete.
+};
+
+class ProxyStopLimit : public ::testing::TestWithParam<StopLimitCase>
+{
+};
+
+// Requests in progress at the limit of a planned stop were cut without a response.
+TEST_P(ProxyStopLimit, EndsWhatIsInProgressWithAResponse)
+{
+    const auto &param = GetParam();
+    ProxyWorld world(
+        [&param](const std::string &) {
+            return Script{param.answer};
+        },
+        [](ProxySettings &settings) {
+            settings.stop.limit = BriefLimit;
+        });
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("POST", param.path, "r1", {}, "x"));
+    ASSERT_TRUE(world.run([&world, &client, &param] {
+        return sentCount(world) == 1 && (param.answer.empty() || !client.received.empty());
+    }));
+    bool isStopped = false;
+    world.proxy->stop([&isStopped] {
+        isStopped = true;
+    });
+    EXPECT_TRUE(world.run([&client, &isStopped] {
+        return client.isClosed && isStopped;
+    }));
+    EXPECT_EQ(statusOf(client.received), param.status);
+    const bool endsWhole
+        = client.received.find("Content-Length: 0\r\n") != std::string::npos || client.received.find("0\r\n\r\n") != std::string::npos;
+    EXPECT_EQ(endsWhole, param.isComplete);
+    EXPECT_TRUE(world.hasLine("1007 requests=1"));
+    EXPECT_TRUE(world.hasLine("outcome=stopping"));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyStopLimit,
+                         ::testing::Values(StopLimitCase{"idempotent", "/call/1", "", 504, true},
+                                           StopLimitCase{"notRepeatable", "/once/1", "", 504, true},
+                                           StopLimitCase{"streamNotBegun", "/stream/1", "", 504, true},
+                                           StopLimitCase{"streamBegun", "/stream/1", streamHead() + eventChunk(1), 200, false}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+/** How a client sends a request during a planned stop. */
+struct LateRequestCase
+{
+    const char *name;     ///< For the test's name.
+    const char *path;     ///< Path of the request.
+    bool usesConnection;  ///< True to send it on a connection that was used before the stop.
+    std::string deadline; ///< Header with the client's deadline, if any.
+    unsigned status;      ///< Expected status.
+};
+
+class ProxyStopLate : public ::testing::TestWithParam<LateRequestCase>
+{
+};
+
+// Requests that came late in a planned stop were passed on although they couldn't end in time, and were cut.
+TEST_P(ProxyStopLate, RequestsThatMayNotEndInTimeAreRefusedAsNotRun)
+{
+    const auto &param = GetParam();
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{goodAnswer("ok")};
+        },
+        [](ProxySettings &settings) {
+            settings.stop.limit = 2s;
+            settings.stop.longRequestPeriod = 0s;
+        });
+    ASSERT_TRUE(world.start());
+    TestClient kept(world.loop, world.proxy->port());
+    kept.send(ProxyWorld::request("GET", "/call/0", "r0"));
+    ASSERT_TRUE(world.run([&kept] {
+        return bodyOf(kept.received) == "ok";
+    }));
+    kept.received.clear();
+    const auto sentBefore = sentCount(world);
+    world.proxy->stop([] {});
+    const auto request = ProxyWorld::request("POST", param.path, "r1", param.deadline, "x");
+    if (param.usesConnection) {
+        kept.send(request);
+        ASSERT_TRUE(world.run([&kept] {
+            return kept.isClosed;
+        }));
+    }
+    const auto answer = param.usesConnection ? kept.received : world.ask(request);
+    EXPECT_EQ(statusOf(answer), param.status);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    const bool isRefused = param.status == 503;
+    EXPECT_EQ(answer.find("Retry-After: ") != std::string::npos, isRefused);
+    EXPECT_EQ(sentCount(world) - sentBefore, isRefused ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyStopLate,
+                         ::testing::Values(LateRequestCase{"keptConnection", "/call/1", true, "", 503},
+                                           LateRequestCase{"newConnection", "/call/1", false, "", 503},
+                                           LateRequestCase{"notRepeatable", "/once/1", true, "", 503},
+                                           LateRequestCase{"stream", "/stream/1", true, "", 503},
+                                           LateRequestCase{"briefDeadline", "/once/1", true, "Deadline-Ms: 900\r\n", 200},
+                                           LateRequestCase{"briefRoute", "/brief/1", false, "", 200}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+// A connection whose response had begun before the stop didn't tell its client to close, and took requests until the process ended.
+TEST(ProxyStop, AConnectionThatWasNotToldToCloseEndsWithItsResponse)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{streamHead() + eventChunk(1)};
+        },
+        [](ProxySettings &settings) {
+            settings.stop.acceptPeriod = 0s;
+        });
+    // The idle timeout would close it, too.
+    const std::string idleTimeout = "\"idleTimeoutMs\":15000";
+    world.rows.config.replace(world.rows.config.find(idleTimeout), idleTimeout.size(), "\"idleTimeoutMs\":60000");
+    ASSERT_TRUE(world.start());
+    TestClient client(world.loop, world.proxy->port());
+    client.send(ProxyWorld::request("POST", "/stream/1", "r1", {}, "x"));
+    ASSERT_TRUE(world.run([&client] {
+        return client.received.find("id: 1") != std::string::npos;
+    }));
+    EXPECT_EQ(client.received.find("Connection: close"), std::string::npos);
+    bool isStopped = false;
+    world.proxy->stop([&isStopped] {
+        isStopped = true;
+    });
+    // A second signal changes nothing.
+    world.proxy->stop([] {});
+    world.first.sendMore(eventChunk(2) + "0\r\n\r\n");
+    world.second.sendMore(eventChunk(2) + "0\r\n\r\n");
+    EXPECT_TRUE(world.run([&client] {
+        return client.isClosed;
+    }));
+    EXPECT_FALSE(client.isReset);
+    EXPECT_NE(client.received.find("id: 2"), std::string::npos);
+    EXPECT_TRUE(world.run([&isStopped] {
+        return isStopped;
+    }));
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -72,6 +72,15 @@
     m_connections.clear();
 }
 
+void ScriptedPeer::sendMore(const std::string &bytes)
+{
+    for (const auto &it : m_connections) {
+        if (const auto connection = it.lock(); connection && connection->socket.is_open()) {
+            boost::asio::write(connection->socket, boost::asio::buffer(bytes));
+        }
+    }
+}
+
 void ScriptedPeer::restart()
 {
     m_acceptor.open(m_endpoint.protocol());
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -29,6 +29,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /** Ends like a process that crashes: the port refuses connections, and open connections are reset. */
     void crash();
+    /** Sends further bytes on all open connections. */
+    void sendMore(const std::string &bytes);
     /** Listens at the same port again after crash(). */
     void restart();
 
