A planned stop gives back the tokens that it holds; 402 only by a row read after the request (DENIED)

Cause: two turns were reserved ahead in the program's row, and only the process that had reserved them could use them. A stop lost them. An entry also judged a budget by the row as it had last seen it.

Change: a row counts what was given back beside what was reserved; neither number decreases, so a removed row is still recognised, and releases without the new field read less budget, never more. A stopping proxy gives back the tokens of each program without turns in progress, in single attempts: after a refusal of such a write it may be repeated, after a lost reply only if the row shows that it wasn't executed. One turn is reserved ahead rather than two, and only while no other entry holds tokens, so that the turn allowed beyond the budget makes up for a killed entry. 402 needs a row that was read after the request arrived; while it isn't certain, 503 with the time at which it is (budget_unsettled).

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -11,6 +11,7 @@
 enum class Outcome : std::uint8_t {
     Answered,            ///< The server's response was passed on completely.
     BudgetSpent,         ///< The remaining token budget of the program is too small for the turn.
+    BudgetUnsettled,     ///< It isn't known yet whether the budget is spent.
     ClientGone,          ///< The client disconnected first.
     ContentQuarantined,  ///< The content has crashed several servers.
     ConversationAway,    ///< The earlier turns can't be read from the store.
@@ -49,6 +50,11 @@
     {Outcome::BudgetSpent,
      "budget_spent",
      "402, not run: the program's token budget is fully reserved. Compare `budget` with the program's earlier turns."},
+    {Outcome::BudgetUnsettled,
+     "budget_unsettled",
+     "503, not run: the program's token budget is fully reserved, but other entries may be giving tokens back, or the row couldn't be "
+     "read. "
+     "It is known at the time to come back. See the program's events 1104."},
     {Outcome::ClientGone,
      "client_gone",
      "The client closed its connection first. `all_ms` and `first_ms` show whether it waited long or left early."},
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -2,8 +2,9 @@
  * Token budgets of programs, enforced across all entries.
  * Load pattern: the turns of one program run at several entries at once, and programs in an endless loop keep requesting more tokens. A row
  * per program in the platform's store holds the number of tokens reserved by all entries; an entry grants tokens only from its own
- * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails. The row also names the software versions at
- * which streams of the program may have begun, so that any entry knows where a stream may go on, also after the loss of all others.
+ * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails. An entry that stops gives back what it
+ * holds. The row also names the software versions at which streams of the program may have begun, so that any entry knows where a stream
+ * may go on, also after the loss of all others.
  */
 #pragma once
 
@@ -28,6 +29,7 @@
         = false; ///< True to read an unknown row before writing it, because it probably exists or the store is short of writes.
     std::optional<SoftwareVersion> streamVersion = {}; ///< Version at which the turn's stream is to begin; the row has to name it first.
     TimePoint confirmedSince = {}; ///< A read or write of the row has to have started at this time or later and succeeded.
+    TimePoint arrivedAt = {};      ///< When the request for the turn arrived.
 };
 
 /** Row of a program in the store. */
@@ -39,6 +41,10 @@
     std::string homeZone;     ///< Availability zone where the program started; empty if unknown.
     /** Versions at which streams of the program may have begun. An unknown one stands for those that the row doesn't name. */
     std::vector<SoftwareVersion> streamVersions = {};
+    std::uint64_t returned{}; ///< Tokens that entries have given back so far, of those in `reserved`. Neither number ever decreases.
+
+    /** @return Tokens that entries hold or have granted. */
+    [[nodiscard]] std::uint64_t outstanding() const;
 };
 
 /** Versions that a row names at most; a program seldom outlives one release of its servers. */
@@ -58,7 +64,12 @@
 /** The remaining budget is too small for the turn. */
 struct TokenBudgetExhausted
 {
-    std::uint64_t reserved{}; ///< Tokens reserved by all entries.
+    std::uint64_t reserved{}; ///< Tokens reserved by all entries and not given back.
+};
+/** It isn't known whether the remaining budget is too small: the row couldn't be read, or other entries may be giving tokens back. */
+struct TokenBudgetUnknown
+{
+    Duration retryAfter{}; ///< After this time it is known, if the store answers.
 };
 /** The row must be written first; call reserve() again when the write has ended. */
 struct TokenNeedsWrite
@@ -73,8 +84,12 @@
 struct TokenBusy
 {
 };
-using TokenAnswer
-    = std::variant<TokenGranted, TokenBudgetExhausted, TokenNeedsWrite, TokenNeedsRead, TokenBusy>; ///< Result of TokenLedger::reserve().
+using TokenAnswer = std::variant<TokenGranted,
+                                 TokenBudgetExhausted,
+                                 TokenBudgetUnknown,
+                                 TokenNeedsWrite,
+                                 TokenNeedsRead,
+                                 TokenBusy>; ///< Result of TokenLedger::reserve().
 
 /** Token reservations of this entry, by program. */
 class TokenLedger
@@ -106,9 +121,14 @@
     /**
      * Settles a granted turn that has ended.
      * @param maxTokens Tokens that were granted.
-     * @param used Tokens generated; the rest stays available for later turns of the program at this entry.
+     * @param used Tokens generated; the rest is available for later turns of the program, at this entry until it is given back.
+     */
+    void settle(const std::string &program, std::uint64_t maxTokens, std::uint64_t used, TimePoint now);
+    /**
+     * Starts to give back the tokens of programs that have no turn in progress here, because this entry is stopping.
+     * @return Writes to do, each with a single attempt: if several were made, a refusal wouldn't show that none of them was executed.
      */
-    void settle(const std::string &program, std::uint64_t maxTokens, std::uint64_t used);
+    std::vector<TokenWrite> beginReturns(TimePoint now);
     /** Removes programs that were last used before a time. @return Rows last written by this entry that may be removed from the store. */
     std::vector<TokenWrite> removeIdle(TimePoint since);
 
@@ -116,6 +136,8 @@
 
     /** @return Number of known programs. */
     [[nodiscard]] std::size_t size() const;
+    /** @return True if this entry holds tokens that haven't been given back. */
+    [[nodiscard]] bool holdsTokens() const;
     /** @return Known row of a program; version 0 if unknown. */
     [[nodiscard]] TokenRow row(const std::string &program) const;
     /** @return Row of a program as of a time or later; nothing if it wasn't read or written since. */
@@ -130,6 +152,9 @@
         TokenRow row;                        ///< Last known row.
         std::uint64_t available{};           ///< Tokens reserved by this entry and not granted to a turn.
         std::uint64_t pendingTokens{};       ///< Tokens that the open or unconfirmed write reserves; 0 if there is none.
+        std::uint64_t pendingReturn{};       ///< Tokens that the open or unconfirmed write gives back; 0 if there is none.
+        std::uint64_t ownTokens{};           ///< Tokens reserved and not given back by this entry, as far as the row shows.
+        std::uint32_t openTurns{};           ///< Turns granted and not settled.
         std::optional<TokenWrite> openWrite; ///< Write that is under way or whose outcome is unknown.
         std::uint64_t waitingTokens{};       ///< Tokens requested by turns while a write was under way.
         TimePoint writeRequestedAt{};        ///< When the last read or write was requested.
@@ -138,17 +163,42 @@
         bool hasReadFailed = false;          ///< True if the last read of the row failed.
         bool isWriting = false;              ///< True while the open write, or a read of the row, is under way.
         bool wasRead = false;                ///< True once a read of the row was requested.
-        TimePoint lastUse{};                 ///< Time of the last request.
+        bool isReturnUncertain = false;      ///< True if the write that gives tokens back may have been executed without a reply.
+        TimePoint lastUse{};                 ///< Time of the last request or end of a turn.
+        TimePoint changedAt{};               ///< When a version of the row that another entry wrote became known.
     };
 
+    /** @return Name for the next write of this entry. */
+    std::string nextWriter();
+    /** Starts a read of the row. */
+    static TokenAnswer beginRead(Account &account, TimePoint now);
+    /** Replaces the known row by a newer version of it. */
+    static void updateRow(Account &account, TokenRow row, TimePoint now);
+    /** @return Answer to a request for which the row has no tokens left. */
+    static TokenAnswer refuse(Account &account, const TokenRequest &request, TimePoint now);
+    /** @return True if other entries hold or have granted tokens of the program, as far as the row shows. */
+    static bool isShared(const Account &account);
+    /** @return True if the tokens of an account are to be given back now. */
+    static bool isReturnDue(const Account &account, TimePoint now);
+
     std::string m_writer;
     std::string m_zone;
     std::uint64_t m_writes = 0;
     std::unordered_map<std::string, Account> m_accounts;
 };
 
-/** Number of turns reserved by one write while less than half of the budget is reserved; saves most writes of an ordinary program. */
-inline constexpr std::uint64_t TurnsReservedAhead = 3;
+/**
+ * Number of turns reserved by one write while less than half of the budget is reserved and no other entry holds tokens; saves most writes
+ * of an ordinary program. If the entry is killed, the turn reserved ahead is lost; the turn allowed beyond the budget makes up for it.
+ */
+inline constexpr std::uint64_t TurnsReservedAhead = 2;
+
+/** Interval between attempts to give back the same tokens. */
+inline constexpr Duration TokenReturnInterval = std::chrono::milliseconds(500);
+/** Limit on writes that start in one call of TokenLedger::beginReturns(). */
+inline constexpr std::size_t MaxTokenReturns = 50;
+/** A budget is exhausted for certain if the row doesn't change for this long: by then, other entries have given back what they hold. */
+inline constexpr Duration TokenSettleTime = std::chrono::seconds(1);
 
 /** A row that wasn't written for this long is removed: its program has ended, since clients retry for a minute after the last turn. */
 inline constexpr Duration TokenRowLifetime = std::chrono::seconds(150);
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -5,6 +5,11 @@
 
 namespace Vanillahall::Forward {
 
+std::uint64_t TokenRow::outstanding() const
+{
+    return reserved - std::min(reserved, returned);
+}
+
 TokenLedger::TokenLedger(std::string writer, std::string zone)
     : m_writer(std::move(writer))
     , m_zone(std::move(zone))
@@ -42,40 +47,41 @@
     if (account.available >= request.maxTokens && !isStale && isVersionNamed && isConfirmed) {
         account.available -= request.maxTokens;
         account.waitingTokens -= std::min(account.waitingTokens, request.maxTokens);
+        account.openTurns++;
         return TokenGranted{};
     }
     if (account.isWriting) {
         account.waitingTokens += request.maxTokens;
         return TokenBusy{};
     }
-    account.writeRequestedAt = now;
     if (account.openWrite) {
+        account.writeRequestedAt = now;
         account.isWriting = true;
         return TokenNeedsWrite{*account.openWrite};
     }
     const bool shouldConfirm = !isConfirmed && !account.hasReadFailed;
     if (shouldConfirm || (request.shouldReadFirst && account.row.version == 0 && !account.wasRead)) {
-        account.wasRead = true;
-        account.isWriting = true;
-        return TokenNeedsRead{};
+        return beginRead(account, now);
     }
+    const std::uint64_t outstanding = account.row.outstanding();
     const std::uint64_t missing = request.maxTokens - std::min(request.maxTokens, account.available);
-    // Allows one turn beyond the budget, to make up for tokens that other entries hold and don't use.
-    if (account.row.reserved + missing > request.budget + request.maxTokens) {
-        return TokenBudgetExhausted{account.row.reserved};
+    // Allows one turn beyond the budget, to make up for tokens that are lost with an entry.
+    if (outstanding + missing > request.budget + request.maxTokens) {
+        return refuse(account, request, now);
     }
     // Reserves for all waiting turns in one write, as sub-agents start together.
     const std::uint64_t waiting = std::exchange(account.waitingTokens, 0);
-    std::uint64_t amount = missing == 0 ? 0 : missing + std::max(waiting, (TurnsReservedAhead - 1) * request.maxTokens);
-    if (account.row.reserved + amount > request.budget / 2) {
+    const std::uint64_t ahead = isShared(account) ? 0 : (TurnsReservedAhead - 1) * request.maxTokens;
+    std::uint64_t amount = missing == 0 ? 0 : missing + std::max(waiting, ahead);
+    if (outstanding + amount > request.budget / 2) {
         amount = missing + waiting;
     }
-    if (account.row.reserved + amount > request.budget) {
+    if (outstanding + amount > request.budget) {
         amount = missing;
     }
     TokenWrite write{request.program, account.row};
     write.row.reserved += amount;
-    write.row.writer = m_writer + "/" + std::to_string(++m_writes);
+    write.row.writer = nextWriter();
     if (write.row.version == 0) {
         write.row.homeZone = m_zone;
     }
@@ -84,10 +90,78 @@
     }
     account.pendingTokens = amount;
     account.openWrite = write;
+    account.writeRequestedAt = now;
     account.isWriting = true;
     return TokenNeedsWrite{std::move(write)};
 }
 
+std::string TokenLedger::nextWriter()
+{
+    return m_writer + "/" + std::to_string(++m_writes);
+}
+
+TokenAnswer TokenLedger::beginRead(Account &account, TimePoint now)
+{
+    account.writeRequestedAt = now;
+    account.wasRead = true;
+    account.isWriting = true;
+    return TokenNeedsRead{};
+}
+
+TokenAnswer TokenLedger::refuse(Account &account, const TokenRequest &request, TimePoint now)
+{
+    // Other entries may have given tokens back since the row was last seen.
+    if (account.confirmedAt < request.arrivedAt) {
+        const bool wasTried = account.hasReadFailed && account.writeRequestedAt >= request.arrivedAt;
+        return wasTried ? TokenAnswer(TokenBudgetUnknown{TokenSettleTime}) : beginRead(account, now);
+    }
+    const auto settledAt = account.changedAt + TokenSettleTime;
+    if (isShared(account) && now < settledAt) {
+        return TokenBudgetUnknown{settledAt - now};
+    }
+    return TokenBudgetExhausted{account.row.outstanding()};
+}
+
+bool TokenLedger::isShared(const Account &account)
+{
+    return account.row.outstanding() > account.ownTokens;
+}
+
+bool TokenLedger::isReturnDue(const Account &account, TimePoint now)
+{
+    if (account.isWriting || account.openTurns != 0) {
+        return false;
+    }
+    if (account.openWrite) {
+        return account.pendingReturn != 0 && now - account.writeRequestedAt >= TokenReturnInterval;
+    }
+    return account.available != 0 && account.row.version != 0;
+}
+
+std::vector<TokenWrite> TokenLedger::beginReturns(TimePoint now)
+{
+    std::vector<TokenWrite> writes;
+    for (auto &[program, account] : m_accounts) {
+        if (writes.size() >= MaxTokenReturns) {
+            break;
+        }
+        if (!isReturnDue(account, now)) {
+            continue;
+        }
+        if (!account.openWrite) {
+            account.pendingTokens = 0;
+            account.pendingReturn = std::exchange(account.available, 0);
+            account.openWrite = TokenWrite{program, account.row};
+            account.openWrite->row.returned += account.pendingReturn;
+            account.openWrite->row.writer = nextWriter();
+        }
+        account.writeRequestedAt = now;
+        account.isWriting = true;
+        writes.push_back(*account.openWrite);
+    }
+    return writes;
+}
+
 void TokenLedger::onRowRead(const std::string &program, const std::optional<TokenRow> &row, TimePoint now)
 {
     const auto it = m_accounts.find(program);
@@ -113,11 +187,20 @@
     if (account.openWrite || row.version <= account.row.version) {
         return;
     }
+    updateRow(account, row, now);
+}
+
+void TokenLedger::updateRow(Account &account, TokenRow row, TimePoint now)
+{
     if (row.reserved < account.row.reserved) {
         // The row was removed and its program counts as new; the tokens held here were reserved in the old row.
         account.available = 0;
+        account.ownTokens = 0;
+    }
+    if (row.version != account.row.version) {
+        account.changedAt = now;
     }
-    account.row = row;
+    account.row = std::move(row);
 }
 
 void TokenLedger::onWritten(const std::string &program, std::uint64_t version)
@@ -130,6 +213,10 @@
     account.row = account.openWrite->row;
     account.row.version = version;
     account.available += account.pendingTokens;
+    account.ownTokens += account.pendingTokens;
+    account.ownTokens -= std::min(account.ownTokens, account.pendingReturn);
+    account.pendingReturn = 0;
+    account.isReturnUncertain = false;
     account.openWrite.reset();
     account.isWriting = false;
     account.writtenAt = account.writeRequestedAt;
@@ -148,15 +235,18 @@
         onWritten(program, row.version);
         return;
     }
-    if (row.reserved < it->second.row.reserved) {
-        // The row was removed and its program counts as new; the tokens held here were reserved in the old row.
-        it->second.available = 0;
+    auto &account = it->second;
+    if (!account.isReturnUncertain) {
+        account.available += account.pendingReturn;
     }
-    it->second.row = row;
-    it->second.confirmedAt = it->second.writeRequestedAt;
-    it->second.hasReadFailed = false;
-    it->second.openWrite.reset();
-    it->second.isWriting = false;
+    // Otherwise the tokens may be back in the row, changed by others since; giving them back again would exceed the budget.
+    account.pendingReturn = 0;
+    account.isReturnUncertain = false;
+    updateRow(account, row, account.writeRequestedAt);
+    account.confirmedAt = account.writeRequestedAt;
+    account.hasReadFailed = false;
+    account.openWrite.reset();
+    account.isWriting = false;
 }
 
 void TokenLedger::onWriteFailed(const std::string &program)
@@ -166,14 +256,21 @@
         // Turns that waited call reserve() again.
         it->second.waitingTokens = 0;
         it->second.isWriting = false;
+        it->second.isReturnUncertain = it->second.pendingReturn != 0;
     }
 }
 
-void TokenLedger::settle(const std::string &program, std::uint64_t maxTokens, std::uint64_t used)
+void TokenLedger::settle(const std::string &program, std::uint64_t maxTokens, std::uint64_t used, TimePoint now)
 {
     const auto it = m_accounts.find(program);
-    if (it != m_accounts.end() && used < maxTokens) {
-        it->second.available += maxTokens - used;
+    if (it == m_accounts.end()) {
+        return;
+    }
+    auto &account = it->second;
+    account.lastUse = std::max(account.lastUse, now);
+    account.openTurns -= std::min(account.openTurns, 1U);
+    if (used < maxTokens) {
+        account.available += maxTokens - used;
     }
 }
 
@@ -215,6 +312,13 @@
     return it == m_accounts.end() ? std::string() : it->second.row.homeZone;
 }
 
+bool TokenLedger::holdsTokens() const
+{
+    return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) {
+        return it.second.available != 0 || it.second.pendingReturn != 0;
+    });
+}
+
 std::size_t TokenLedger::size() const
 {
     return m_accounts.size();
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -176,7 +176,8 @@
     // Another proxy may have named a version since this one last saw the row.
     const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
     const auto result = m_proxy.ledger.reserve(
-        {attributes.program, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince}, now());
+        {attributes.program, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived},
+        now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
         m_grantedTokens = maxTokens;
@@ -187,6 +188,10 @@
         answer(StatusPaymentRequired, std::nullopt, Outcome::BudgetSpent);
         return;
     }
+    if (const auto *unknown = std::get_if<TokenBudgetUnknown>(&result)) {
+        answer(StatusUnavailable, unknown->retryAfter, Outcome::BudgetUnsettled);
+        return;
+    }
     m_waitsForStore = true;
     const auto *needed = std::get_if<TokenNeedsWrite>(&result);
     const bool needsRead = std::holds_alternative<TokenNeedsRead>(result);
@@ -265,7 +270,7 @@
     if (isVersionInRow() && !m_origin && std::find(named.begin(), named.end(), software) == named.end()) {
         // The row names the version before the stream begins. The tokens are reserved anew together with it.
         m_newVersion = software;
-        m_proxy.ledger.settle(m_request.attributes.program, std::exchange(m_grantedTokens, 0), 0);
+        m_proxy.ledger.settle(m_request.attributes.program, std::exchange(m_grantedTokens, 0), 0, now());
         requestTokens();
         return;
     }
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -191,7 +191,7 @@
 void Exchange::settleTokens()
 {
     if (m_grantedTokens != 0) {
-        m_proxy.ledger.settle(m_request.attributes.program, m_grantedTokens, m_forwardedEvents * m_tokensPerEvent);
+        m_proxy.ledger.settle(m_request.attributes.program, m_grantedTokens, m_forwardedEvents * m_tokensPerEvent, now());
         m_grantedTokens = 0;
     }
 }
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -49,6 +49,28 @@
     notifyTokenWaiters(write.program, outcome == TokenOutcome::Failed);
 }
 
+bool ProxyState::canReturnTokens() const
+{
+    return isStoreReachable() && !store.isDirectRouteDown();
+}
+
+void ProxyState::returnTokens()
+{
+    if (!canReturnTokens()) {
+        return;
+    }
+    for (const auto &write : ledger.beginReturns(now())) {
+        // A single attempt, so that a refusal shows that the tokens weren't given back.
+        store.callOnce(Platform::writeTokenRowCall(write, storeNowMs()),
+                       StoreTimeout,
+                       [weak = weak_from_this(), write](const auto &reply, const Error &reason) {
+                           if (const auto self = weak.lock()) {
+                               self->onTokensWritten(write, reply, reason);
+                           }
+                       });
+    }
+}
+
 void ProxyState::notifyTokenWaiters(const std::string &program, bool hasFailed)
 {
     const auto waiters = std::move(m_tokenWaiters[program]);
@@ -89,8 +111,9 @@
     ledger.onRowRead(program, row, now());
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + program + " reserved=" + std::to_string(row ? row->reserved : 0) + " expected_version="
-            + std::to_string(row ? row->version : 0) + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
+        "program=" + program + " reserved=" + std::to_string(row ? row->reserved : 0)
+            + " returned=" + std::to_string(row ? row->returned : 0) + " expected_version=" + std::to_string(row ? row->version : 0)
+            + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
     // Waiting requests continue at once even if the read failed; they try a write then.
     notifyTokenWaiters(program, false);
 }
@@ -125,8 +148,9 @@
     metrics.count("vanillahall_token_writes_total", {"outcome", name});
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved) + " expected_version="
-            + std::to_string(write.row.version) + " outcome=" + name + (outcome == TokenOutcome::Failed ? " why=\"" + why + '"' : ""));
+        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved) + " returned=" + std::to_string(write.row.returned)
+            + " expected_version=" + std::to_string(write.row.version) + " outcome=" + name
+            + (outcome == TokenOutcome::Failed ? " why=\"" + why + '"' : ""));
 }
 
 void ProxyState::removeExpiredRows()
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -312,7 +312,7 @@
         return;
     }
     metrics.count("vanillahall_store_calls_for_peers_total", {"call", request.method});
-    store.callForMember(wanted, StoreTimeout, [answer, weak = weak_from_this()](const auto &reply, const Error &reason) {
+    store.callOnce(wanted, StoreTimeout, [answer, weak = weak_from_this()](const auto &reply, const Error &reason) {
         const auto self = weak.lock();
         if (!reply && self) {
             self->onStoreFailure(reason.message);
@@ -348,8 +348,10 @@
     const bool isIdle = std::none_of(m_sessions.begin(), m_sessions.end(), [](const auto &it) {
         return it.second->isBusy();
     });
-    // Records that the store doesn't have yet would be lost with the process.
-    const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && crashes.unsharedCount() == 0;
+    returnTokens();
+    // Records that the store doesn't have yet, and tokens that aren't given back, would be lost with the process.
+    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens());
+    const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && isStored;
     if (isDone || plannedStop.isOverdue(now())) {
         shutDown();
         if (m_onStopped) {
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -191,6 +191,10 @@
 
     TokenOutcome applyTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer);
     void logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why);
+    /** @return True if the store can be called without other attempts of the same call. */
+    [[nodiscard]] bool canReturnTokens() const;
+    /** Gives back tokens that are held for programs without turns in progress. */
+    void returnTokens();
     void onTokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason);
     /** Notifies the exchanges that wait for a program's tokens. */
     void notifyTokenWaiters(const std::string &program, bool hasFailed);
--- a/packages/proxy/src/store_router.cpp
+++ b/packages/proxy/src/store_router.cpp
@@ -221,7 +221,7 @@
     }
 }
 
-void StoreRouter::callForMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
+void StoreRouter::callOnce(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler)
 {
     callDirect(request, limit, handler);
 }
--- a/packages/proxy/src/store_router.h
+++ b/packages/proxy/src/store_router.h
@@ -42,8 +42,8 @@
      * @param wait Longest time until the reply if nothing changes.
      */
     void watch(const Platform::StoreRequest &request, Duration wait, const StoreCaller::Handler &handler);
-    /** Makes a call on behalf of another proxy, over the direct route. */
-    void callForMember(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
+    /** Makes a call with a single attempt over the direct route. */
+    void callOnce(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** Switches to another store. */
     void setStore(const ProxyAddress &store);
 
--- a/tests/proxy/proxy_stop_test.cpp
+++ b/tests/proxy/proxy_stop_test.cpp
@@ -176,4 +176,82 @@
     }));
 }
 
+/** How the turns of a program come to another proxy after its first turn. */
+struct ProgramMoveCase
+{
+    const char *name;  ///< For the test's name.
+    bool isStopped;    ///< True if the first proxy is stopped as planned.
+    unsigned turns;    ///< Turns that the program's budget holds.
+    unsigned attempts; ///< Turns that it has at the second proxy.
+};
+
+class ProxyProgramMove : public ::testing::TestWithParam<ProgramMoveCase>
+{
+};
+
+// Tokens that a proxy had reserved ahead were lost when it was stopped: programs were answered 402 inside their budget.
+TEST_P(ProxyProgramMove, LosesNoTokens)
+{
+    const auto &param = GetParam();
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
+        },
+        [](ProxySettings &settings) {
+            settings.stop.acceptPeriod = 0s;
+        });
+    ASSERT_TRUE(world.start());
+    const auto other = world.addProxy("other");
+    ASSERT_TRUE(other);
+    constexpr unsigned TurnTokens = 20;
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: " + std::to_string(param.turns * TurnTokens) + "\r\n";
+    ASSERT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r0", headers))), 200U);
+    if (param.isStopped) {
+        bool isStopped = false;
+        world.proxy->stop([&isStopped] {
+            isStopped = true;
+        });
+        ASSERT_TRUE(world.run([&isStopped] {
+            return isStopped;
+        }));
+        EXPECT_TRUE(world.hasLine(" returned=20 "));
+    }
+    for (unsigned n = 1; n <= param.attempts; n++) {
+        EXPECT_EQ(statusOf(world.ask(*other, ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers))), 200U) << n;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyProgramMove,
+                         // Eight turns, and the one that is allowed beyond the budget: a stop gives all back.
+                         ::testing::Values(ProgramMoveCase{"plannedStop", true, 8, 8}, ProgramMoveCase{"toAnotherProxy", false, 8, 7}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+// A budget that is fully reserved counted as spent at once, also while another proxy was about to give tokens back.
+TEST(ProxyProgramMove, AnExhaustedBudgetIsRefusedOnceItIsCertain)
+{
+    ProxyWorld world([](const std::string &) {
+        return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
+    });
+    ASSERT_TRUE(world.start());
+    const auto other = world.addProxy("other");
+    ASSERT_TRUE(other);
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 20\r\n";
+    ASSERT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r1", headers))), 200U);
+    ASSERT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r2", headers))), 200U);
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r3", headers))), 402U);
+    const auto answer = world.ask(*other, ProxyWorld::request("POST", "/stream/1", "r4", headers));
+    EXPECT_EQ(statusOf(answer), 503U);
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(world.hasLine("outcome=budget_unsettled"));
+    unsigned status = 0;
+    EXPECT_TRUE(world.run([&world, &other, &headers, &status] {
+        status = statusOf(world.ask(*other, ProxyWorld::request("POST", "/stream/1", "r5", headers)));
+        return status != 503;
+    }));
+    EXPECT_EQ(status, 402U);
+}
+
 } // namespace Vanillahall::Forward
