Proxies that hold tokens of a program give them back before it gets a 402 (DENIED)

Cause: the same as for a planned stop: what a proxy had reserved ahead, and what its turns hadn't used, was lost to the other proxies.

Change: a row names the proxies that may hold tokens besides its writer. A proxy that finds none left reads the row, asks these proxies to give back what they hold, and reads it again. If one doesn't reply, the answer is 503 with the time at which it is certain, then 402.

TokenLedgerProperty.NoTurnIsRefusedInsideTheBudget holds for 20,000 cases and falls with the holders forgotten or not asked; ProxyHolder shows it over sockets.

--- a/packages/core/include/vanillahall/core/proxy_membership_base.h
+++ b/packages/core/include/vanillahall/core/proxy_membership_base.h
@@ -52,6 +52,8 @@
     [[nodiscard]] std::uint32_t rank(TimePoint now) const;
     /** @return Proxies whose rows may be removed. */
     [[nodiscard]] std::vector<ProxyMember> expired(TimePoint now) const;
+    /** @return A proxy by its name, or null if it isn't known. */
+    [[nodiscard]] const ProxyMember *find(const std::string &name) const;
     /**
      * Picks a proxy to call; successive values of `turn` rotate through the proxies. Prefers proxies that are alive, then those without a
      * recent heartbeat, then those with a recent failed call.
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -2,9 +2,9 @@
  * Token budgets of programs, enforced across all entries.
  * Load pattern: the turns of one program run at several entries at once, and programs in an endless loop keep requesting more tokens. A row
  * per program in the platform's store holds the number of tokens reserved by all entries; an entry grants tokens only from its own
- * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails. An entry that stops gives back what it
- * holds. The row also names the software versions at which streams of the program may have begun, so that any entry knows where a stream
- * may go on, also after the loss of all others.
+ * reservations, so that the sum never exceeds the budget by more than one turn, whatever fails. An entry gives back what it holds if
+ * it stops, or if another one asks for it because no tokens are left. The row also names the software versions at which streams of the
+ * program may have begun, so that any entry knows where a stream may go on, also after the loss of all others.
  */
 #pragma once
 
@@ -42,6 +42,7 @@
     /** Versions at which streams of the program may have begun. An unknown one stands for those that the row doesn't name. */
     std::vector<SoftwareVersion> streamVersions = {};
     std::uint64_t returned{}; ///< Tokens that entries have given back so far, of those in `reserved`. Neither number ever decreases.
+    std::vector<std::string> holders = {}; ///< Names of entries, other than that of `writer`, that may hold tokens.
 
     /** @return Tokens that entries hold or have granted. */
     [[nodiscard]] std::uint64_t outstanding() const;
@@ -71,6 +72,11 @@
 {
     Duration retryAfter{}; ///< After this time it is known, if the store answers.
 };
+/** Other entries must be asked to give back the tokens that they hold; call reserve() again after onReturnsRequested(). */
+struct TokenNeedsReturns
+{
+    std::vector<std::string> holders; ///< Names of the entries.
+};
 /** The row must be written first; call reserve() again when the write has ended. */
 struct TokenNeedsWrite
 {
@@ -87,6 +93,7 @@
 using TokenAnswer = std::variant<TokenGranted,
                                  TokenBudgetExhausted,
                                  TokenBudgetUnknown,
+                                 TokenNeedsReturns,
                                  TokenNeedsWrite,
                                  TokenNeedsRead,
                                  TokenBusy>; ///< Result of TokenLedger::reserve().
@@ -129,6 +136,14 @@
      * @return Writes to do, each with a single attempt: if several were made, a refusal wouldn't show that none of them was executed.
      */
     std::vector<TokenWrite> beginReturns(TimePoint now);
+    /** Starts to give back the tokens held for a program, like beginReturns(). @return Write to do; nothing if none is possible now. */
+    std::optional<TokenWrite> beginReturn(const std::string &program, TimePoint now);
+    /**
+     * Handles the replies of the entries that reserve() named in TokenNeedsReturns.
+     * @param haveAllReplied True if none of them holds tokens any more.
+     * @param hasReturned True if one of them has given tokens back.
+     */
+    void onReturnsRequested(const std::string &program, bool haveAllReplied, bool hasReturned);
     /** Removes programs that were last used before a time. @return Rows last written by this entry that may be removed from the store. */
     std::vector<TokenWrite> removeIdle(TimePoint since);
 
@@ -138,6 +153,8 @@
     [[nodiscard]] std::size_t size() const;
     /** @return True if this entry holds tokens that haven't been given back. */
     [[nodiscard]] bool holdsTokens() const;
+    /** @return True if this entry holds tokens of a program that haven't been given back. */
+    [[nodiscard]] bool holdsTokens(const std::string &program) const;
     /** @return Known row of a program; version 0 if unknown. */
     [[nodiscard]] TokenRow row(const std::string &program) const;
     /** @return Row of a program as of a time or later; nothing if it wasn't read or written since. */
@@ -163,6 +180,8 @@
         bool hasReadFailed = false;          ///< True if the last read of the row failed.
         bool isWriting = false;              ///< True while the open write, or a read of the row, is under way.
         bool wasRead = false;                ///< True once a read of the row was requested.
+        TimePoint askedAt{};                 ///< When other entries were last asked to give tokens back.
+        bool haveAllReplied = false;         ///< True if all of them have replied.
         bool isReturnUncertain = false;      ///< True if the write that gives tokens back may have been executed without a reply.
         TimePoint lastUse{};                 ///< Time of the last request or end of a turn.
         TimePoint changedAt{};               ///< When a version of the row that another entry wrote became known.
@@ -174,8 +193,14 @@
     static TokenAnswer beginRead(Account &account, TimePoint now);
     /** Replaces the known row by a newer version of it. */
     static void updateRow(Account &account, TokenRow row, TimePoint now);
+    /** @return Names of other entries that may hold tokens. */
+    [[nodiscard]] std::vector<std::string> otherHolders(const TokenRow &row) const;
+    /** Makes the write that gives back all tokens that are available, or the one that was made before and whose outcome is unknown. */
+    TokenWrite makeReturn(const std::string &program, Account &account, TimePoint now);
+    /** @return True if tokens may be given back by a write now. */
+    static bool canReturn(const Account &account);
     /** @return Answer to a request for which the row has no tokens left. */
-    static TokenAnswer refuse(Account &account, const TokenRequest &request, TimePoint now);
+    TokenAnswer refuse(Account &account, const TokenRequest &request, TimePoint now);
     /** @return True if other entries hold or have granted tokens of the program, as far as the row shows. */
     static bool isShared(const Account &account);
     /** @return True if the tokens of an account are to be given back now. */
@@ -193,6 +218,8 @@
  */
 inline constexpr std::uint64_t TurnsReservedAhead = 2;
 
+/** Entries that a row names at most as holders of tokens. */
+inline constexpr std::size_t MaxTokenHolders = 8;
 /** Interval between attempts to give back the same tokens. */
 inline constexpr Duration TokenReturnInterval = std::chrono::milliseconds(500);
 /** Limit on writes that start in one call of TokenLedger::beginReturns(). */
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -35,6 +35,14 @@
     versions.push_back(version);
 }
 
+/** @return Name of the entry that made a write, from "entry/incarnation/number". */
+std::string entryName(const std::string &writer)
+{
+    const auto number = writer.rfind('/');
+    const auto incarnation = number == std::string::npos || number == 0 ? std::string::npos : writer.rfind('/', number - 1);
+    return writer.substr(0, incarnation);
+}
+
 } // namespace
 
 TokenAnswer TokenLedger::reserve(const TokenRequest &request, TimePoint now)
@@ -81,6 +89,7 @@
     }
     TokenWrite write{request.program, account.row};
     write.row.reserved += amount;
+    write.row.holders = otherHolders(account.row);
     write.row.writer = nextWriter();
     if (write.row.version == 0) {
         write.row.homeZone = m_zone;
@@ -115,8 +124,16 @@
         const bool wasTried = account.hasReadFailed && account.writeRequestedAt >= request.arrivedAt;
         return wasTried ? TokenAnswer(TokenBudgetUnknown{TokenSettleTime}) : beginRead(account, now);
     }
+    auto holders = otherHolders(account.row);
+    if (isShared(account) && account.askedAt < request.arrivedAt && !holders.empty()) {
+        account.askedAt = now;
+        account.haveAllReplied = false;
+        account.isWriting = true;
+        return TokenNeedsReturns{std::move(holders)};
+    }
     const auto settledAt = account.changedAt + TokenSettleTime;
-    if (isShared(account) && now < settledAt) {
+    const bool haveAllReplied = account.haveAllReplied && account.askedAt >= request.arrivedAt;
+    if (isShared(account) && !haveAllReplied && now < settledAt) {
         return TokenBudgetUnknown{settledAt - now};
     }
     return TokenBudgetExhausted{account.row.outstanding()};
@@ -127,15 +144,74 @@
     return account.row.outstanding() > account.ownTokens;
 }
 
-bool TokenLedger::isReturnDue(const Account &account, TimePoint now)
+std::vector<std::string> TokenLedger::otherHolders(const TokenRow &row) const
 {
-    if (account.isWriting || account.openTurns != 0) {
+    std::vector<std::string> holders = row.holders;
+    if (row.version != 0) {
+        holders.push_back(entryName(row.writer));
+    }
+    std::vector<std::string> others;
+    for (const auto &it : holders) {
+        if (it != entryName(m_writer + "/") && std::find(others.begin(), others.end(), it) == others.end()) {
+            others.push_back(it);
+        }
+    }
+    if (others.size() > MaxTokenHolders) {
+        others.erase(others.begin());
+    }
+    return others;
+}
+
+bool TokenLedger::canReturn(const Account &account)
+{
+    if (account.isWriting || account.row.version == 0) {
         return false;
     }
-    if (account.openWrite) {
-        return account.pendingReturn != 0 && now - account.writeRequestedAt >= TokenReturnInterval;
+    return account.openWrite ? account.pendingReturn != 0 : account.available != 0;
+}
+
+bool TokenLedger::isReturnDue(const Account &account, TimePoint now)
+{
+    const bool isRepeated = account.openWrite.has_value();
+    return canReturn(account) && account.openTurns == 0 && (!isRepeated || now - account.writeRequestedAt >= TokenReturnInterval);
+}
+
+TokenWrite TokenLedger::makeReturn(const std::string &program, Account &account, TimePoint now)
+{
+    if (!account.openWrite) {
+        account.pendingTokens = 0;
+        account.pendingReturn = std::exchange(account.available, 0);
+        account.openWrite = TokenWrite{program, account.row};
+        account.openWrite->row.returned += account.pendingReturn;
+        account.openWrite->row.holders = otherHolders(account.row);
+        account.openWrite->row.writer = nextWriter();
+    }
+    account.writeRequestedAt = now;
+    account.isWriting = true;
+    return *account.openWrite;
+}
+
+std::optional<TokenWrite> TokenLedger::beginReturn(const std::string &program, TimePoint now)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end() || !canReturn(it->second)) {
+        return std::nullopt;
+    }
+    return makeReturn(program, it->second, now);
+}
+
+void TokenLedger::onReturnsRequested(const std::string &program, bool haveAllReplied, bool hasReturned)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end()) {
+        return;
+    }
+    it->second.isWriting = false;
+    it->second.waitingTokens = 0;
+    it->second.haveAllReplied = haveAllReplied;
+    if (hasReturned) {
+        it->second.confirmedAt = {};
     }
-    return account.available != 0 && account.row.version != 0;
 }
 
 std::vector<TokenWrite> TokenLedger::beginReturns(TimePoint now)
@@ -148,16 +224,7 @@
         if (!isReturnDue(account, now)) {
             continue;
         }
-        if (!account.openWrite) {
-            account.pendingTokens = 0;
-            account.pendingReturn = std::exchange(account.available, 0);
-            account.openWrite = TokenWrite{program, account.row};
-            account.openWrite->row.returned += account.pendingReturn;
-            account.openWrite->row.writer = nextWriter();
-        }
-        account.writeRequestedAt = now;
-        account.isWriting = true;
-        writes.push_back(*account.openWrite);
+        writes.push_back(makeReturn(program, account, now));
     }
     return writes;
 }
@@ -319,6 +386,12 @@
     });
 }
 
+bool TokenLedger::holdsTokens(const std::string &program) const
+{
+    const auto it = m_accounts.find(program);
+    return it != m_accounts.end() && (it->second.available != 0 || it->second.pendingReturn != 0);
+}
+
 std::size_t TokenLedger::size() const
 {
     return m_accounts.size();
--- a/packages/core/src/queries/proxy_membership_query.cpp
+++ b/packages/core/src/queries/proxy_membership_query.cpp
@@ -37,6 +37,12 @@
     return list;
 }
 
+const ProxyMember *ProxyMembership::find(const std::string &name) const
+{
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second.member;
+}
+
 const ProxyMember *ProxyMembership::pick(std::uint64_t turn, TimePoint now) const
 {
     std::vector<const ProxyMember *> alive;
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -194,18 +194,21 @@
     }
     m_waitsForStore = true;
     const auto *needed = std::get_if<TokenNeedsWrite>(&result);
+    const auto *returns = std::get_if<TokenNeedsReturns>(&result);
     const bool needsRead = std::holds_alternative<TokenNeedsRead>(result);
     if (m_proxy.isStoreReachable()) {
         m_proxy.addTokenWaiter(attributes.program, shared_from_this());
         setStoreTimer(storeWaitLeft());
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
+        } else if (returns != nullptr) {
+            m_proxy.requestReturns(attributes.program, returns->holders);
         } else if (needsRead) {
             m_proxy.readTokens(attributes.program);
         }
         return;
     }
-    if (needed != nullptr || needsRead) {
+    if (needed != nullptr || returns != nullptr || needsRead) {
         m_proxy.ledger.onWriteFailed(attributes.program);
     }
     waitForStore();
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Duration CleanInterval = std::chrono::seconds(5); ///< Interval between searches for rows of programs that have ended.
+constexpr Duration ReturnTimeout = std::chrono::milliseconds(300); ///< Time for another proxy to give tokens back: two writes of its own.
+constexpr Duration CleanInterval = std::chrono::seconds(5);        ///< Interval between searches for rows of programs that have ended.
 
 } // namespace
 
@@ -49,6 +50,71 @@
     notifyTokenWaiters(write.program, outcome == TokenOutcome::Failed);
 }
 
+void ProxyState::requestReturns(const std::string &program, const std::vector<std::string> &holders)
+{
+    const auto round = std::make_shared<ReturnRound>(ReturnRound{program, holders.size(), holders.size()});
+    for (const auto &it : holders) {
+        const ProxyMember *member = members.find(it);
+        if (member == nullptr) {
+            onReturnReply(round, std::nullopt);
+            continue;
+        }
+        store.callMember(*member,
+                         {"POST", std::string(TokenReturnPath), program},
+                         ReturnTimeout,
+                         [weak = weak_from_this(), round](const auto &reply, const Error &) {
+                             if (const auto self = weak.lock()) {
+                                 self->onReturnReply(round, reply);
+                             }
+                         });
+    }
+}
+
+void ProxyState::onReturnReply(const std::shared_ptr<ReturnRound> &round, const std::optional<StoreReply> &reply)
+{
+    round->waiting--;
+    round->replied += reply && (reply->status == StatusOk || reply->status == StatusNoContent) ? 1 : 0;
+    round->returned += reply && reply->status == StatusOk ? 1 : 0;
+    if (round->waiting != 0) {
+        return;
+    }
+    const bool haveAllReplied = round->replied == round->holders;
+    log(LogLevel::Info,
+        EventNumber::TokensReserved,
+        "program=" + round->program + " holders=" + std::to_string(round->holders) + " replied=" + std::to_string(round->replied)
+            + " gave_back=" + std::to_string(round->returned) + " outcome=asked");
+    metrics.count("vanillahall_token_return_rounds_total", {"outcome", haveAllReplied ? "replied" : "incomplete"});
+    ledger.onReturnsRequested(round->program, haveAllReplied, round->returned != 0);
+    notifyTokenWaiters(round->program, false);
+}
+
+void ProxyState::answerTokenReturn(const std::string &program, const MessageServer::Reply &answer, unsigned attempts)
+{
+    if (!ledger.holdsTokens(program)) {
+        answer({StatusNoContent, {}, {}});
+        return;
+    }
+    const auto write = attempts != 0 && canReturnTokens() ? ledger.beginReturn(program, now()) : std::nullopt;
+    if (!write) {
+        answer({StatusConflict, {}, {}});
+        return;
+    }
+    store.callOnce(Platform::writeTokenRowCall(*write, storeNowMs()),
+                   StoreTimeout,
+                   [weak = weak_from_this(), write = *write, answer, attempts](const auto &reply, const Error &reason) {
+                       const auto self = weak.lock();
+                       if (!self) {
+                           return;
+                       }
+                       self->onTokensWritten(write, reply, reason);
+                       if (reply && reply->status == StatusOk) {
+                           answer({StatusOk, {}, {}});
+                       } else {
+                           self->answerTokenReturn(write.program, answer, attempts - 1);
+                       }
+                   });
+}
+
 bool ProxyState::canReturnTokens() const
 {
     return isStoreReachable() && !store.isDirectRouteDown();
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -302,6 +302,10 @@
 
 void ProxyState::answerPeer(const MessageRequest &request, const MessageServer::Reply &answer)
 {
+    if (request.method == "POST" && request.target == TokenReturnPath) {
+        answerTokenReturn(request.body, answer, MaxReturnAttempts);
+        return;
+    }
     const Platform::StoreRequest wanted{request.method, request.target, request.body};
     if (!Platform::isRelayableCall(wanted)) {
         answer({StatusNotFound, {}, {}});
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -27,6 +27,11 @@
 
 namespace Vanillahall::Forward {
 
+/** Path at which a proxy gives back the tokens of the program in the body, asked by another proxy. */
+inline constexpr std::string_view TokenReturnPath = "/tokens/return";
+/** Attempts to give tokens back; the first one is refused if another proxy has written the row since. */
+inline constexpr unsigned MaxReturnAttempts = 2;
+
 /** Owns the components of a proxy and connects them. */
 class ProxyState : public RequestHandler, public std::enable_shared_from_this<ProxyState>
 {
@@ -62,6 +67,8 @@
     void writeTokens(const TokenWrite &write);
     /** Reads a program's token row and notifies the exchanges that wait for the program. */
     void readTokens(const std::string &program);
+    /** Asks other proxies to give back the tokens of a program, and notifies the exchanges that wait for it. */
+    void requestReturns(const std::string &program, const std::vector<std::string> &holders);
     /** Registers an exchange to be notified after the next store call about a program's tokens. */
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
@@ -182,6 +189,17 @@
     void updateServers(bool wasUnavailable);
     void onStoreReachable();
     void reportInvalidRow(const Error &reason, std::uint64_t version);
+    /** Proxies that were asked to give back the tokens of a program. */
+    struct ReturnRound
+    {
+        std::string program;    ///< Program.
+        std::size_t holders;    ///< Number of proxies that were asked.
+        std::size_t waiting;    ///< Number of proxies that haven't replied yet.
+        std::size_t replied{};  ///< Number of proxies that hold no tokens any more.
+        std::size_t returned{}; ///< Number of proxies that have given tokens back.
+    };
+
+    void onReturnReply(const std::shared_ptr<ReturnRound> &round, const std::optional<StoreReply> &reply);
     /** Outcome of a write of a token row. */
     enum class TokenOutcome {
         Written, ///< The row was written.
@@ -193,6 +211,8 @@
     void logTokens(const TokenWrite &write, TokenOutcome outcome, const std::string &why);
     /** @return True if the store can be called without other attempts of the same call. */
     [[nodiscard]] bool canReturnTokens() const;
+    /** Gives back the tokens of a program because another proxy asks for it. */
+    void answerTokenReturn(const std::string &program, const MessageServer::Reply &answer, unsigned attempts);
     /** Gives back tokens that are held for programs without turns in progress. */
     void returnTokens();
     void onTokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason);
--- a/packages/proxy/src/store_router.cpp
+++ b/packages/proxy/src/store_router.cpp
@@ -127,18 +127,27 @@
     if (member == nullptr) {
         return false;
     }
+    callMember(*member, request, limit, handler);
+    return true;
+}
+
+void StoreRouter::callMember(const ProxyMember &member,
+                             const Platform::StoreRequest &request,
+                             Duration limit,
+                             const StoreCaller::Handler &handler)
+{
     if (m_callers.size() > MaxMemberCallers) {
         // Drops idle connections, among them those to proxies that have stopped.
         std::erase_if(m_callers, [](const auto &it) {
             return it.second->isIdle();
         });
     }
-    auto &caller = m_callers[member->address + ":" + std::to_string(member->port)];
+    auto &caller = m_callers[member.address + ":" + std::to_string(member.port)];
     if (!caller) {
-        caller = std::make_unique<StoreCaller>(m_loop, ProxyAddress{member->address, member->port});
+        caller = std::make_unique<StoreCaller>(m_loop, ProxyAddress{member.address, member.port});
     }
     caller->call(
-        request, limit, [this, alive = std::weak_ptr(m_isAlive), name = member->name, handler](const auto &reply, const Error &reason) {
+        request, limit, [this, alive = std::weak_ptr(m_isAlive), name = member.name, handler](const auto &reply, const Error &reason) {
             if (alive.expired()) {
                 return;
             }
@@ -149,7 +158,6 @@
             }
             handler(reply, reason);
         });
-    return true;
 }
 
 void StoreRouter::call(const Platform::StoreRequest &request, Duration limit, bool isProbe, const StoreCaller::Handler &handler)
--- a/packages/proxy/src/store_router.h
+++ b/packages/proxy/src/store_router.h
@@ -44,6 +44,8 @@
     void watch(const Platform::StoreRequest &request, Duration wait, const StoreCaller::Handler &handler);
     /** Makes a call with a single attempt over the direct route. */
     void callOnce(const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
+    /** Calls another proxy itself: a single attempt. */
+    void callMember(const ProxyMember &member, const Platform::StoreRequest &request, Duration limit, const StoreCaller::Handler &handler);
     /** Switches to another store. */
     void setStore(const ProxyAddress &store);
 
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -455,6 +455,122 @@
     EXPECT_TRUE(std::holds_alternative<TokenBudgetUnknown>(third.reserve(later, Start + 2s)));
 }
 
+// A budget counted as spent while another entry held tokens that its turns hadn't used.
+TEST(TokenLedger, OtherHoldersAreAskedBeforeABudgetIsExhausted)
+{
+    RowModel rows;
+    TokenLedger first("a/1");
+    TokenLedger second("b/1");
+    TokenLedger third("c/1");
+    constexpr TimePoint Later = Start + 50ms;
+    const auto request = [](TimePoint at) {
+        return TokenRequest{"p", Most, Most, false, std::nullopt, {}, at};
+    };
+    ASSERT_TRUE(isGranted(reserveWithWrites(second, rows, request({}))));
+    ASSERT_TRUE(isGranted(reserveWithWrites(first, rows, request({}))));
+    second.settle("p", Most, 0, Start);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsRead>(first.reserve(request(Later), Later)));
+    first.onRowRead("p", rows.row("p"), Later);
+    const auto answer = first.reserve(request(Later), Later);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsReturns>(answer));
+    EXPECT_EQ(std::get<TokenNeedsReturns>(answer).holders, std::vector<std::string>{"b"});
+    // The first write is refused, since the row has changed.
+    EXPECT_FALSE(rows.write(second.beginReturn("p", Later).value()));
+    second.onConflict("p", rows.row("p"));
+    second.onWritten("p", rows.write(second.beginReturn("p", Later).value()).value());
+    EXPECT_FALSE(second.beginReturn("p", Later));
+    EXPECT_FALSE(second.holdsTokens("p"));
+    first.onReturnsRequested("p", true, true);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsRead>(first.reserve(request(Later), Later)));
+    first.onRowRead("p", rows.row("p"), Later);
+    EXPECT_TRUE(isGranted(reserveWithWrites(first, rows, request(Later))));
+    // Both entries hold nothing now. An entry that asks them knows at once that the budget is exhausted, or later if one doesn't reply.
+    for (const bool haveAllReplied : {false, true}) {
+        const auto at = Start + (haveAllReplied ? 200ms : 100ms);
+        auto step = third.reserve(request(at), at);
+        if (std::holds_alternative<TokenNeedsRead>(step)) {
+            third.onRowRead("p", rows.row("p"), at);
+            step = third.reserve(request(at), at);
+        } else if (const auto *needed = std::get_if<TokenNeedsWrite>(&step)) {
+            EXPECT_FALSE(rows.write(needed->write));
+            third.onConflict("p", rows.row("p"));
+            step = third.reserve(request(at), at);
+        }
+        ASSERT_TRUE(std::holds_alternative<TokenNeedsReturns>(step));
+        EXPECT_EQ(std::get<TokenNeedsReturns>(step).holders, (std::vector<std::string>{"b", "a"}));
+        third.onReturnsRequested("p", haveAllReplied, false);
+        step = third.reserve(request(at), at);
+        EXPECT_EQ(std::holds_alternative<TokenBudgetExhausted>(step), haveAllReplied);
+        EXPECT_EQ(std::holds_alternative<TokenBudgetUnknown>(step), !haveAllReplied);
+    }
+}
+
+/** Turns of one program go through several entries, which also restart as planned. No turn is refused while the budget holds one more. */
+RC_GTEST_PROP(TokenLedgerProperty, NoTurnIsRefusedInsideTheBudget, ())
+{
+    constexpr std::size_t Entries = 3;
+    const auto budget = *rc::gen::element<std::uint64_t>(1 * Most, 2 * Most, 4 * Most, 8 * Most, 9 * Most);
+    RowModel rows;
+    std::vector<std::unique_ptr<TokenLedger>> ledgers;
+    for (std::size_t n = 0; n < Entries; n++) {
+        ledgers.push_back(std::make_unique<TokenLedger>("e" + std::to_string(n) + "/0"));
+    }
+    std::uint64_t used = 0;
+    std::uint64_t incarnations = 0;
+    TimePoint now = Start;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, static_cast<int>(Entries)), rc::gen::inRange(0, static_cast<int>(Most) + 1)));
+    for (const auto &[which, tokens] : steps) {
+        now += 100ms;
+        auto &ledger = ledgers[static_cast<std::size_t>(which)];
+        const TokenRequest request{"p", budget, Most, false, std::nullopt, {}, now};
+        bool isDone = false;
+        while (!isDone && used + Most <= budget) {
+            const auto answer = ledger->reserve(request, now);
+            isDone = isGranted(answer);
+            if (const auto *needed = std::get_if<TokenNeedsWrite>(&answer)) {
+                const auto version = rows.write(needed->write);
+                if (version) {
+                    ledger->onWritten("p", *version);
+                } else {
+                    ledger->onConflict("p", rows.row("p"));
+                }
+            } else if (std::holds_alternative<TokenNeedsRead>(answer)) {
+                ledger->onRowRead("p", rows.row("p"), now);
+            } else if (const auto *needsReturns = std::get_if<TokenNeedsReturns>(&answer)) {
+                for (const auto &it : needsReturns->holders) {
+                    auto &holder = *ledgers[static_cast<std::size_t>(it.at(1) - '0')];
+                    // The first write is refused if the row has changed since.
+                    for (int n = 0; n < 2; n++) {
+                        const auto write = holder.beginReturn("p", now);
+                        const auto version = write ? rows.write(*write) : std::nullopt;
+                        if (version) {
+                            holder.onWritten("p", *version);
+                        } else if (write) {
+                            holder.onConflict("p", rows.row("p"));
+                        }
+                    }
+                    RC_ASSERT(!holder.holdsTokens("p"));
+                }
+                ledger->onReturnsRequested("p", true, true);
+            } else {
+                RC_ASSERT(isDone);
+            }
+        }
+        if (!isDone) {
+            return;
+        }
+        ledger->settle("p", Most, static_cast<std::uint64_t>(tokens), now);
+        used += static_cast<std::uint64_t>(tokens);
+        if (tokens % 4 == 0) {
+            for (int n = 0; n < 2; n++) {
+                executeReturns(*ledger, rows, now);
+            }
+            ledger = std::make_unique<TokenLedger>("e" + std::to_string(which) + "/" + std::to_string(++incarnations));
+        }
+    }
+}
+
 /**
  * Several entries run turns that begin and end in any order, while replies are lost, writes take effect late, and entries restart.
  * In no case are more tokens granted than the budget and one turn.
@@ -535,8 +651,8 @@
             }
         } else if (action >= 11) {
             // Starts to give tokens back, or repeats a write with an unknown outcome.
-            for (const auto &it : ledger.beginReturns(now)) {
-                open[n] = it;
+            if (const auto write = ledger.beginReturn("p", now)) {
+                open[n] = write;
             }
         } else if (action == 9) {
             knownRows.push_back(ledger.row("p"));
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -397,7 +397,7 @@
 TEST(StoreCalls, TokenRowsAreDecodedAsWritten)
 {
     const std::vector<Forward::SoftwareVersion> begun{{"s", "v1"}, {}, {"t", ""}};
-    const Forward::TokenWrite write{"p1", {300, "a/1", 12, "z1", begun, 40}};
+    const Forward::TokenWrite write{"p1", {300, "a/1", 12, "z1", begun, 40, {"b", "c"}}};
     const auto call = writeTokenRowCall(write, 7000);
     const auto body = nlohmann::json::parse(call.body);
     EXPECT_EQ(call.method, "POST");
@@ -418,6 +418,7 @@
     EXPECT_EQ(tokens->streamVersions, begun);
     EXPECT_EQ(tokens->returned, 40U);
     EXPECT_EQ(tokens->outstanding(), 260U);
+    EXPECT_EQ(tokens->holders, (std::vector<std::string>{"b", "c"}));
 }
 
 /** The field "returned" of a token row with 100 tokens reserved. */
--- a/tests/proxy/proxy_stop_test.cpp
+++ b/tests/proxy/proxy_stop_test.cpp
@@ -229,6 +229,62 @@
                              return it.param.name;
                          });
 
+/** A proxy that holds tokens of a program which goes on at another proxy. */
+struct HolderCase
+{
+    const char *name;      ///< For the test's name.
+    bool isRunning;        ///< True if the proxy runs when it is asked to give them back.
+    unsigned status;       ///< Expected status of the last turn inside the budget.
+    const char *rowsEvent; ///< Expected text in a log line of the other proxy.
+};
+
+class ProxyHolder : public ::testing::TestWithParam<HolderCase>
+{
+};
+
+// Programs that went on at another proxy were answered 402 inside their budget, while the first one held tokens that its turns hadn't used.
+TEST_P(ProxyHolder, GivesTokensBackToAProgramThatHasNoneLeft)
+{
+    const auto &param = GetParam();
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{streamHead() + eventChunk(1) + "0\r\n\r\n"};
+        },
+        [](ProxySettings &settings) {
+            settings.peerListen = ProxyAddress{"127.0.0.1", 0};
+        });
+    ASSERT_TRUE(world.start());
+    ASSERT_TRUE(world.run([&world] {
+        return world.rows.members.size() == 1;
+    }));
+    const auto other = world.addProxy("other");
+    ASSERT_TRUE(other);
+    ASSERT_TRUE(world.run([&world] {
+        return world.rows.members.size() == 2;
+    }));
+    // Each turn generates half of its maximum, so that the first one leaves more than the turn allowed beyond the budget.
+    const std::string headers = "Program-Id: p\r\nToken-Usage: 50,20\r\nToken-Budget: 160\r\n";
+    ASSERT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r0", headers))), 200U);
+    if (!param.isRunning) {
+        world.proxy.reset();
+    }
+    constexpr unsigned TurnsInside = 15;
+    for (unsigned n = 1; n < TurnsInside; n++) {
+        const auto answer = world.ask(*other, ProxyWorld::request("POST", "/stream/1", "r" + std::to_string(n), headers));
+        EXPECT_EQ(statusOf(answer), n + 1 < TurnsInside ? 200U : param.status) << n;
+    }
+    EXPECT_TRUE(world.hasLine(param.rowsEvent));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ProxyHolder,
+                         ::testing::Values(HolderCase{"running", true, 200, "holders=1 replied=1 gave_back=1 outcome=asked"},
+                                           // It isn't known yet whether the proxy has given them back.
+                                           HolderCase{"ended", false, 503, "holders=1 replied=0 gave_back=0 outcome=asked"}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 // A budget that is fully reserved counted as spent at once, also while another proxy was about to give tokens back.
 TEST(ProxyProgramMove, AnExhaustedBudgetIsRefusedOnceItIsCertain)
 {
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -105,6 +105,13 @@
         }
         return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
+    if (request.find("GET /api/rows-get?table=proxies") == 0) {
+        Json list = Json::array();
+        for (const auto &[key, value] : members) {
+            list.push_back({{"key", key}, {"value", value}, {"ver", version}});
+        }
+        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
     if (request.find("GET /api/rows-get?") == 0) {
         return {json({{"rows", Json::array()}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
@@ -115,6 +122,8 @@
     for (const auto &it : body["writes"]) {
         if (it["table"] == "broken_contents") {
             crashRecords[it["key"]] = fromBase64(it["value"]);
+        } else if (it["table"] == "proxies") {
+            members[it["key"]] = it["value"];
         }
     }
     for (const auto &it : body["remove"]) {
