--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -49,6 +49,39 @@
     EXPECT_EQ(settings.entryListen.port, 8080);
 }
 
+/** A value of proxy.grace_s. */
+struct GraceCase
+{
+    const char *name;               ///< For the test's name.
+    const char *value;              ///< Value in the settings.
+    std::optional<Duration> period; ///< Expected period; nothing if the value is refused.
+};
+
+class GracePeriod : public ::testing::TestWithParam<GraceCase>
+{
+};
+
+TEST_P(GracePeriod, IsANumberOfSeconds)
+{
+    std::vector<SettingsError> errors;
+    const Settings settings = read(ValidEntry, errors, {std::string("proxy.grace_s=") + GetParam().value});
+    EXPECT_EQ(errors.empty(), GetParam().period.has_value());
+    EXPECT_EQ(settings.proxyGracePeriod, GetParam().period);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         GracePeriod,
+                         ::testing::Values(GraceCase{"whole", "8", std::chrono::seconds(8)},
+                                           GraceCase{"fraction", "0.4", std::chrono::milliseconds(400)},
+                                           GraceCase{"zero", "0", std::nullopt},
+                                           GraceCase{"negative", "-1", std::nullopt},
+                                           GraceCase{"tooLong", "1e9", std::nullopt},
+                                           GraceCase{"unit", "8s", std::nullopt},
+                                           GraceCase{"text", "long", std::nullopt}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 TEST(SettingsTest, OverrideWinsOverFile)
 {
     std::vector<SettingsError> errors;
