One turn is reserved ahead for shared programs, too

Cause: since no turn was reserved ahead while other proxies hold tokens, each turn of a program that moves between proxies needed a write of its own, and often a second one after a refusal. Other proxies now give back what they hold when it is needed, so the restriction only cost calls.

Change: one turn ahead under half of the budget, whoever holds the rest.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -52,9 +52,8 @@
      "402, not run: the program's token budget is fully reserved. Compare `budget` with the program's earlier turns."},
     {Outcome::BudgetUnsettled,
      "budget_unsettled",
-     "503, not run: the program's token budget is fully reserved, but other entries may be giving tokens back, or the row couldn't be "
-     "read. "
-     "It is known at the time to come back. See the program's events 1104."},
+     "503, not run: the program's token budget is fully reserved, but other entries may be giving tokens back, or the row couldn't "
+     "be read. It is known at the time to come back. See the program's events 1104."},
     {Outcome::ClientGone,
      "client_gone",
      "The client closed its connection first. `all_ms` and `first_ms` show whether it waited long or left early."},
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -213,8 +213,8 @@
 };
 
 /**
- * Number of turns reserved by one write while less than half of the budget is reserved and no other entry holds tokens; saves most writes
- * of an ordinary program. If the entry is killed, the turn reserved ahead is lost; the turn allowed beyond the budget makes up for it.
+ * Number of turns reserved by one write while less than half of the budget is reserved; saves most writes of an ordinary program. If the
+ * entry is killed, the turn reserved ahead is lost; the turn allowed beyond the budget makes up for it.
  */
 inline constexpr std::uint64_t TurnsReservedAhead = 2;
 
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -79,8 +79,7 @@
     }
     // Reserves for all waiting turns in one write, as sub-agents start together.
     const std::uint64_t waiting = std::exchange(account.waitingTokens, 0);
-    const std::uint64_t ahead = isShared(account) ? 0 : (TurnsReservedAhead - 1) * request.maxTokens;
-    std::uint64_t amount = missing == 0 ? 0 : missing + std::max(waiting, ahead);
+    std::uint64_t amount = missing == 0 ? 0 : missing + std::max(waiting, (TurnsReservedAhead - 1) * request.maxTokens);
     if (outstanding + amount > request.budget / 2) {
         amount = missing + waiting;
     }
