--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 PACKAGES="build-essential cmake ninja-build pkg-config clang-format clang-tidy curl python3
 libwebsockets-dev libgrpc++-dev libprotobuf-dev libboost-dev libboost-program-options-dev libboost-log-dev
-libgtest-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev"
+libgtest-dev libgmock-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev"
 missing=""
 for p in $PACKAGES; do
     dpkg -s "$p" >/dev/null 2>&1 || missing="$missing $p"
