A row that lacks fields names no server, and a late heartbeat brings none back (DRAIN)

Cause: decodeServer() took a row without sequence number, remaining slow phase or software version, or with a start of another type, for that of a server. For the same reason a heartbeat that the store took late ended the draining of a server or brought back one that had been removed. Change: all fields that servers write are needed; the start may be missing but has to be a whole number. A heartbeat with a lower number than the known one of the same start changes nothing, also after the server was removed (4,000 are remembered). FixedRows and two tests had incomplete rows that were taken; they use whole rows now, and the test of a start beyond 64 bits expects the refusal.

--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -96,6 +96,7 @@
     bool isDraining = false;         ///< True if it takes no new requests.
     Duration coldLeft{};             ///< Remaining time of its slow phase after the start.
     std::uint64_t startedMs{};       ///< Calendar time of its start, in Unix milliseconds; 0 if unknown.
+    std::uint64_t sequence{};        ///< Number of its heartbeat; grows within one incarnation.
     std::vector<std::string> models; ///< Models that it has loaded; empty for plain services.
     std::string softwareVersion;     ///< Version of its software; empty if it isn't listed.
 
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -184,6 +184,9 @@
 
     void recordPrompt(std::uint64_t runHash, const RequestAttributes &attributes);
     void indexServices();
+    /** @return True if a row holds an earlier heartbeat of a server that was removed since. */
+    [[nodiscard]] bool isOutdated(const Server &row) const;
+    void rememberRemoved(const Server &server);
     [[nodiscard]] Lookup lookUp(const ChoiceRequest &request) const;
     [[nodiscard]] static std::uint32_t cachedTokens(const ServerState &state, const Lookup &lookup, const RequestAttributes &attributes);
     /** @return Servers of a service that were usable at the last update; some may have become unusable since. */
@@ -200,6 +203,9 @@
     std::unordered_map<std::string, ServerState> m_servers;
     std::unordered_map<std::string, Server> m_leaving; ///< Servers that have stated that they are leaving, also those no longer listed.
     std::deque<std::string> m_leavingIds;              ///< Ids in `m_leaving`, oldest first.
+    /** Servers that were removed from the list, with their last heartbeat; a late write of an earlier one doesn't bring them back. */
+    std::unordered_map<std::string, Server> m_removed;
+    std::deque<std::string> m_removedIds;                                          ///< Ids in `m_removed`, oldest first.
     std::unordered_map<std::string, std::vector<const ServerState *>> m_byService; ///< Usable servers by service, as of the last update.
     std::unordered_map<std::uint64_t, CachedPart> m_parts;
     std::unordered_map<std::string, double> m_usualMsPerEvent; ///< Usual time per event, by service.
@@ -211,6 +217,7 @@
                                        ///< expired; a server that is alive is listed again within 2 s.
 inline constexpr std::size_t MaxPromptParts = 20000;   ///< Maximum number of prompt parts tracked; 2.7 MB by `make bench-capacity`.
 inline constexpr std::size_t MaxLeavingServers = 4000; ///< Leaving servers that are remembered; all of a large deployment fit.
+inline constexpr std::size_t MaxRemovedServers = 4000; ///< Removed servers that are remembered; all of a large deployment fit.
 inline constexpr std::size_t MaxServersPerPart = 16;   ///< Maximum number of servers tracked per part.
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/commands/server_registry_cmd.cpp
+++ b/packages/core/src/commands/server_registry_cmd.cpp
@@ -22,6 +22,13 @@
     return a.address == b.address && a.port == b.port && a.startedMs == b.startedMs && a.software() == b.software();
 }
 
+/** @return True if a row holds an earlier heartbeat than the known one. The numbers of a restarted server begin anew, so its start has to
+ * be known. */
+bool isEarlierHeartbeat(const Server &row, const Server &known)
+{
+    return row.startedMs != 0 && isSameRun(row, known) && row.sequence < known.sequence;
+}
+
 } // namespace
 
 ServerRegistry::ServerRegistry(std::string zone, ChoiceSettings settings)
@@ -36,8 +43,16 @@
     std::vector<std::string> changed;
     std::set<std::string> listed;
     for (const auto &it : list) {
+        if (isOutdated(it)) {
+            continue;
+        }
         listed.insert(it.id);
         const auto known = m_servers.find(it.id);
+        if (known != m_servers.end() && isEarlierHeartbeat(it, known->second.server)) {
+            // A late write of an earlier heartbeat. The server is still listed, but what it has said since holds.
+            known->second.removeAt.reset();
+            continue;
+        }
         if (known == m_servers.end() || !isSameRun(known->second.server, it)) {
             ServerState state;
             state.running = known == m_servers.end() ? 0 : known->second.running;
@@ -75,6 +90,7 @@
         }
         if (!state.isUnlisted) {
             changed.push_back(it->first);
+            rememberRemoved(state.server);
         }
         state.isUnlisted = true;
         it = state.running == 0 ? m_servers.erase(it) : std::next(it);
@@ -83,6 +99,23 @@
     return changed;
 }
 
+bool ServerRegistry::isOutdated(const Server &row) const
+{
+    const auto removed = m_removed.find(row.id);
+    return removed != m_removed.end() && isEarlierHeartbeat(row, removed->second);
+}
+
+void ServerRegistry::rememberRemoved(const Server &server)
+{
+    if (m_removed.insert_or_assign(server.id, server).second) {
+        m_removedIds.push_back(server.id);
+    }
+    if (m_removedIds.size() > MaxRemovedServers) {
+        m_removed.erase(m_removedIds.front());
+        m_removedIds.pop_front();
+    }
+}
+
 void ServerRegistry::indexServices()
 {
     m_byService.clear();
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -243,6 +243,51 @@
                              return it.param.name;
                          });
 
+/** A sequence of lists, each with at most server "a". */
+struct LateWriteCase
+{
+    const char *name;                      ///< For the test's name.
+    std::vector<std::vector<Server>> list; ///< Lists in their order.
+    bool isUsable;                         ///< True if "a" is usable after the last one.
+};
+
+class LateHeartbeat : public ::testing::TestWithParam<LateWriteCase>
+{
+};
+
+// A heartbeat that the store takes late brought back a server that had left, or ended its draining.
+TEST_P(LateHeartbeat, DoesNotChangeWhatIsKnown)
+{
+    ServerRegistry registry("z1", {});
+    TimePoint now = Start;
+    for (const auto &it : GetParam().list) {
+        registry.update(it, false, now += 1s);
+    }
+    EXPECT_EQ(registry.hasServer("svc"), GetParam().isUsable);
+}
+
+Server heartbeat(std::uint64_t sequence, bool isDraining = false, std::uint64_t startedMs = 3)
+{
+    auto server = changedServer(isDraining, startedMs);
+    server.sequence = sequence;
+    return server;
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         LateHeartbeat,
+                         ::testing::Values(LateWriteCase{"earlierAfterItLeft", {{heartbeat(5)}, {}, {heartbeat(4)}}, false},
+                                           LateWriteCase{"sameAfterItsRowExpired", {{heartbeat(5)}, {}, {heartbeat(5)}}, true},
+                                           LateWriteCase{"laterAfterItsRowExpired", {{heartbeat(5)}, {}, {heartbeat(6)}}, true},
+                                           LateWriteCase{"restartedAfterItLeft", {{heartbeat(5)}, {}, {heartbeat(1, false, 7)}}, true},
+                                           LateWriteCase{
+                                               "restartedWithUnknownStart", {{heartbeat(5, false, 0)}, {}, {heartbeat(1, false, 0)}}, true},
+                                           LateWriteCase{"earlierWhileDraining", {{heartbeat(5, true)}, {heartbeat(4)}}, false},
+                                           LateWriteCase{"laterEndsDraining", {{heartbeat(5, true)}, {heartbeat(6)}}, true},
+                                           LateWriteCase{"earlierWhileReady", {{heartbeat(5)}, {heartbeat(4, true)}}, true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 TEST(ServerRegistry, ASecondOutageRenewsTheGraceOfExpiredServers)
 {
     ServerRegistry registry("z1", {});
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -189,16 +189,17 @@
 TEST(FixedRows, OfServersAreReadAsBefore)
 {
     Error reason;
-    const auto server = decodeServer("i-1",
-                                     R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"draining","born":17,)"
-                                     R"("models":[{"name":"m","version":1},{"name":"n","version":2}],"coldLeftMs":50})",
-                                     reason);
+    const auto server
+        = decodeServer("i-1",
+                       R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"draining","born":17,)"
+                       R"("models":[{"name":"m","version":1},{"name":"n","version":2}],"coldLeftMs":50,"version":"v1","seq":7})",
+                       reason);
     ASSERT_TRUE(server) << reason.message;
-    const auto &[id, service, address, port, zone, slots, isDraining, coldLeft, startedMs, models, software] = *server;
+    const auto &[id, service, address, port, zone, slots, isDraining, coldLeft, startedMs, sequence, models, software] = *server;
     EXPECT_EQ(std::tie(id, service, address, port, zone), std::make_tuple("i-1", "s", "10.0.0.9", 8080U, "z"));
-    EXPECT_EQ(std::tie(slots, isDraining, coldLeft, startedMs), std::make_tuple(24U, true, 50ms, 17U));
+    EXPECT_EQ(std::tie(slots, isDraining, coldLeft, startedMs, sequence), std::make_tuple(24U, true, 50ms, 17U, 7U));
     EXPECT_EQ(models, (std::vector<std::string>{"m", "n"}));
-    EXPECT_EQ(software, "");
+    EXPECT_EQ(software, "v1");
 }
 
 TEST(FixedRows, OfTheConfigurationAreReadAsBefore)
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -176,7 +176,7 @@
 
 constexpr const char *GoodServer
     = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":24,"state":"ready","version":"v1.1","born":17,
-    "models":[{"name":"m","version":1}],"coldLeftMs":50,"unknown":[]})";
+    "models":[{"name":"m","version":1}],"coldLeftMs":50,"seq":4,"unknown":[]})";
 
 constexpr const char *GoodConfig = R"({"version":7,"routes":[
     {"name":"r","host":"Ficu.Example","prefix":"/a/","kind":"streaming","timeoutMs":4000,"sloMs":250,"priority":1,
@@ -210,7 +210,8 @@
     EXPECT_EQ(server->startedMs, 17U);
     EXPECT_EQ(server->models, std::vector<std::string>{"m"});
     EXPECT_EQ(server->software(), (Forward::SoftwareVersion{"s", "v1.1"}));
-    EXPECT_EQ(decodeServer("i-1", withField(GoodServer, "/version", nullptr), reason)->softwareVersion, "");
+    EXPECT_EQ(server->sequence, 4U);
+    EXPECT_EQ(decodeServer("i-1", withField(GoodServer, "/version", ""), reason)->softwareVersion, "");
     EXPECT_FALSE(server->isDraining);
     EXPECT_TRUE(decodeServer("i-1", withField(GoodServer, "/state", "draining"), reason)->isDraining);
 }
@@ -308,7 +309,23 @@
                                            OddServerRow{"coldForever", "i-1", withText("coldLeftMs", "1e300"), true},
                                            OddServerRow{"coldBeforeTheStart", "i-1", withText("coldLeftMs", "-1e300"), true},
                                            OddServerRow{"startBeyondAllNumbers", "i-1", withText("born", "1e999"), false},
-                                           OddServerRow{"startOver64Bits", "i-1", withText("born", "18446744073709551640"), true},
+                                           OddServerRow{"startOver64Bits", "i-1", withText("born", "18446744073709551640"), false},
+                                           OddServerRow{"startOfAnotherType", "i-1", withText("born", R"("17")"), false},
+                                           OddServerRow{"startWithFraction", "i-1", withText("born", "17.5"), false},
+                                           OddServerRow{"noStart", "i-1", withField(GoodServer, "/born", nullptr), true},
+                                           OddServerRow{"noSequence", "i-1", withField(GoodServer, "/seq", nullptr), false},
+                                           OddServerRow{"sequenceOfAnotherType", "i-1", withText("seq", R"("4")"), false},
+                                           OddServerRow{"sequenceNegative", "i-1", withText("seq", "-4"), false},
+                                           OddServerRow{"noColdTime", "i-1", withField(GoodServer, "/coldLeftMs", nullptr), false},
+                                           OddServerRow{"coldTimeOfAnotherType", "i-1", withText("coldLeftMs", "true"), false},
+                                           OddServerRow{"noVersion", "i-1", withField(GoodServer, "/version", nullptr), false},
+                                           OddServerRow{"noService", "i-1", withField(GoodServer, "/service", nullptr), false},
+                                           OddServerRow{"noZone", "i-1", withField(GoodServer, "/zone", nullptr), false},
+                                           OddServerRow{"noSlots", "i-1", withField(GoodServer, "/slots", nullptr), false},
+                                           OddServerRow{"noState", "i-1", withField(GoodServer, "/state", nullptr), false},
+                                           OddServerRow{"otherState", "i-1", withText("state", R"("lent")"), false},
+                                           OddServerRow{"noAddress", "i-1", withField(GoodServer, "/address", nullptr), false},
+                                           OddServerRow{"noModels", "i-1", withField(GoodServer, "/models", nullptr), true},
                                            OddServerRow{"portZero", "i-1", withText("address", R"("10.0.0.9:0")"), false},
                                            OddServerRow{"portOver16Bits", "i-1", withText("address", R"("10.0.0.9:73616")"), false},
                                            OddServerRow{"portNegative", "i-1", withText("address", R"("10.0.0.9:-80")"), false},
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -81,7 +81,8 @@
 
 std::string serverRow(const std::string &address, const std::string &slots)
 {
-    return R"({"service":"svc","zone":"z","state":"ready","address":")" + address + R"(","slots":)" + slots + "}";
+    return R"({"service":"svc","zone":"z","state":"ready","version":"v1","seq":1,"coldLeftMs":0,"address":")" + address + R"(","slots":)"
+        + slots + "}";
 }
 
 constexpr std::size_t DeepNesting = 24000; ///< As deep as a row of the store can be nested.
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -230,7 +230,14 @@
                 {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 20000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}}})
               .dump();
     const auto server = [](std::uint16_t port) {
-        return Json({{"service", "svc"}, {"address", "127.0.0.1:" + std::to_string(port)}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}})
+        return Json({{"service", "svc"},
+                     {"address", "127.0.0.1:" + std::to_string(port)},
+                     {"zone", "z"},
+                     {"version", ""},
+                     {"slots", 8},
+                     {"state", "ready"},
+                     {"coldLeftMs", 0},
+                     {"seq", 1}})
             .dump();
     };
     rows.servers = {{"s1", server(first.port())}, {"s2", server(second.port())}};
