--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -41,6 +41,7 @@
     std::uint32_t maxAttempts = 1;    ///< Maximum number of servers that may run one request.
     bool storesConversation = false;  ///< True if a turn sends only its new input and the system adds the earlier turns.
     Duration retention{};             ///< How long a turn and those before it are stored after its end.
+    bool needsKey = true;             ///< True if a request needs a customer's API key, provided that the configuration has customers.
 };
 
 /** One service of the operators' configuration. */
@@ -52,6 +53,24 @@
     std::uint32_t tokensPerEvent = 1;  ///< Generated tokens per event of a stream.
 };
 
+/** Rate limit of a customer, over all proxies together. */
+struct CustomerLimit
+{
+    double perSecond = 0; ///< Requests per second; 0 for no limit.
+    double burst = 0;     ///< Requests beyond the rate that may come at once.
+
+    bool operator==(const CustomerLimit &) const = default;
+};
+
+/** A customer, whose clients identify themselves by its API keys. */
+struct Customer
+{
+    std::string name;              ///< Name, as servers are told it.
+    std::vector<std::string> keys; ///< API keys; secret.
+    std::uint32_t rank = 0;        ///< Urgency; 0 is the most urgent. Precedes the rank of the route.
+    CustomerLimit limit;           ///< Rate limit.
+};
+
 /** Limits on the size and duration of client requests. */
 struct ClientLimits
 {
@@ -68,6 +87,8 @@
     std::vector<Route> routes;               ///< All routes.
     std::map<std::string, Service> services; ///< All services by name.
     ClientLimits limits;                     ///< Limits on clients.
+    std::vector<Customer> customers;         ///< All customers.
+    bool hasCustomers = false;               ///< True if the configuration names customers, even none; requests then need API keys.
 };
 
 /** Version of the software of backend servers. What two versions write in a stream doesn't fit together. */
@@ -132,6 +153,10 @@
     std::string resumedRequest;               ///< Id of the request that brought the first event of the resumed stream; empty if not given.
     std::string previousTurn;                 ///< Request id of the turn that this one continues; empty if none.
     bool isPreviousTurnInvalid = false;       ///< True if the previous turn is named twice or with an invalid name.
+    std::string customerKey;                  ///< API key; empty if none. Secret: never logged.
+    std::string claimedCustomer;              ///< Customer that the client names itself; empty if none. Not to be trusted.
+    std::optional<std::uint32_t> lengthHint;  ///< The client's estimate of the tokens that will be generated.
+    std::string object;                       ///< Key of the object that the request is about; empty if none.
 };
 
 /** Load that a server reported with a response. */
@@ -140,6 +165,7 @@
     std::uint32_t running{}; ///< Running requests.
     std::uint32_t waiting{}; ///< Requests waiting for a slot.
     std::uint32_t slots{};   ///< Requests that can run at once.
+    double slowdown = 1;     ///< How long work takes on the server's VM at that moment, relative to the usual time.
 };
 
 /** Attributes of a server's response, from its headers. */
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -56,6 +56,9 @@
         return;
     }
     m_route = *route;
+    if (!identifyCustomer()) {
+        return;
+    }
     const auto &attributes = m_request.attributes;
     m_service = pickService(m_route, attributes.program.empty() ? attributes.requestId : attributes.program).value_or("");
     const auto &services = m_proxy.routes.config().services;
@@ -85,7 +88,9 @@
     if (isResumed()) {
         m_origin = m_proxy.streamOrigins.find(attributes.resumedRequest);
     }
-    queryStore();
+    if (!refuseOverload()) {
+        requestPermit();
+    }
 }
 
 bool Exchange::isResumed() const
@@ -256,7 +261,7 @@
 void Exchange::selectServer()
 {
     // Earlier attempts, or those at other proxies, may have crashed servers since the request arrived.
-    if (refuseQuarantined()) {
+    if (!confirmCustomer() || refuseQuarantined()) {
         return;
     }
     if (m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin))) {
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -6,6 +6,7 @@
 #include "event_splitter.h"
 #include "server_connection.h"
 
+#include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/forward_outcome_type.h"
 #include "vanillahall/core/retry_policy_func.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -43,6 +44,14 @@
     void onConnectionFailure(const ServerConnectionFailure &failure) override;
 
 private:
+    /** Determines the customer of the request. @return False if the request was refused. */
+    bool identifyCustomer();
+    /** Checks that the customer is still the one that the request was accepted for. @return False if the request was refused. */
+    bool confirmCustomer();
+    /** Refuses the request if the servers can't take more work. @return True if it was refused. */
+    bool refuseOverload();
+    /** Requests a permit of the customer's rate limit; queryStore() follows once it is granted. */
+    void requestPermit();
     [[nodiscard]] bool isTurnNameValid() const;
     void queryStore();
     void findConversation();
@@ -158,6 +167,8 @@
     unsigned m_storeFailures = 0;                      ///< Failed store calls of this request.
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
+    std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
+    std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -10,6 +10,7 @@
 
 #include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/crash_tracker_base.h"
+#include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -120,6 +121,7 @@
     boost::asio::io_context &loop;
     ProxySettings settings;
     RouteTable routes;
+    CustomerDirectory customers;
     ServerRegistry servers;
     TokenLedger ledger;
     TurnCache turns;
