Requests are identified by API keys, and what is stored belongs to customers

Change: platform decodes customers and the two headers; the proxy refuses unknown keys (401, or 503 while the configuration may be outdated), checks the customer again before each send, names it to the server, and prefixes the keys of token rows, turns, crash records and stream origins with a hash of the customer's name.

--- a/packages/core/include/vanillahall/core/conversation_turn_base.h
+++ b/packages/core/include/vanillahall/core/conversation_turn_base.h
@@ -60,6 +60,8 @@
 
     /** @return The program's token row as stored with the previous turn; nothing without a previous turn of the same program. */
     [[nodiscard]] std::optional<TokenRow> knownTokens() const;
+    /** @return Input of this turn. */
+    [[nodiscard]] const std::string &input() const;
     /** @return Body for the server: all earlier inputs and outputs of the conversation, then the input of this turn. */
     [[nodiscard]] std::string body() const;
     /** @return Length of body() in bytes. */
--- a/packages/core/include/vanillahall/core/crash_tracker_base.h
+++ b/packages/core/include/vanillahall/core/crash_tracker_base.h
@@ -50,7 +50,8 @@
  * @param target Path of the request; its query, if any, doesn't count.
  * @return Hash that identifies the content of a request: method, path and body, or the program instead of an empty body.
  */
-std::uint64_t contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body);
+std::uint64_t
+contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body, std::string_view owner = {});
 
 /** Counts broken attempts of this entry and of the other entries. */
 class CrashTracker
--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -17,6 +17,10 @@
     ConversationAway,    ///< The earlier turns can't be read from the store.
     ConversationTooLong, ///< The turn or its conversation is longer than the limits allow.
     FaultyTurnName,      ///< The previous turn is named twice, with an invalid name, or on a route without stored conversations.
+    KeyMoved,            ///< The API key belongs to another customer than when the request was accepted, and the request may have run.
+    KeyUncertain,        ///< The API key is unknown, but the configuration may be outdated.
+    KeyUnconfirmed,      ///< The API key is known, but the configuration hasn't been confirmed for too long.
+    KeyUnknown,          ///< No customer has the API key, or there is none.
     NoConfiguration,     ///< No configuration has been received yet.
     NoOtherServer,       ///< An attempt failed and may be repeated, but no other server can take the request.
     NoRoute,             ///< No route matches.
@@ -25,6 +29,7 @@
     NoService,           ///< The route leads to an unknown service.
     NoSuchTurn,          ///< The previous turn doesn't exist.
     NoStoreForBudget,    ///< Tokens can't be reserved because the store is unavailable.
+    ProgramNameTooLong,  ///< The program's id is too long for a key in the store.
     ServerBrokeOff,      ///< The server ended a stream prematurely.
     ServerFailed,        ///< The server closed the connection early, or its response can't be passed on.
     ServersFull,         ///< All servers refused the request or are full.
@@ -71,6 +76,22 @@
     {Outcome::FaultyTurnName,
      "faulty_turn_name",
      "400, not run: the previous turn is named twice, with an invalid name, or on a route without stored conversations."},
+    {Outcome::KeyMoved,
+     "key_moved",
+     "502, may have run: the operators have moved the API key to another customer between two attempts of the request. See event 1108."},
+    {Outcome::KeyUncertain,
+     "key_uncertain",
+     "503, not run, or 502 after an attempt: the API key is unknown, but a newer configuration may contain it. See events 1501, 1802 and "
+     "1803."},
+    {Outcome::KeyUnconfirmed,
+     "key_unconfirmed",
+     "503, not run, or 502 after an attempt: the configuration hasn't been confirmed for `proxy.revoke_ms`, and `proxy.fail_closed` is "
+     "set. See event 1803."},
+    {Outcome::KeyUnknown,
+     "key_unknown",
+     "401, not run, or 502 after an attempt: no customer has the API key under configuration `config`, or the request has none, or "
+     "several. "
+     "`key` is a hash of it."},
     {Outcome::NoConfiguration,
      "no_configuration",
      "503, not run: this process has just started and hasn't received a configuration from the store."},
@@ -89,6 +110,9 @@
     {Outcome::NoStoreForBudget,
      "no_store_for_budget",
      "503, not run: tokens must be reserved in the store, which is unavailable (event 1501) or didn't reply in time."},
+    {Outcome::ProgramNameTooLong,
+     "program_name_too_long",
+     "400, not run: the program's id is over 183 bytes long, and its key in the store contains the hash of the customer as well."},
     {Outcome::ServerBrokeOff,
      "server_broke_off",
      "The server ended a stream prematurely; the client's connection was closed so that the response is seen to be incomplete. See event "
--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -155,6 +155,8 @@
     bool isPreviousTurnInvalid = false;       ///< True if the previous turn is named twice or with an invalid name.
     std::string customerKey;                  ///< API key; empty if none. Secret: never logged.
     std::string claimedCustomer;              ///< Customer that the client names itself; empty if none. Not to be trusted.
+    std::uint32_t keyHeaders{};               ///< Number of headers with an API key; with more than one, none of them counts.
+    std::string customerHeaders;              ///< Header lines with keys and claimed customers, as received. Secret: never logged.
     std::optional<std::uint32_t> lengthHint;  ///< The client's estimate of the tokens that will be generated.
     std::string object;                       ///< Key of the object that the request is about; empty if none.
 };
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -25,6 +25,7 @@
     TurnKept = 1105,           ///< A write of a turn of a stored conversation to the store has succeeded or failed.
     ConversationRead = 1106,   ///< The look-up of the conversation before a turn has succeeded or failed.
     AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
+    CustomerChanged = 1108,    ///< The API key of a waiting request was moved to another customer, or removed.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
@@ -51,6 +52,7 @@
     LinkLost = 1701,           ///< A connection to a peer was lost.
     ConfigInForce = 1801,      ///< A new version of the configuration is in effect.
     ConfigRefused = 1802,      ///< A change of the configuration was refused.
+    ConfigUncertain = 1803,    ///< Requests are refused because the configuration may not be the newest one.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
 };
 
--- a/packages/core/src/commands/conversation_turn_cmd.cpp
+++ b/packages/core/src/commands/conversation_turn_cmd.cpp
@@ -197,6 +197,11 @@
     return it->second->tokens;
 }
 
+const std::string &ConversationTurn::input() const
+{
+    return m_start.input;
+}
+
 std::string ConversationTurn::body() const
 {
     std::string text;
--- a/packages/core/src/customer/customer_directory.cpp
+++ b/packages/core/src/customer/customer_directory.cpp
@@ -1,5 +1,6 @@
 #include "vanillahall/core/customer/customer_directory_base.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -7,10 +8,28 @@
 
 namespace Vanillahall::Forward {
 
+namespace {
+
+constexpr std::size_t PrefixBytes = 17;                         ///< 16 hexadecimal digits and a dot.
+constexpr std::string_view UnownedPrefix = "0000000000000000."; ///< Prefix of ids without a customer that look like keys of customers.
+
+} // namespace
+
+CustomerDirectory::CustomerDirectory(CustomerSettings settings)
+    : m_settings(settings)
+{
+}
+
 void CustomerDirectory::apply(const Config &config)
 {
+    std::size_t keys = 0;
+    for (const auto &it : config.customers) {
+        keys += it.keys.size();
+    }
     m_customers.clear();
+    m_customers.reserve(config.customers.size());
     m_byKey.clear();
+    m_byKey.reserve(keys);
     m_hasCustomers = config.hasCustomers;
     for (const auto &it : config.customers) {
         for (const auto &key : it.keys) {
@@ -20,20 +39,23 @@
     }
 }
 
-Identification CustomerDirectory::identify(bool needsKey, std::string_view key, bool isCurrent) const
+Identification CustomerDirectory::identify(bool needsKey, std::string_view key, const ConfigStanding &standing) const
 {
     if (!m_hasCustomers) {
         return NoCustomer{};
     }
-    const auto it = key.empty() ? m_byKey.end() : m_byKey.find(std::string(key));
-    if (it != m_byKey.end()) {
+    const auto it = key.empty() ? m_byKey.end() : m_byKey.find(key);
+    const bool isUnconfirmed = m_settings.failsClosed && standing.confirmedAgo > m_settings.revocationTime;
+    if (it != m_byKey.end() && !isUnconfirmed) {
         return m_customers[it->second];
     }
     if (!needsKey) {
         return NoCustomer{};
     }
-    // A request without a key is refused by every configuration with customers.
-    return isCurrent || key.empty() ? Identification(UnknownKey{}) : UncertainKey{};
+    if (it != m_byKey.end()) {
+        return UnconfirmedKey{};
+    }
+    return standing.isCurrent() ? Identification(UnknownKey{}) : UncertainKey{};
 }
 
 bool CustomerDirectory::hasCustomers() const
@@ -51,10 +73,33 @@
     if (customer.empty()) {
         return {};
     }
-    constexpr std::size_t PrefixBytes = 17; // 16 hexadecimal digits and a dot.
     std::array<char, PrefixBytes + 1> buf{};
     std::snprintf(buf.data(), buf.size(), "%016llx.", static_cast<unsigned long long>(XXH3_64bits(customer.data(), customer.size())));
     return buf.data();
 }
 
+std::string_view ownerOf(std::string_view key)
+{
+    const auto prefix = key.substr(0, PrefixBytes);
+    const bool hasPrefix
+        = prefix.size() == PrefixBytes && prefix.back() == '.' && std::all_of(prefix.begin(), prefix.end() - 1, [](char c) {
+              return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+          });
+    return hasPrefix ? prefix : std::string_view();
+}
+
+std::string ownedKey(std::string_view prefix, std::string_view id)
+{
+    if (id.empty()) {
+        return {};
+    }
+    const auto owner = prefix.empty() && !ownerOf(id).empty() ? UnownedPrefix : prefix;
+    return std::string(owner).append(id);
+}
+
+std::string_view idOfKey(std::string_view key)
+{
+    return key.substr(ownerOf(key).size());
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -55,6 +55,7 @@
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.watchWait = settings.proxyWatchWait;
+    proxy.customers = {settings.proxyFailsClosed, settings.proxyRevocationTime};
     proxy.stop = toStopSettings(settings);
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -122,6 +122,12 @@
     return true;
 }
 
+bool setFlag(bool &field, const std::string &value)
+{
+    field = value == "true";
+    return field || value == "false";
+}
+
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value)
 {
     Duration span{};
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -71,6 +71,8 @@
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
     std::optional<Duration> proxyStopLimit;                      ///< proxy.stop_limit_ms
     std::optional<Duration> proxyGracePeriod;                    ///< proxy.grace_s
+    bool proxyFailsClosed = false;                               ///< proxy.fail_closed
+    Duration proxyRevocationTime = std::chrono::seconds(5);      ///< proxy.revoke_ms
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -38,6 +38,7 @@
 bool setEndpoint(Endpoint &field, const std::string &value);
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
+bool setFlag(bool &field, const std::string &value);
 bool setLogLevel(std::string &field, const std::string &value);
 
 #define VH_SETTING(function, field)                                                                                                        \
@@ -254,6 +255,19 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalSeconds, proxyGracePeriod),
      "Time from SIGTERM until the process is killed."},
+    {"proxy",
+     "fail_closed",
+     "true or false",
+     RequiredBy::Nobody,
+     VH_SETTING(setFlag, proxyFailsClosed),
+     "Whether API keys are refused once the configuration hasn't been confirmed for proxy.revoke_ms; without it they stay valid."},
+    {"proxy",
+     "revoke_ms",
+     MillisecondsForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setMilliseconds, proxyRevocationTime),
+     "Time after which API keys are refused unconfirmed, with proxy.fail_closed; without it 5000. Below 2000, a calm store may be too "
+     "slow."},
     {"log",
      "level",
      "info, warning or error",
--- a/packages/proxy/src/conversation.cpp
+++ b/packages/proxy/src/conversation.cpp
@@ -212,8 +212,8 @@
 {
     const auto name = std::visit(ResultName(), result);
     std::ostringstream line;
-    line << "request=" << m_id << " previous=" << m_previous << " outcome=" << name << " reads=" << m_turn.reads()
-         << " bytes=" << m_turn.bodySize() << " ms=" << msSince(m_startedAt);
+    line << "request=" << m_proxy.clientId(m_id) << " previous=" << m_proxy.clientId(m_previous) << " outcome=" << name
+         << " reads=" << m_turn.reads() << " bytes=" << m_turn.bodySize() << " ms=" << msSince(m_startedAt);
     if (!m_lastError.empty()) {
         line << " why=\"" << m_lastError << '"';
     }
@@ -225,8 +225,9 @@
 void Conversation::logStored(bool isStored)
 {
     std::ostringstream line;
-    line << "request=" << m_id << " previous=" << m_previous << " outcome=" << (isStored ? "kept" : "not_kept") << " writes=" << m_writes
-         << " rows=" << m_rowCount << " ms=" << msSince(m_startedAt);
+    line << "request=" << m_proxy.clientId(m_id) << " previous=" << m_proxy.clientId(m_previous)
+         << " outcome=" << (isStored ? "kept" : "not_kept") << " writes=" << m_writes << " rows=" << m_rowCount
+         << " ms=" << msSince(m_startedAt);
     if (!m_lastError.empty()) {
         line << " why=\"" << m_lastError << '"';
     }
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -77,20 +77,7 @@
         answerNotRun(Outcome::Stopping);
         return;
     }
-    if (!isTurnNameValid()) {
-        answer(StatusBadRequest, std::nullopt, Outcome::FaultyTurnName);
-        return;
-    }
-    m_contentHash = contentHash(m_request.method, target, attributes.program, m_request.body);
-    if (refuseQuarantined()) {
-        return;
-    }
-    if (isResumed()) {
-        m_origin = m_proxy.streamOrigins.find(attributes.resumedRequest);
-    }
-    if (!refuseOverload()) {
-        requestPermit();
-    }
+    startForCustomer();
 }
 
 bool Exchange::isResumed() const
@@ -114,7 +101,7 @@
     if (!isResumed() || m_origin) {
         return true;
     }
-    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_request.attributes.program, m_request.arrived) : TokenRow();
+    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived) : TokenRow();
     if (!row) {
         return true;
     }
@@ -131,12 +118,12 @@
     if (!isVersionInRow() || m_origin || isResumed()) {
         return m_origin;
     }
-    const auto &program = m_request.attributes.program;
-    if (m_newVersion || !m_proxy.ledger.row(program).streamVersions.empty()) {
+    if (m_newVersion || !m_proxy.ledger.row(m_programKey).streamVersions.empty()) {
         return m_newVersion;
     }
     // The first write of the row names the version of the server that would be chosen now.
-    const ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
+    const ChoiceRequest wanted{
+        m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_programKey)};
     const auto choice = m_proxy.servers.choose(wanted, now());
     return choice ? std::optional(choice->server.software()) : std::nullopt;
 }
@@ -181,8 +168,7 @@
     // Another proxy may have named a version since this one last saw the row.
     const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
     const auto result = m_proxy.ledger.reserve(
-        {attributes.program, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived},
-        now());
+        {m_programKey, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived}, now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
         m_grantedTokens = maxTokens;
@@ -202,19 +188,19 @@
     const auto *returns = std::get_if<TokenNeedsReturns>(&result);
     const bool needsRead = std::holds_alternative<TokenNeedsRead>(result);
     if (m_proxy.isStoreReachable()) {
-        m_proxy.addTokenWaiter(attributes.program, shared_from_this());
+        m_proxy.addTokenWaiter(m_programKey, shared_from_this());
         setStoreTimer(storeWaitLeft());
         if (needed != nullptr) {
             m_proxy.writeTokens(needed->write);
         } else if (returns != nullptr) {
-            m_proxy.requestReturns(attributes.program, returns->holders);
+            m_proxy.requestReturns(m_programKey, returns->holders);
         } else if (needsRead) {
-            m_proxy.readTokens(attributes.program);
+            m_proxy.readTokens(m_programKey);
         }
         return;
     }
     if (needed != nullptr || returns != nullptr || needsRead) {
-        m_proxy.ledger.onWriteFailed(attributes.program);
+        m_proxy.ledger.onWriteFailed(m_programKey);
     }
     waitForStore();
 }
@@ -274,11 +260,11 @@
         return;
     }
     const auto software = choice->server.software();
-    const auto named = m_proxy.ledger.row(m_request.attributes.program).streamVersions;
+    const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
     if (isVersionInRow() && !m_origin && std::find(named.begin(), named.end(), software) == named.end()) {
         // The row names the version before the stream begins. The tokens are reserved anew together with it.
         m_newVersion = software;
-        m_proxy.ledger.settle(m_request.attributes.program, std::exchange(m_grantedTokens, 0), 0, now());
+        m_proxy.ledger.settle(m_programKey, std::exchange(m_grantedTokens, 0), 0, now());
         requestTokens();
         return;
     }
@@ -287,8 +273,7 @@
 
 std::optional<Choice> Exchange::chooseServer()
 {
-    const auto &program = m_request.attributes.program;
-    ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
+    ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_programKey)};
     if (m_origin) {
         const std::vector<SoftwareVersion> origin{*m_origin};
         wanted.software = &origin;
@@ -297,7 +282,7 @@
     if (!isVersionInRow()) {
         return m_proxy.servers.choose(wanted, now());
     }
-    const auto named = m_proxy.ledger.row(program).streamVersions;
+    const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
     wanted.software = &named;
     auto choice = m_proxy.servers.choose(wanted, now());
     if (choice || m_mayHaveRun != 0) {
@@ -342,7 +327,7 @@
 std::string Exchange::requestText(const Server &server) const
 {
     std::string text = m_request.method + " " + m_request.target + " HTTP/1.1\r\n" + m_request.headers;
-    Platform::ServerRequestHeaders order{timeLeft(), server.id, std::nullopt};
+    Platform::ServerRequestHeaders order{timeLeft(), server.id, std::nullopt, {}, {}};
     if (m_request.attributes.promptTokens != 0) {
         auto programTimeLeft = m_request.attributes.programTimeLeft;
         if (programTimeLeft) {
@@ -350,6 +335,11 @@
         }
         order.priority = enginePriority(programTimeLeft);
     }
+    if (m_customer) {
+        order.customer = m_customer->name;
+    } else if (!m_proxy.customers.hasCustomers()) {
+        order.customerHeaders = m_request.attributes.customerHeaders;
+    }
     Platform::appendServerRequestHeaders(text, order);
     if (m_lastEvent && m_hasBegunAnswer) {
         text += Platform::resumeHeader(*m_lastEvent);
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -42,12 +42,27 @@
     BodyAction onResponseBody(std::string_view piece) override;
     void onResponseComplete() override;
     void onConnectionFailure(const ServerConnectionFailure &failure) override;
+    bool onConnected() override;
 
 private:
     /** Determines the customer of the request. @return False if the request was refused. */
     bool identifyCustomer();
     /** Checks that the customer is still the one that the request was accepted for. @return False if the request was refused. */
     bool confirmCustomer();
+    /** @return Customer of the request under the configuration in force. */
+    [[nodiscard]] Identification currentCustomer() const;
+    /** Refuses a request whose key doesn't identify a customer. */
+    void refuseKey(const Identification &found);
+    /** Makes the request one of this customer, or of none. */
+    void setCustomer(std::optional<CustomerIdentity> customer);
+    /** Gives back what the request holds for its customer, and starts it again for another one. */
+    void changeCustomer(std::optional<CustomerIdentity> customer);
+    /** Starts the steps that depend on the customer. */
+    void startForCustomer();
+    /** @return Key under which something with this id is stored for the request's customer. */
+    [[nodiscard]] std::string keyOf(const std::string &id) const;
+    /** @return Fields about the customer for a log line; they show neither names nor keys. */
+    [[nodiscard]] std::string customerFields() const;
     /** Refuses the request if the servers can't take more work. @return True if it was refused. */
     bool refuseOverload();
     /** Requests a permit of the customer's rate limit; queryStore() follows once it is granted. */
@@ -168,6 +183,7 @@
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
+    std::string m_programKey;                          ///< Key of the program's token row; empty without a program.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
 
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -191,7 +191,8 @@
     if (!m_origin) {
         m_origin = m_choice.server.software();
     }
-    m_proxy.streamOrigins.record(attributes.resumedRequest.empty() ? attributes.requestId : attributes.resumedRequest, *m_origin, now());
+    const auto &id = attributes.resumedRequest.empty() ? attributes.requestId : attributes.resumedRequest;
+    m_proxy.streamOrigins.record(keyOf(id), *m_origin, now());
 }
 
 void Exchange::beginAnswer()
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -191,7 +191,7 @@
 void Exchange::settleTokens()
 {
     if (m_grantedTokens != 0) {
-        m_proxy.ledger.settle(m_request.attributes.program, m_grantedTokens, m_forwardedEvents * m_tokensPerEvent, now());
+        m_proxy.ledger.settle(m_programKey, m_grantedTokens, m_forwardedEvents * m_tokensPerEvent, now());
         m_grantedTokens = 0;
     }
 }
@@ -219,13 +219,14 @@
          << " placed_ms=" << (m_serverChosenAt ? ms(*m_serverChosenAt - m_request.arrived) : -1)
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
          << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
-         << " home_zone=" << m_proxy.ledger.homeZone(attributes.program) << " events=" << m_forwardedEvents
+         << " home_zone=" << m_proxy.ledger.homeZone(m_programKey) << " events=" << m_forwardedEvents
          << " unread=" << m_choice.uncachedTokens << " version=" << m_choice.server.softwareVersion
          << " last_event=" << (attributes.lastEventId ? std::to_string(*attributes.lastEventId) : "")
          << " resumes=" << attributes.resumedRequest << " previous=" << attributes.previousTurn
          << " conversation=" << (m_conversation ? m_conversation->turn().bodySize() : 0) << " prompt=" << attributes.promptTokens
          << " budget=" << attributes.tokenBudget.value_or(0) << " most=" << attributes.maxGenerated
          << " program_left_ms=" << (attributes.programTimeLeft ? ms(*attributes.programTimeLeft) : -1);
+    line << customerFields();
     if (const auto left = m_proxy.plannedStop.timeLeft(ended)) {
         line << " stop_left_ms=" << ms(*left);
     }
--- a/packages/proxy/src/exchange_turn.cpp
+++ b/packages/proxy/src/exchange_turn.cpp
@@ -14,7 +14,9 @@
     if (!m_route.storesConversation) {
         return attributes.previousTurn.empty() && !attributes.isPreviousTurnInvalid;
     }
-    return !attributes.isPreviousTurnInvalid && Platform::isTurnId(attributes.requestId);
+    const bool isPreviousValid = attributes.previousTurn.empty() || Platform::isTurnKey(keyOf(attributes.previousTurn));
+    return !attributes.isPreviousTurnInvalid && isPreviousValid && Platform::isTurnId(attributes.requestId)
+        && Platform::isTurnKey(keyOf(attributes.requestId));
 }
 
 void Exchange::findConversation()
@@ -28,7 +30,7 @@
     const auto &attributes = m_request.attributes;
     m_conversation = std::make_shared<Conversation>(
         m_proxy,
-        TurnStart{attributes.requestId, attributes.previousTurn, std::move(m_request.body), m_route.retention, attributes.program});
+        TurnStart{keyOf(attributes.requestId), keyOf(attributes.previousTurn), std::move(m_request.body), m_route.retention, m_programKey});
     m_conversation->find(std::min(StoreTimeout, std::max(Duration::zero(), storeWaitLeft())),
                          [weak = weak_from_this()](const TurnStep &result) {
                              if (const auto self = weak.lock()) {
@@ -60,7 +62,7 @@
         return;
     }
     if (const auto tokens = m_conversation->turn().knownTokens()) {
-        m_proxy.ledger.mergeRow(m_request.attributes.program, *tokens, now());
+        m_proxy.ledger.mergeRow(m_programKey, *tokens, now());
     }
     m_conversationBytes = bytes;
     m_hasConversation = true;
--- a/packages/proxy/src/http_status.h
+++ b/packages/proxy/src/http_status.h
@@ -7,6 +7,7 @@
 inline constexpr unsigned StatusNoContent = 204;       ///< Success without a body.
 inline constexpr unsigned StatusSuccessEnd = 300;      ///< End (exclusive) of the success statuses, which start at 200.
 inline constexpr unsigned StatusBadRequest = 400;      ///< The request is malformed or ambiguous.
+inline constexpr unsigned StatusUnauthorized = 401;    ///< The request has no valid API key; it didn't run.
 inline constexpr unsigned StatusPaymentRequired = 402; ///< The token budget of the program is exhausted.
 inline constexpr unsigned StatusNotFound = 404;        ///< No route matches.
 inline constexpr unsigned StatusRequestTimeout = 408;  ///< The request wasn't received in time; it didn't run.
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -82,6 +82,7 @@
         if (hasChanged) {
             applyConfig(table);
         }
+        onConfigConfirmed();
     };
     const auto onServers = [this](const TableReplica &table, bool hasChanged) {
         if (hasChanged) {
@@ -89,8 +90,9 @@
         }
         onServerListCurrent();
     };
-    m_configWatcher = std::make_shared<TableWatcher>(*this, TableCalls{readConfig, Platform::watchConfigCall}, onConfig);
-    m_serverWatcher = std::make_shared<TableWatcher>(*this, TableCalls{Platform::readServersCall, Platform::watchServersCall}, onServers);
+    m_configWatcher = std::make_shared<TableWatcher>(*this, TableCalls{readConfig, Platform::watchConfigCall, MaxConfigAge / 2}, onConfig);
+    m_serverWatcher = std::make_shared<TableWatcher>(
+        *this, TableCalls{Platform::readServersCall, Platform::watchServersCall, Duration::max()}, onServers);
     m_configWatcher->start();
     m_serverWatcher->start();
 }
@@ -112,27 +114,6 @@
     });
 }
 
-void ProxyState::applyConfig(const TableReplica &table)
-{
-    for (const auto &[key, row] : table.rows()) {
-        if (!Platform::isConfigRow(row)) {
-            continue;
-        }
-        Error ec;
-        auto config = Platform::decodeConfig(row.value, ec);
-        if (!config) {
-            reportInvalidRow(ec, row.version);
-            continue;
-        }
-        const auto version = config->version;
-        if (routes.apply(std::move(*config))) {
-            log(LogLevel::Info,
-                EventNumber::ConfigInForce,
-                "config=" + std::to_string(version) + " routes=" + std::to_string(routes.config().routes.size()));
-        }
-    }
-}
-
 void ProxyState::applyServerRows(const TableReplica &table)
 {
     m_serverList.clear();
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -81,7 +81,7 @@
     const bool haveAllReplied = round->replied == round->holders;
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + round->program + " holders=" + std::to_string(round->holders) + " replied=" + std::to_string(round->replied)
+        "program=" + clientId(round->program) + " holders=" + std::to_string(round->holders) + " replied=" + std::to_string(round->replied)
             + " gave_back=" + std::to_string(round->returned) + " outcome=asked");
     metrics.count("vanillahall_token_return_rounds_total", {"outcome", haveAllReplied ? "replied" : "incomplete"});
     ledger.onReturnsRequested(round->program, haveAllReplied, round->returned != 0);
@@ -177,7 +177,7 @@
     ledger.onRowRead(program, row, now());
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + program + " reserved=" + std::to_string(row ? row->reserved : 0)
+        "program=" + clientId(program) + " reserved=" + std::to_string(row ? row->reserved : 0)
             + " returned=" + std::to_string(row ? row->returned : 0) + " expected_version=" + std::to_string(row ? row->version : 0)
             + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
     // Waiting requests continue at once even if the read failed; they try a write then.
@@ -214,9 +214,9 @@
     metrics.count("vanillahall_token_writes_total", {"outcome", name});
     log(LogLevel::Info,
         EventNumber::TokensReserved,
-        "program=" + write.program + " reserved=" + std::to_string(write.row.reserved) + " returned=" + std::to_string(write.row.returned)
-            + " expected_version=" + std::to_string(write.row.version) + " outcome=" + name
-            + (outcome == TokenOutcome::Failed ? " why=\"" + why + '"' : ""));
+        "program=" + clientId(write.program) + " reserved=" + std::to_string(write.row.reserved)
+            + " returned=" + std::to_string(write.row.returned) + " expected_version=" + std::to_string(write.row.version)
+            + " outcome=" + name + (outcome == TokenOutcome::Failed ? " why=\"" + why + '"' : ""));
 }
 
 void ProxyState::removeExpiredRows()
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -34,6 +34,7 @@
 ProxyState::ProxyState(boost::asio::io_context &ioLoop, ProxySettings proxySettings, ProxyLog log)
     : loop(ioLoop)
     , settings(std::move(proxySettings))
+    , customers(settings.customers)
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
     , turns(settings.maxTurnBytes)
@@ -280,6 +281,8 @@
     metrics.gauge("vanillahall_servers_leaving", static_cast<double>(servers.leavingCount()));
     metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
+    metrics.gauge("vanillahall_customer_keys", static_cast<double>(customers.keyCount()));
+    metrics.gauge("vanillahall_config_age_seconds", std::chrono::duration<double>(configStanding().confirmedAgo).count());
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
     metrics.gauge("vanillahall_turn_cache_bytes", static_cast<double>(turns.bytes()));
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -91,6 +91,12 @@
     /** Removes the exchange of a session after its end. */
     void removeExchange(const ClientSession &session);
     void log(LogLevel level, EventNumber event, const std::string &fields);
+    /** Logs once per incident that requests are refused because the configuration may not be the newest one. */
+    void logUncertainConfig();
+    /** @return Id as the client sent it, from the key under which something of it is stored. */
+    [[nodiscard]] std::string clientId(const std::string &key) const;
+    /** @return How well the configuration is known to be the newest one. */
+    [[nodiscard]] ConfigStanding configStanding() const;
 
     // For users of the store.
 
@@ -150,6 +156,8 @@
     void readPage(const std::shared_ptr<PagedRead> &pagedRead, const std::string &after);
     void onPageRead(const std::shared_ptr<PagedRead> &pagedRead, const std::optional<StoreReply> &reply, const Error &reason);
     void applyConfig(const TableReplica &table);
+    /** Called whenever the configuration table is known to be up to date. */
+    void onConfigConfirmed();
     void applyServerRows(const TableReplica &table);
     void applyMembers(const std::optional<Platform::StoreRows> &rows);
     void readCrashes();
@@ -256,6 +264,10 @@
     std::optional<TimePoint> m_serversReadAt;            ///< When the server list was last known to be up to date.
     std::optional<TimePoint> m_serversFirstReadAt;       ///< When the server list was first read.
     std::optional<TimePoint> m_storeAnsweredAt;          ///< When the store last answered.
+    std::optional<TimePoint> m_configConfirmedAt;        ///< When the configuration table was last known to be up to date.
+    std::uint64_t m_readConfigRow = 0;                   ///< Version of the configuration row that was read last.
+    bool m_hasUnreadableConfig = false;                  ///< True if that row was refused.
+    bool m_isConfigUncertain = false;                    ///< True once event 1803 is logged, until the configuration is confirmed.
     TimePoint m_storeFailedAt{};                         ///< When a store call last failed.
     TimePoint m_nextCleanAt{};                           ///< When expired rows are removed next.
     TimePoint m_nextHeartbeatAt{};                       ///< When the next heartbeat is sent.
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -124,11 +124,13 @@
         const auto name = toStringView(it.name_string());
         const auto value = toStringView(it.value());
         Platform::readRequestHeader(m_request.attributes, name, value);
-        if (Platform::requestHeaderPolicy(name) != Platform::HeaderPolicy::Forward
-            || (!connection.empty() && containsToken(connection, name) && !Platform::isRequestId(name))) {
+        const auto policy = Platform::requestHeaderPolicy(name);
+        const bool isForwarded = policy == Platform::HeaderPolicy::Forward || policy == Platform::HeaderPolicy::Customer;
+        if (!isForwarded || (!connection.empty() && containsToken(connection, name) && !Platform::isRequestId(name))) {
             continue;
         }
-        m_request.headers.append(name).append(": ").append(value).append("\r\n");
+        auto &lines = policy == Platform::HeaderPolicy::Customer ? m_request.attributes.customerHeaders : m_request.headers;
+        lines.append(name).append(": ").append(value).append("\r\n");
     }
     if (!Platform::isStoreKey(m_request.attributes.program)) {
         refuse(StatusBadRequest, "program id isn't valid text or is too long");
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -110,6 +110,11 @@
             std::exchange(self->m_openedHandler, nullptr)(ConnectResult::Connected);
             return;
         }
+        if (!self->m_listener->onConnected()) {
+            self->read();
+            self->release(true);
+            return;
+        }
         self->write();
         self->read();
     });
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -52,6 +52,8 @@
 {
 public:
     virtual ~ServerConnectionListener() = default;
+    /** Called when a new connection is open, before the request is written. @return False to write nothing; no other call follows then. */
+    virtual bool onConnected() = 0;
     /** Called with the head of the response. @return False to close the connection; onConnectionFailure() follows. */
     virtual bool onResponseHead(const ResponseHead &head) = 0;
     /** Called with each piece of the body. */
--- a/packages/proxy/src/table_watcher.cpp
+++ b/packages/proxy/src/table_watcher.cpp
@@ -76,7 +76,7 @@
 
 void TableWatcher::watchChanges()
 {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_proxy.settings.watchWait);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(std::min(m_proxy.settings.watchWait, m_calls.maxWait));
     m_proxy.store.watch(m_calls.watch(m_replica.version(), wait), wait, [weak = weak_from_this()](const auto &reply, const Error &reason) {
         const auto self = weak.lock();
         if (self && !self->m_isStopped) {
--- a/packages/proxy/src/table_watcher.h
+++ b/packages/proxy/src/table_watcher.h
@@ -23,7 +23,8 @@
 {
     std::function<Platform::StoreRequest(const std::string &after)> readAll; ///< Call that reads the rows after a key.
     std::function<Platform::StoreRequest(std::uint64_t version, std::chrono::milliseconds wait)>
-        watch; ///< Long-polling call for the changes since a version.
+        watch;                          ///< Long-polling call for the changes since a version.
+    Duration maxWait = Duration::max(); ///< Longest time for which the store may hold a watch call open, if less than the setting.
 };
 
 /** Watches one table. */
