--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -30,6 +30,7 @@
     {EventNumber::TurnKept, "turn_kept"},
     {EventNumber::ConversationRead, "conversation_read"},
     {EventNumber::AttemptAbandoned, "attempt_abandoned"},
+    {EventNumber::CustomerChanged, "customer_changed"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
@@ -56,6 +57,7 @@
     {EventNumber::LinkLost, "link_lost"},
     {EventNumber::ConfigInForce, "config_in_force"},
     {EventNumber::ConfigRefused, "config_refused"},
+    {EventNumber::ConfigUncertain, "config_uncertain"},
     {EventNumber::ContentQuarantined, "content_quarantined"},
 });
 
