--- a/packages/core/src/customer/customer_directory.cpp
+++ b/packages/core/src/customer/customer_directory.cpp
@@ -46,15 +46,13 @@
     }
     const auto it = key.empty() ? m_byKey.end() : m_byKey.find(key);
     const bool isUnconfirmed = m_settings.failsClosed && standing.confirmedAgo > m_settings.revocationTime;
-    if (it != m_byKey.end() && !isUnconfirmed) {
-        return m_customers[it->second];
+    if (it != m_byKey.end()) {
+        // Also on a public route: without its customer the request would be told that its turns don't exist.
+        return isUnconfirmed ? Identification(UnconfirmedKey{}) : m_customers[it->second];
     }
     if (!needsKey) {
         return NoCustomer{};
     }
-    if (it != m_byKey.end()) {
-        return UnconfirmedKey{};
-    }
     return standing.isCurrent() ? Identification(UnknownKey{}) : UncertainKey{};
 }
 
