--- a/packages/proxy/src/table_watcher.cpp
+++ b/packages/proxy/src/table_watcher.cpp
@@ -18,6 +18,21 @@
 constexpr Duration BaseCheckInterval = std::chrono::seconds(3); ///< Interval between full reads of an empty table.
 constexpr Duration CheckIntervalPerRow = std::chrono::milliseconds(
     50); ///< Added to BaseCheckInterval for each row: 20 rows/s are a few KB/s, within the 6 KB/s that a node has for control traffic.
+constexpr std::size_t CheckBytesPerSecond = 6 * 1024; ///< Same limit, for tables with few long rows.
+constexpr Duration MaxByteCheckInterval = std::chrono::seconds(
+    30); ///< Changes that the store doesn't report are noticed by the check only, so that it can't be put off further.
+
+/** @return Interval until a table is read whole again as a check. */
+Duration checkInterval(const Platform::StoreRows &table)
+{
+    std::size_t bytes = 0;
+    for (const auto &it : table.rows) {
+        bytes += it.value.size();
+    }
+    const Duration byRows = BaseCheckInterval + CheckIntervalPerRow * static_cast<std::int64_t>(table.rows.size());
+    const Duration byBytes = std::chrono::seconds(bytes / CheckBytesPerSecond);
+    return std::max(byRows, std::min(byBytes, MaxByteCheckInterval));
+}
 
 } // namespace
 
@@ -68,7 +83,7 @@
                                                 : std::min(m_proxy.settings.pollInterval, UnavailablePollInterval));
         return;
     }
-    m_checkAt = now() + BaseCheckInterval + CheckIntervalPerRow * static_cast<std::int64_t>(rows->rows.size());
+    m_checkAt = now() + checkInterval(*rows);
     m_updateHandler(m_replica, true);
     scheduleStep(m_proxy.store.isDirectRouteDown() ? m_proxy.settings.pollInterval
                                                    : std::min(m_proxy.settings.pollInterval, ChangeInterval));
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -3,10 +3,12 @@
 #include "link_codec.h"
 
 #include "vanillahall/adapters/row_codec_func.h"
+#include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/program_registry_base.h"
 #include "vanillahall/core/server_registry_base.h"
 #include "vanillahall/core/store_budget_base.h"
 #include "vanillahall/core/worker_registry_base.h"
+#include "vanillahall/platform/wire_store_func.h"
 
 #include <algorithm>
 #include <chrono>
@@ -27,6 +29,9 @@
 constexpr std::uint32_t TurnsPerProgram = 20;
 constexpr int CallsPerMeasurement = 2000;      ///< Calls per measurement.
 constexpr int ListUpdatesPerMeasurement = 100; ///< Updates of the server list per measurement.
+constexpr std::size_t Customers = 1700;        ///< Customers at the design size.
+constexpr std::size_t ApiKeys = 5000;          ///< Their API keys together.
+constexpr std::size_t ApiKeyBytes = 40;        ///< Length of an API key.
 
 /** Cost measured at one size. */
 struct Sample
@@ -311,6 +316,54 @@
     print("encode_segment_of_1_turn", time / CallsPerMeasurement, "us");
 }
 
+/** @return Configuration of the design size, as stored. */
+std::string customersText()
+{
+    std::string text = R"({"version":1,"routes":[],"services":[],"tenants":[)";
+    std::size_t key = 0;
+    for (std::size_t n = 0; n < Customers; n++) {
+        text += (n == 0 ? "" : ",") + std::string(R"({"name":"customer-)") + std::to_string(n)
+            + R"(","priority":1,"ratePerS":5,"burst":10,"apiKeys":[)";
+        for (bool isFirst = true; key < ApiKeys * (n + 1) / Customers; key++, isFirst = false) {
+            text += (isFirst ? "\"" : ",\"") + std::to_string(key) + std::string(ApiKeyBytes - std::to_string(key).size(), 'k') + '"';
+        }
+        text += "]}";
+    }
+    return text + "]}";
+}
+
+void measureCustomers()
+{
+    const auto text = customersText();
+    print("configuration_of_1700_customers", static_cast<double>(text.size()), "bytes");
+    std::optional<Forward::Config> config;
+    Error reason;
+    const double before = allocatedBytes();
+    print("configuration_of_1700_customers_decoded_in",
+          microseconds([&] {
+              config = Platform::decodeConfig(text, reason);
+          }),
+          "us");
+    const double decoded = allocatedBytes();
+    Forward::CustomerDirectory directory;
+    print("configuration_of_1700_customers_applied_in",
+          microseconds([&] {
+              directory.apply(*config);
+          }),
+          "us");
+    print("memory_of_1700_customers_in_the_configuration", decoded - before, "bytes");
+    print("memory_of_1700_customers_in_the_directory", allocatedBytes() - decoded, "bytes");
+    std::size_t found = 0;
+    const double lookups = microseconds([&] {
+        for (const auto &it : config->customers) {
+            for (const auto &key : it.keys) {
+                found += std::holds_alternative<Forward::CustomerIdentity>(directory.identify(true, key, {})) ? 1 : 0;
+            }
+        }
+    });
+    print("lookup_among_" + std::to_string(found) + "_api_keys", lookups / static_cast<double>(found), "us");
+}
+
 void measureBudget()
 {
     for (const std::uint32_t entries : {2, 42, 420}) {
@@ -337,5 +390,6 @@
     Vanillahall::measureMessages();
     Vanillahall::measureRows();
     Vanillahall::measureBudget();
+    Vanillahall::measureCustomers();
     return 0;
 }
