More tests of customers; fail_closed is also read with a capital letter

Cause: a broken attempt on a route that needs a key, a refused version and the settings had no test; a template may write True.

--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -124,8 +124,9 @@
 
 bool setFlag(bool &field, const std::string &value)
 {
-    field = value == "true";
-    return field || value == "false";
+    // Templates may write Booleans with a capital letter.
+    field = value == "true" || value == "True";
+    return field || value == "false" || value == "False";
 }
 
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value)
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -82,6 +82,19 @@
                              return it.param.name;
                          });
 
+TEST(SettingsTest, ValidityOfApiKeysIsRead)
+{
+    std::vector<SettingsError> errors;
+    const Settings settings = read(ValidEntry, errors, {"proxy.fail_closed=True", "proxy.revoke_ms=700"});
+    EXPECT_TRUE(errors.empty());
+    EXPECT_TRUE(settings.proxyFailsClosed);
+    EXPECT_EQ(settings.proxyRevocationTime, std::chrono::milliseconds(700));
+    EXPECT_FALSE(read(ValidEntry, errors, {"proxy.fail_closed=false"}).proxyFailsClosed);
+    EXPECT_TRUE(errors.empty());
+    read(ValidEntry, errors, {"proxy.fail_closed=yes", "proxy.revoke_ms=0"});
+    EXPECT_EQ(errors.size(), 2U);
+}
+
 TEST(SettingsTest, OverrideWinsOverFile)
 {
     std::vector<SettingsError> errors;
--- a/tests/proxy/proxy_customer_test.cpp
+++ b/tests/proxy/proxy_customer_test.cpp
@@ -205,7 +205,8 @@
                          ::testing::Values(WaitCase{"kept", "/once/1", "a", false, 200, "answered"},
                                            WaitCase{"removed", "/once/1", "", false, 401, "key_unknown"},
                                            WaitCase{"moved", "/once/1", "b", false, 200, "answered"},
-                                           WaitCase{"removedAfterAnAttempt", "/call/1", "", true, 502, "key_moved"},
+                                           WaitCase{"removedAfterAnAttempt", "/resumed/1", "", true, 502, "key_unknown"},
+                                           WaitCase{"removedOnPublicRoute", "/call/1", "", true, 502, "key_moved"},
                                            WaitCase{"movedAfterAnAttempt", "/call/1", "b", true, 502, "key_moved"}),
                          [](const auto &it) {
                              return it.param.name;
@@ -245,6 +246,22 @@
     EXPECT_EQ(statusOf(it.ask("/stream/1", "r3", "secret-a", "Program-Id: " + std::string(184, 'p') + "\r\n")), 400U);
 }
 
+// A version with a mistake in it made every key that it adds unknown for good.
+TEST(ProxyCustomer, ANewerVersionThatIsRefusedLeavesUnknownKeysUncertain)
+{
+    CustomerWorld it;
+    ASSERT_TRUE(it.world.start());
+    it.setCustomers({{"a", "secret-c"}, {"a", "secret-a"}});
+    ASSERT_TRUE(it.world.run([&] {
+        return it.world.hasLine("1802 ");
+    }));
+    EXPECT_EQ(statusOf(it.ask("/once/1", "r1", "secret-c")), 503U);
+    EXPECT_EQ(statusOf(it.ask("/once/1", "r2", "secret-a")), 200U);
+    ASSERT_TRUE(it.applyCustomers({{"c", "secret-c"}}));
+    EXPECT_EQ(statusOf(it.ask("/once/1", "r3", "secret-c")), 200U);
+    EXPECT_EQ(statusOf(it.ask("/once/1", "r4", "secret-a")), 401U);
+}
+
 TEST(ProxyCustomer, WhileTheStoreIsSilentOnlyKnownKeysAreCertain)
 {
     for (const bool failsClosed : {false, true}) {
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -162,6 +162,8 @@
     ("one of two keys counts", PROXY + "exchange_customer.cpp", "attributes.keyHeaders == 1 ?", "attributes.keyHeaders != 0 ?", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
     ("keys are not checked again", PROXY + "exchange.cpp", "if (!confirmCustomer() || refuseQuarantined())", "if (refuseQuarantined())", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
     ("a moved request that may have run starts again", PROXY + "exchange_customer.cpp", "    if (m_mayHaveRun != 0) {\n        answer(StatusBadGateway, std::nullopt, Outcome::KeyMoved);", "    if (false) {\n        answer(StatusBadGateway, std::nullopt, Outcome::KeyMoved);", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
+    ("a request that may have run is refused as not run", PROXY + "exchange_customer.cpp", "    if (m_mayHaveRun != 0) {\n        answer(StatusBadGateway, std::nullopt, refusal->outcome);", "    if (false) {\n        answer(StatusBadGateway, std::nullopt, refusal->outcome);", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
+    ("a refused version counts as current", PROXY + "proxy_config.cpp", "m_hasUnreadableConfig = !config;", "", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
     ("customers share rows", PROXY + "exchange_customer.cpp", "hasCustomers() ? ownedKey(m_ownerPrefix, id) : id", "hasCustomers() ? id : id", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
     ("keys are forwarded", PROXY + "exchange.cpp", "} else if (!m_proxy.customers.hasCustomers()) {", "} else {", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
 ]
