--- a/tests/proxy/proxy_customer_test.cpp
+++ b/tests/proxy/proxy_customer_test.cpp
@@ -217,7 +217,10 @@
 {
     CustomerWorld it;
     ASSERT_TRUE(it.world.start());
-    EXPECT_EQ(statusOf(it.ask("/kept/1", "t1", "secret-a")), 200U);
+    // A long turn becomes a base of the next one, named in its row.
+    const std::string large(15000, 'x');
+    const auto first = ProxyWorld::request("POST", "/kept/1", "t1", "Credential: secret-a\r\n", large);
+    EXPECT_EQ(statusOf(it.world.ask(first)), 200U);
     const auto rows = it.world.rows.turns;
     EXPECT_EQ(statusOf(it.ask("/kept/1", "t2", "secret-b", "Previous-Turn: t1\r\n")), 404U);
     // The id of another customer's turn, used for a turn of one's own.
@@ -232,6 +235,7 @@
     ASSERT_TRUE(other);
     const auto next = ProxyWorld::request("POST", "/kept/1", "t4", "Credential: secret-a\r\nPrevious-Turn: t3\r\n", "body");
     EXPECT_EQ(statusOf(it.world.ask(*other, next)), 200U);
+    EXPECT_TRUE(it.world.hasLine("other 1106 request=t4 previous=t3 outcome=found reads=2"));
 }
 
 TEST(ProxyCustomer, TheSameProgramOfTwoCustomersHasTwoBudgets)
