--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -122,6 +122,13 @@
     return true;
 }
 
+bool setFlag(bool &field, const std::string &value)
+{
+    // Templates may write Booleans with a capital letter.
+    field = value == "true" || value == "True";
+    return field || value == "false" || value == "False";
+}
+
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value)
 {
     Duration span{};
