Rate limits of customers across all proxies

Cause: a customer's clients are connected to few proxies, and no proxy knows what the others send for the customer.

Change: QuotaLedger withdraws permits from a pool in the customer's row in the store and leases shares of its rate; both expire by the proxy's own clock. Exchange::requestPermit() waits for a permit, answers 429 with a spread retry delay, or 503 if the store doesn't answer within a quarter of the objective. Settings proxy.quota_window_s, proxy.quota_overrun and proxy.quota_slack.

Nothing fills in the customer of a request yet, so the glue in packages/proxy isn't covered by a test.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -25,6 +25,8 @@
     NoService,           ///< The route leads to an unknown service.
     NoSuchTurn,          ///< The previous turn doesn't exist.
     NoStoreForBudget,    ///< Tokens can't be reserved because the store is unavailable.
+    QuotaSpent,          ///< The customer is over its rate limit.
+    QuotaUncertain,      ///< It isn't known whether the customer is over its rate limit, since the store is unavailable.
     ServerBrokeOff,      ///< The server ended a stream prematurely.
     ServerFailed,        ///< The server closed the connection early, or its response can't be passed on.
     ServersFull,         ///< All servers refused the request or are full.
@@ -89,6 +91,11 @@
     {Outcome::NoStoreForBudget,
      "no_store_for_budget",
      "503, not run: tokens must be reserved in the store, which is unavailable (event 1501) or didn't reply in time."},
+    {Outcome::QuotaSpent, "quota_spent", "429, not run: the customer has used up its rate limit over all proxies. See events 1121."},
+    {Outcome::QuotaUncertain,
+     "quota_uncertain",
+     "503, not run: a permit of the customer's rate limit must be withdrawn from the store, which is unavailable (event 1501) or didn't "
+     "reply within a quarter of the route's objective."},
     {Outcome::ServerBrokeOff,
      "server_broke_off",
      "The server ended a stream prematurely; the client's connection was closed so that the response is seen to be incomplete. See event "
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -25,6 +25,9 @@
     TurnKept = 1105,           ///< A write of a turn of a stored conversation to the store has succeeded or failed.
     ConversationRead = 1106,   ///< The look-up of the conversation before a turn has succeeded or failed.
     AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
+    PermitRefused = 1121,      ///< Requests of a customer were refused because of its rate limit.
+    QuotaShareChanged = 1122,  ///< The share of a customer's rate limit that this proxy holds has changed.
+    QuotaRowUnreadable = 1123, ///< The row of a customer's rate limit can't be decoded.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -59,6 +59,9 @@
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
+    proxy.quota.window = settings.proxyQuotaWindow.value_or(proxy.quota.window);
+    proxy.quota.overrun = settings.proxyQuotaOverrun.value_or(proxy.quota.overrun);
+    proxy.quota.slack = settings.proxyQuotaSlack.value_or(proxy.quota.slack);
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, ReservedFiles)) / FilesPerClient;
     return proxy;
 }
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -146,6 +146,19 @@
     return true;
 }
 
+bool setOptionalAmount(std::optional<double> &field, const std::string &value)
+{
+    constexpr double MaxAmount = 1e6;
+    double number = 0;
+    const char *end = value.data() + value.size();
+    const auto read = std::from_chars(value.data(), end, number);
+    if (read.ec != std::errc() || read.ptr != end || !(number >= 0 && number <= MaxAmount)) {
+        return false;
+    }
+    field = number;
+    return true;
+}
+
 bool setEndpoint(Endpoint &field, const std::string &value)
 {
     const auto colon = value.rfind(':');
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -71,6 +71,9 @@
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
     std::optional<Duration> proxyStopLimit;                      ///< proxy.stop_limit_ms
     std::optional<Duration> proxyGracePeriod;                    ///< proxy.grace_s
+    std::optional<Duration> proxyQuotaWindow;                    ///< proxy.quota_window_s
+    std::optional<double> proxyQuotaOverrun;                     ///< proxy.quota_overrun
+    std::optional<double> proxyQuotaSlack;                       ///< proxy.quota_slack
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -35,6 +35,7 @@
 bool setMilliseconds(Duration &field, const std::string &value);
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value);
 bool setOptionalSeconds(std::optional<Duration> &field, const std::string &value);
+bool setOptionalAmount(std::optional<double> &field, const std::string &value);
 bool setEndpoint(Endpoint &field, const std::string &value);
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
@@ -49,6 +50,7 @@
 inline constexpr std::string_view NumberForm = "a whole number from 1 to 1000000000";
 inline constexpr std::string_view MillisecondsForm = "a whole number of milliseconds from 1 to 86400000";
 inline constexpr std::string_view SecondsForm = "a number of seconds, whole or with a fraction, from 0.001 to 86400";
+inline constexpr std::string_view AmountForm = "a number, whole or with a fraction, from 0 to 1000000";
 inline constexpr std::string_view EndpointForm = "an IP number and a port, as 10.0.0.1:8080 or [::1]:8080";
 inline constexpr std::string_view PathForm = "a path of a file";
 
@@ -254,6 +256,24 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalSeconds, proxyGracePeriod),
      "Time from SIGTERM until the process is killed."},
+    {"proxy",
+     "quota_window_s",
+     SecondsForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setOptionalSeconds, proxyQuotaWindow),
+     "Window in which the rate limit of a customer applies; 5 by default."},
+    {"proxy",
+     "quota_overrun",
+     AmountForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setOptionalAmount, proxyQuotaOverrun),
+     "Tolerated excess over a rate limit in a window, relative to the limit; 0.1 by default."},
+    {"proxy",
+     "quota_slack",
+     AmountForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setOptionalAmount, proxyQuotaSlack),
+     "Tolerated excess over a rate limit in a window, in requests; 20 by default."},
     {"log",
      "level",
      "info, warning or error",
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -1,6 +1,7 @@
 /** Settings and log callback of the proxy. */
 #pragma once
 
+#include "vanillahall/core/customer/quota_type.h"
 #include "vanillahall/core/log_type.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -37,6 +38,7 @@
     std::size_t maxTurnBytes = std::size_t{8} * 1024 * 1024;      ///< Capacity of the cache for turns of stored conversations.
     std::size_t rowBytes = 65536;                                 ///< Longest value of a row in the store, in base64.
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
+    QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
     ChoiceSettings choice;                                        ///< Parameters of the server selection.
 };
 
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -282,7 +282,9 @@
         requestTokens();
         return;
     }
-    send(*choice);
+    if (confirmPermit()) {
+        send(*choice);
+    }
 }
 
 std::optional<Choice> Exchange::chooseServer()
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -7,6 +7,8 @@
 #include "server_connection.h"
 
 #include "vanillahall/core/customer/customer_directory_base.h"
+#include "vanillahall/core/customer/programs_in_progress_base.h"
+#include "vanillahall/core/customer/quota_ledger_base.h"
 #include "vanillahall/core/forward_outcome_type.h"
 #include "vanillahall/core/retry_policy_func.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -29,6 +31,8 @@
     void start();
     /** Called after a store call that this request may wait for. @param hasFailed True if that call failed. */
     void onStoreUpdate(bool hasFailed);
+    /** Called after a store call about the rate limit that this request waits for. */
+    void onPermitUpdate();
     /** Called when the client has closed its connection. */
     void onClientDisconnected();
     /** Called when the request is still in progress at the limit of a planned stop. */
@@ -52,6 +56,16 @@
     bool refuseOverload();
     /** Requests a permit of the customer's rate limit; queryStore() follows once it is granted. */
     void requestPermit();
+    /** Continues once the permit is granted. */
+    void continueWithPermit();
+    /** Checks that the permit can still be used, else requests another one. @return False if the request can't be sent now. */
+    bool confirmPermit();
+    /** Hands the permit back if the request hasn't been sent. */
+    void returnPermit();
+    /** @return True if the customer of the request has a rate limit. */
+    [[nodiscard]] bool hasRateLimit() const;
+    /** @return What the request tells about its program; the request has a customer. */
+    [[nodiscard]] ProgramHints programHints() const;
     [[nodiscard]] bool isTurnNameValid() const;
     void queryStore();
     void findConversation();
@@ -167,6 +181,10 @@
     unsigned m_storeFailures = 0;                      ///< Failed store calls of this request.
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
+    std::optional<QuotaPermit> m_permit;               ///< Permit of the customer's rate limit.
+    std::string m_permitCustomer;                      ///< Customer that the permit was granted to.
+    bool m_hasRequestedPermit = false;                 ///< True once a permit was requested.
+    bool m_waitsForPermit = false;                     ///< True while waiting for a permit.
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -206,6 +206,7 @@
     stopTimer(m_limitTimer);
     stopTimer(m_waitTimer);
     settleTokens();
+    returnPermit();
     if (m_conversation) {
         m_conversation->end(m_isAnswerComplete);
         m_proxy.reserveBodyBytes(m_conversationBytes, 0);
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -1,11 +1,115 @@
 #include "exchange.h"
+#include "http_status.h"
+#include "proxy_clock.h"
 #include "proxy_state.h"
+#include "response_text_func.h"
+#include "timer_func.h"
+
+#include <algorithm>
 
 namespace Vanillahall::Forward {
 
+namespace {
+
+constexpr unsigned PermitWaitDivisor = 4; ///< A request waits for a permit for at most a quarter of its latency objective.
+constexpr Duration PermitCheckInterval = std::chrono::milliseconds(
+    25); ///< Interval between requests for a permit after a failed call, which notifies no one when it may be repeated.
+
+} // namespace
+
+bool Exchange::hasRateLimit() const
+{
+    return m_customer && m_customer->limit.perSecond > 0;
+}
+
+ProgramHints Exchange::programHints() const
+{
+    const auto &attributes = m_request.attributes;
+    const auto &services = m_proxy.routes.config().services;
+    const auto service = services.find(m_service);
+    const bool isModelRoute = service != services.end() && service->second.slots != 0;
+    return {m_customer->name, attributes.program, attributes.session, !attributes.previousTurn.empty(), isModelRoute};
+}
+
 void Exchange::requestPermit()
 {
-    queryStore();
+    m_waitsForPermit = false;
+    if (!hasRateLimit()) {
+        continueWithPermit();
+        return;
+    }
+    const auto hints = programHints();
+    const QuotaRequest wanted{
+        m_customer->name,
+        m_customer->limit,
+        m_proxy.programs.contains(hints, now()),
+        std::exchange(m_hasRequestedPermit, true),
+        std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
+        timeLeft()};
+    const auto result = m_proxy.requestPermit(wanted);
+    if (const auto *granted = std::get_if<QuotaGranted>(&result)) {
+        m_permit = granted->permit;
+        m_permitCustomer = m_customer->name;
+        m_proxy.programs.record(hints, now());
+        continueWithPermit();
+        return;
+    }
+    if (const auto *refused = std::get_if<QuotaRefused>(&result)) {
+        m_proxy.recordQuotaRefusal(m_customer->name, refused->retryAfter);
+        answer(StatusTooManyRequests, refused->retryAfter, Outcome::QuotaSpent);
+        return;
+    }
+    m_waitsForPermit = true;
+    m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
+    const auto waitLeft = m_request.arrived + m_route.objective / PermitWaitDivisor - now();
+    runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
+        if (waitLeft > PermitCheckInterval) {
+            self.requestPermit();
+        } else {
+            self.answer(StatusUnavailable, StoreRetryAfter, Outcome::QuotaUncertain);
+        }
+    });
+}
+
+void Exchange::onPermitUpdate()
+{
+    if (!m_isEnded && m_waitsForPermit) {
+        stopTimer(m_waitTimer);
+        requestPermit();
+    }
+}
+
+void Exchange::continueWithPermit()
+{
+    if (m_grantedTokens != 0) {
+        selectServer();
+    } else {
+        queryStore();
+    }
+}
+
+bool Exchange::confirmPermit()
+{
+    // A request counts once, also if it is sent to several servers.
+    if (m_mayHaveRun != 0 || !hasRateLimit()) {
+        return true;
+    }
+    // The customer is another one if its key was moved meanwhile.
+    const bool isOwn = m_permit && m_permitCustomer == m_customer->name;
+    if (isOwn && m_permit->validUntil && now() < *m_permit->validUntil) {
+        return true;
+    }
+    returnPermit();
+    requestPermit();
+    return false;
+}
+
+void Exchange::returnPermit()
+{
+    if (m_permit && m_mayHaveRun == 0) {
+        m_proxy.quotas.takeBack(m_permitCustomer, *m_permit, now());
+    }
+    m_permit.reset();
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -36,6 +36,7 @@
     , settings(std::move(proxySettings))
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
+    , quotas(settings.name, settings.incarnation, settings.quota)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
     , plannedStop(settings.stop)
@@ -285,6 +286,7 @@
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
+    setQuotaGauges();
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
 }
 
