--- a/packages/core/include/vanillahall/core/customer/quota_type.h
+++ b/packages/core/include/vanillahall/core/customer/quota_type.h
@@ -20,11 +20,12 @@
 /** What a limit allows under the rule. */
 struct QuotaTerms
 {
-    double rate = 0;       ///< Permits per second that the pool and all shares get together.
-    double capacity = 0;   ///< Limit on the permits in the pool.
-    double reserve = 0;    ///< Permits in the pool that only programs in progress may use.
-    Duration validity{};   ///< How long a withdrawn permit may be used, counted from the start of its withdrawal.
-    Duration shareDepth{}; ///< A share accumulates permits for this time; a permit taken from it is valid for the same time.
+    double rate = 0;          ///< Permits per second that the pool and all shares get together.
+    double capacity = 0;      ///< Limit on the permits in the pool.
+    double reserve = 0;       ///< Permits in the pool that only programs in progress may use.
+    Duration validity{};      ///< How long a withdrawn permit may be used, counted from the start of its withdrawal.
+    Duration shareDepth{};    ///< A share accumulates permits for this time.
+    Duration shareValidity{}; ///< How long a permit taken from a share may be used.
 };
 
 /** @return Terms of a limit. The rate has to be positive. */
@@ -97,6 +98,8 @@
 inline constexpr Duration QuotaClockMargin = std::chrono::milliseconds(100);
 /** Longest validity of a permit. */
 inline constexpr Duration MaxPermitValidity = std::chrono::seconds(4);
+/** Longest time for which a share accumulates permits; lets shares of small customers hold whole permits. */
+inline constexpr Duration MaxShareDepth = std::chrono::seconds(10);
 /** Shortest validity of a permit; if the tolerance of the rule is too small for it, the pool is refilled more slowly instead. */
 inline constexpr Duration MinPermitValidity = std::chrono::milliseconds(250);
 /** Shares in one row at most; bounds its size. */
--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -179,7 +179,7 @@
     }
     if (account.accumulated >= 1) {
         account.accumulated -= 1;
-        return QuotaPermit{now + account.terms.shareDepth};
+        return QuotaPermit{now + account.terms.shareValidity};
     }
     return std::nullopt;
 }
--- a/packages/core/src/customer/quota_pool.cpp
+++ b/packages/core/src/customer/quota_pool.cpp
@@ -42,12 +42,15 @@
     const double excess = (rate * window + burst) * settings.overrun;
     terms.capacity = std::min(std::max(burst, 1.0) + settings.slack * CapacitySlack + excess * CapacityOverrun, bound);
     terms.reserve = burst * ReserveFraction;
-    const double tolerance = bound - terms.capacity - rate * window;
-    const double validity = std::clamp(tolerance / rate - margin, toSeconds(MinPermitValidity), toSeconds(MaxPermitValidity));
-    // Within a window, permits of all withdrawals of a time longer by their validity may be used.
+    // Within a window, permits of all withdrawals of a time longer by their validity may be used, and what a share accumulated before.
+    const double tolerated = (bound - terms.capacity) / rate - window - margin;
+    const double validity = std::clamp(tolerated, toSeconds(MinPermitValidity), toSeconds(MaxPermitValidity));
+    const double shareValidity = validity / 2;
+    const double shareDepth = std::clamp(tolerated - shareValidity, validity - shareValidity, toSeconds(MaxShareDepth));
     terms.rate = std::max(0.0, std::min(rate, (bound - terms.capacity) / (window + validity + margin)));
     terms.validity = fromSeconds(validity);
-    terms.shareDepth = terms.validity / 2;
+    terms.shareDepth = fromSeconds(shareDepth);
+    terms.shareValidity = fromSeconds(shareValidity);
     return terms;
 }
 
