--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -73,6 +73,9 @@
     std::optional<Duration> proxyGracePeriod;                    ///< proxy.grace_s
     bool proxyFailsClosed = false;                               ///< proxy.fail_closed
     Duration proxyRevocationTime = std::chrono::seconds(5);      ///< proxy.revoke_ms
+    std::optional<Duration> proxyQuotaWindow;                    ///< proxy.quota_window_s
+    std::optional<double> proxyQuotaOverrun;                     ///< proxy.quota_overrun
+    std::optional<double> proxyQuotaSlack;                       ///< proxy.quota_slack
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "vanillahall/core/customer/customer_directory_base.h"
+#include "vanillahall/core/customer/quota_type.h"
 #include "vanillahall/core/log_type.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -39,6 +40,7 @@
     std::size_t rowBytes = 65536;                                 ///< Longest value of a row in the store, in base64.
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
     CustomerSettings customers;                                   ///< Validity of API keys while the store is unavailable.
+    QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
     ChoiceSettings choice;                                        ///< Parameters of the server selection.
 };
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -37,6 +37,7 @@
     , customers(settings.customers)
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
+    , quotas(settings.name, settings.incarnation, settings.quota)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
     , plannedStop(settings.stop)
@@ -288,6 +289,7 @@
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
+    setQuotaGauges();
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
 }
 
