--- a/packages/proxy/src/table_watcher.cpp
+++ b/packages/proxy/src/table_watcher.cpp
@@ -18,7 +18,7 @@
 constexpr Duration BaseCheckInterval = std::chrono::seconds(3); ///< Interval between full reads of an empty table.
 constexpr Duration CheckIntervalPerRow = std::chrono::milliseconds(
     50); ///< Added to BaseCheckInterval for each row: 20 rows/s are a few KB/s, within the 6 KB/s that a node has for control traffic.
-constexpr std::size_t CheckBytesPerSecond = 6 * 1024; ///< Same limit, for tables with few long rows.
+constexpr std::size_t CheckBytesPerSecond = 6144; ///< Same limit, for tables with few long rows.
 constexpr Duration MaxByteCheckInterval = std::chrono::seconds(
     30); ///< Changes that the store doesn't report are noticed by the check only, so that it can't be put off further.
 
