--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -96,7 +96,9 @@
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
     }
-    if (request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos) {
+    const bool isQuotaRead = request.find("GET /api/rows-get?table=customer_quotas") == 0;
+    const bool isTokenRead = request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos;
+    if (isQuotaRead || isTokenRead) {
         tokenReads++;
         Json list = Json::array();
         const auto row = tokens.find(queryValue(request, "from"));
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -23,7 +23,7 @@
 {
     std::string config;                                        ///< Value of the configuration row; empty if there is none.
     std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
-    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
+    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token and quota rows: base64 value and version.
     std::map<std::string, std::string> members;                ///< Values of the proxies' rows in base64.
     std::map<std::string, std::string> crashRecords;           ///< Values of the crash records, by key.
     std::map<std::string, std::pair<std::string, int>>
