--- a/tests/core/quota_ledger_test.cpp
+++ b/tests/core/quota_ledger_test.cpp
@@ -226,19 +226,36 @@
     EXPECT_EQ(world.row.shares.front().vm, "unknown");
 }
 
-TEST(QuotaLedger, LoweredLimitCutsPoolAndPermits)
+/** What ends the use of permits that were withdrawn for a high demand: a new limit, or time. */
+class QuotaHand : public ::testing::TestWithParam<std::pair<CustomerLimit, Duration>>
+{
+};
+
+TEST_P(QuotaHand, PermitsOfAHighDemandAreNotUsedLater)
 {
     OneProxy world;
     world.limit = {100, 1000};
-    EXPECT_TRUE(world.isGranted(Start));
-    world.limit = {1, 0};
-    std::size_t granted = 0;
-    while (world.isGranted(Start)) {
-        granted++;
+    TimePoint at = Start;
+    std::size_t writes = 0;
+    // Ends after a withdrawal.
+    for (; at < Start + 3s || world.writes == writes; at += 10ms) {
+        writes = world.writes;
+        ASSERT_TRUE(world.isGranted(at));
     }
-    EXPECT_LE(granted, 25U);
+    world.limit = GetParam().first;
+    at += GetParam().second;
+    writes = world.writes;
+    std::size_t withoutWrite = 0;
+    while (world.isGranted(at) && world.writes == writes) {
+        withoutWrite++;
+    }
+    // At most what a share of half of the new rate has accumulated.
+    EXPECT_LE(withoutWrite, 5U);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    All, QuotaHand, ::testing::Values(std::pair(CustomerLimit{1, 0}, Duration(0)), std::pair(CustomerLimit{100, 1000}, Duration(20s))));
+
 TEST(QuotaLedger, ResetOfTheStoresClockNeitherFillsNorBlocksThePool)
 {
     QuotaRow row{3, StartMs, {10, 100}, {{"a", "1", 0.5, StartMs + 20000}}, "w", 4};
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -173,6 +173,20 @@
                                            "larranaga/model-gate.ini",
                                            "larranaga/service-gate.ini"));
 
+/** A tolerance of 0 must not be mistaken for a missing setting, nor a text for a number. */
+TEST(SettingsTest, QuotaToleranceMayBeZeroButNotNegative)
+{
+    for (const char *key : {"proxy.quota_overrun=", "proxy.quota_slack="}) {
+        for (const auto &[value, isValid] :
+             {std::pair("0", true), {"0.5", true}, {"-1", false}, {"nan", false}, {"1x", false}, {"", false}}) {
+            std::vector<SettingsError> errors;
+            const Settings settings = read(ValidEntry, errors, {std::string(key) + value});
+            EXPECT_EQ(errors.empty(), isValid) << key << value;
+            EXPECT_EQ(settings.proxyQuotaOverrun.has_value() || settings.proxyQuotaSlack.has_value(), isValid);
+        }
+    }
+}
+
 TEST(SettingsTest, OperationsPageContainsTheSettingsReference)
 {
     std::ifstream stream(std::string(VANILLAHALL_SOURCE_DIR) + "/docs/OPERATIONS.md");
