--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr unsigned PermitWaitDivisor = 4; ///< A request waits for a permit for at most a quarter of its latency objective.
+/** Longest wait for a permit. A withdrawal takes 10 to 30 ms, and several times that while other proxies change the same row. */
+constexpr Duration MaxPermitWait = std::chrono::milliseconds(500);
+constexpr int PermitWaitDivisor = 4; ///< A request waits for a permit for at most a quarter of its time limit.
 constexpr Duration PermitCheckInterval = std::chrono::milliseconds(
     25); ///< Interval between requests for a permit after a failed call, which notifies no one when it may be repeated.
 
@@ -61,7 +63,9 @@
     }
     m_waitsForPermit = true;
     m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
-    const auto waitLeft = m_request.arrived + m_route.objective / PermitWaitDivisor - now();
+    // While the store is known to be unavailable, waiting for a withdrawal is in vain.
+    const auto maxWait = std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor);
+    const auto waitLeft = m_proxy.isStoreReachable() ? m_request.arrived + maxWait - now() : Duration::zero();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
             self.requestPermit();
