--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -66,6 +66,7 @@
         if (waitLeft > PermitCheckInterval) {
             self.requestPermit();
         } else {
+            self.m_proxy.metrics.count("vanillahall_quota_requests_total", {"outcome", "uncertain"});
             self.answer(StatusUnavailable, StoreRetryAfter, Outcome::QuotaUncertain);
         }
     });
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -178,7 +178,6 @@
 
 void ProxyState::setQuotaGauges()
 {
-    quotas.removeIdle(now());
     metrics.gauge("vanillahall_quota_customers", static_cast<double>(quotas.size()));
     metrics.gauge("vanillahall_quota_shares", static_cast<double>(quotas.shareCount(now())));
     metrics.gauge("vanillahall_programs_in_progress", static_cast<double>(programs.size()));
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -228,6 +228,7 @@
     m_nextCleanAt = present + CleanInterval;
     removeCrashRecords(crashes.removeExpired(present));
     removeTokens(ledger.removeIdle(present - TokenRowLifetime));
+    quotas.removeIdle(present);
     sweepTokens();
 }
 
--- a/tests/core/quota_ledger_test.cpp
+++ b/tests/core/quota_ledger_test.cpp
@@ -35,7 +35,7 @@
     {
         QuotaRequest wanted{"c", limit, isInProgress, false, 0, 10s};
         for (;;) {
-            const auto result = ledger.request(wanted, now, storeMs(now));
+            auto result = ledger.request(wanted, now, storeMs(now));
             wanted.isRepeated = true;
             if (const auto *write = std::get_if<QuotaNeedsWrite>(&result)) {
                 commit(write->write, now);
--- a/tests/core/quota_replay_test.cpp
+++ b/tests/core/quota_replay_test.cpp
@@ -37,6 +37,8 @@
     std::size_t granted = 0;
     std::size_t refused = 0;
     std::size_t late = 0;
+    std::size_t inProgress = 0;        ///< Requests of programs in progress during a surge.
+    std::size_t inProgressRefused = 0; ///< Those of them that were refused.
 };
 
 /** Load of the replay. */
@@ -62,6 +64,13 @@
     }
 };
 
+/** A request that waits for a permit. */
+struct Waiting
+{
+    TimePoint arrived{};
+    bool isInProgress = true;
+};
+
 class Replay
 {
 public:
@@ -122,26 +131,32 @@
         at(m_now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(m_random))), [this, n] {
             auto &customer = customers[n];
             customer.asked += isCounted() ? 1 : 0;
-            ask(n, customer.proxies[m_random() % customer.proxies.size()], m_now, false);
+            // What a surge adds are new programs.
+            const bool isSurging = n == 0 && m_load.surge > 1 && m_now >= Start + RunTime / 2;
+            const bool isInProgress = !isSurging || static_cast<double>(m_random() % 1000) < 1000 / m_load.surge;
+            customer.inProgress += isSurging && isInProgress ? 1 : 0;
+            ask(n, customer.proxies[m_random() % customer.proxies.size()], {m_now, isInProgress}, false);
             scheduleArrival(n);
         });
     }
 
-    void ask(std::size_t n, std::size_t proxy, TimePoint arrived, bool isRepeated)
+    void ask(std::size_t n, std::size_t proxy, const Waiting &waiting, bool isRepeated)
     {
         auto &customer = customers[n];
         const auto storeMs = static_cast<std::uint64_t>(m_now.time_since_epoch() / 1ms);
-        const auto answer = m_ledgers[proxy].request({customer.name, customer.limit, true, isRepeated, m_random(), 2s}, m_now, storeMs);
+        const auto answer
+            = m_ledgers[proxy].request({customer.name, customer.limit, waiting.isInProgress, isRepeated, m_random(), 2s}, m_now, storeMs);
         const auto *granted = std::get_if<QuotaGranted>(&answer);
         const auto *write = std::get_if<QuotaNeedsWrite>(&answer);
         if (granted != nullptr) {
             customer.granted += isCounted() ? 1 : 0;
         } else if (std::holds_alternative<QuotaRefused>(answer)) {
             customer.refused += isCounted() ? 1 : 0;
-        } else if (m_now - arrived >= MaxWait) {
+            customer.inProgressRefused += waiting.isInProgress && m_now >= Start + RunTime / 2 ? 1 : 0;
+        } else if (m_now - waiting.arrived >= MaxWait) {
             customer.late += isCounted() ? 1 : 0;
         } else {
-            m_waiting[{n, proxy}].push_back(arrived);
+            m_waiting[{n, proxy}].push_back(waiting);
         }
         if (write != nullptr || (granted != nullptr && granted->renewal)) {
             commit(n, proxy, write != nullptr ? write->write : *granted->renewal);
@@ -191,8 +206,8 @@
     void wake(std::size_t n, std::size_t proxy)
     {
         const auto waiting = std::exchange(m_waiting[{n, proxy}], {});
-        for (const auto arrived : waiting) {
-            ask(n, proxy, arrived, true);
+        for (const auto &it : waiting) {
+            ask(n, proxy, it, true);
         }
     }
 
@@ -202,7 +217,7 @@
     std::uint64_t m_serial = 0;
     TimePoint m_now = Start;
     std::vector<QuotaLedger> m_ledgers;
-    std::map<std::pair<std::size_t, std::size_t>, std::vector<TimePoint>> m_waiting; ///< Arrivals of waiting requests.
+    std::map<std::pair<std::size_t, std::size_t>, std::vector<Waiting>> m_waiting;
 };
 
 } // namespace
@@ -237,7 +252,9 @@
     EXPECT_LT(static_cast<double>(replay.writes) / seconds, load.maxWritesPerS);
     if (load.surge > 1) {
         const auto &first = replay.customers.front();
+        std::cout << "first customer, programs in progress: refused " << first.inProgressRefused << " of " << first.inProgress << '\n';
         EXPECT_GT(static_cast<double>(first.granted), first.limit.perSecond * 0.85 * 30);
+        EXPECT_LT(first.inProgressRefused * 20, first.inProgress);
         // Each proxy makes four calls per second and repeats one after a conflict.
         EXPECT_LT(replay.surgeCalls, load.proxies * 30 * 12);
     }
--- a/tests/platform/wire_quota_test.cpp
+++ b/tests/platform/wire_quota_test.cpp
@@ -11,7 +11,10 @@
 
 using Json = nlohmann::json;
 
-const Forward::QuotaWrite Write{"a b/c", {2.5, 77, {10, 3}, {{"vm", "9", 0.25, 20077}}, "vm/9/1", 4}};
+Forward::QuotaWrite makeWrite()
+{
+    return {"a b/c", {2.5, 77, {10, 3}, {{"vm", "9", 0.25, 20077}}, "vm/9/1", 4}};
+}
 
 std::optional<Forward::QuotaRow> decode(const std::string &value)
 {
@@ -22,7 +25,7 @@
 /** @return Value of the row that the call writes. */
 Json writtenValue()
 {
-    Json body = Json::parse(writeQuotaRowCall(Write).body);
+    Json body = Json::parse(writeQuotaRowCall(makeWrite()).body);
     auto row = body["writes"][0];
     row["ver"] = 5;
     Error reason;
@@ -37,18 +40,18 @@
     ASSERT_TRUE(row);
     EXPECT_EQ(row->available, 2.5);
     EXPECT_EQ(row->atMs, 77U);
-    EXPECT_EQ(row->limit, Write.row.limit);
-    EXPECT_EQ(row->shares, Write.row.shares);
+    EXPECT_EQ(row->limit, makeWrite().row.limit);
+    EXPECT_EQ(row->shares, makeWrite().row.shares);
     EXPECT_EQ(row->writer, "vm/9/1");
     EXPECT_EQ(row->version, 5U);
 }
 
 TEST(WireQuota, CallsAreConditionalAndMayBeRelayed)
 {
-    const Json body = Json::parse(writeQuotaRowCall(Write).body);
+    const Json body = Json::parse(writeQuotaRowCall(makeWrite()).body);
     EXPECT_EQ(body["expect"][0]["ver"], 4);
     EXPECT_EQ(body["expect"][0]["part"], body["writes"][0]["part"]);
-    EXPECT_TRUE(isRelayableCall(writeQuotaRowCall(Write)));
+    EXPECT_TRUE(isRelayableCall(writeQuotaRowCall(makeWrite())));
     EXPECT_TRUE(isRelayableCall(readQuotaRowCall("a b/c")));
     EXPECT_NE(readQuotaRowCall("a b/c").target.find("part=" + body["writes"][0]["part"].get<std::string>()), std::string::npos);
 }
--- a/tests/proxy/proxy_quota_test.cpp
+++ b/tests/proxy/proxy_quota_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const CustomerLimit Limit{2, 10};
+constexpr CustomerLimit Limit{2, 10};
 
 /** Two proxies on one store. */
 class QuotaWorld
