StoreClock follows the quickest reply, reduced by 200 ppm with time

Cause: a store that replies slowly for more than 20 s made the estimate late by the time of a reply, more than the 100 ms that the validity of permits allows for.

--- a/packages/core/include/vanillahall/core/customer/store_clock_base.h
+++ b/packages/core/include/vanillahall/core/customer/store_clock_base.h
@@ -10,7 +10,7 @@
 
 /**
  * A reply names a time before its arrival, so an estimate is never ahead of the store's clock, but late by the time that the reply has
- * taken. The largest of the recent estimates is used; older ones are dropped, since the clocks of VMs don't run at the same speed.
+ * taken. The estimate follows the quickest reply, also while later ones are slow; it is reduced with time, since clocks differ in speed.
  */
 class StoreClock
 {
@@ -21,14 +21,16 @@
     [[nodiscard]] std::optional<std::uint64_t> storeMs(TimePoint now) const;
 
 private:
-    std::optional<std::int64_t> m_offsetMs;         ///< Largest offset of the current period.
-    std::optional<std::int64_t> m_previousOffsetMs; ///< Largest offset of the period before.
-    TimePoint m_periodBegin{};                      ///< Begin of the current period.
+    /** @return Estimated difference of the clocks. */
+    [[nodiscard]] Duration offset(TimePoint now) const;
+
+    std::optional<Duration> m_offset; ///< Clock of the store minus the clock of this process at `m_at`, less the time of the reply.
+    TimePoint m_at{};                 ///< When the reply was received.
 };
 
-/** Estimates are used for one to two such periods; at a difference in speed of 100 ppm, the error stays under 2 ms. */
-inline constexpr Duration StoreClockPeriod = std::chrono::seconds(10);
+/** Part of the time by which the estimate is reduced: 200 ppm, twice the usual tolerance of a clock. */
+inline constexpr int StoreClockDriftDivisor = 5000;
 /** A reply whose time is earlier than estimated by more than this shows that the store's clock was reset. */
-inline constexpr std::chrono::milliseconds MaxStoreClockLag{10000};
+inline constexpr Duration MaxStoreClockLag = std::chrono::seconds(10);
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/customer/store_clock.cpp
+++ b/packages/core/src/customer/store_clock.cpp
@@ -4,38 +4,27 @@
 
 namespace Vanillahall::Forward {
 
-namespace {
-
-std::int64_t toMs(TimePoint at)
+void StoreClock::record(std::uint64_t storeMs, TimePoint now)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    const Duration latest = std::chrono::milliseconds(storeMs) - now.time_since_epoch();
+    if (!m_offset || latest > offset(now) || latest + MaxStoreClockLag < offset(now)) {
+        m_offset = latest;
+        m_at = now;
+    }
 }
 
-} // namespace
-
-void StoreClock::record(std::uint64_t storeMs, TimePoint now)
+Duration StoreClock::offset(TimePoint now) const
 {
-    const auto offset = static_cast<std::int64_t>(storeMs) - toMs(now);
-    const bool wasReset = m_offsetMs && offset + MaxStoreClockLag.count() < *m_offsetMs;
-    if (wasReset || !m_offsetMs) {
-        m_offsetMs = offset;
-        m_previousOffsetMs.reset();
-        m_periodBegin = now;
-    } else if (now - m_periodBegin > StoreClockPeriod) {
-        m_previousOffsetMs = m_offsetMs;
-        m_offsetMs = offset;
-        m_periodBegin = now;
-    }
-    m_offsetMs = std::max(*m_offsetMs, offset);
+    return *m_offset - std::max(Duration::zero(), now - m_at) / StoreClockDriftDivisor;
 }
 
 std::optional<std::uint64_t> StoreClock::storeMs(TimePoint now) const
 {
-    if (!m_offsetMs) {
+    if (!m_offset) {
         return std::nullopt;
     }
-    return static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, toMs(now) + std::max(*m_offsetMs, m_previousOffsetMs.value_or(*m_offsetMs))));
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch() + offset(now));
+    return static_cast<std::uint64_t>(std::max(std::chrono::milliseconds::zero(), time).count());
 }
 
 } // namespace Vanillahall::Forward
