--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -2,64 +2,61 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace Vanillahall::Forward {
 
 namespace {
 
 using Seconds = std::chrono::duration<double>;
 
-/** A permit at an empty pool isn't expected before this time; also the retry delay if the rule never allows a request. */
+/** Part of the bucket that is divided at once; the rest covers what other proxies have sent and not reported yet. */
+constexpr double DividedFraction = 0.6;
+/** Part of the tolerated excess by which the bucket is larger than the burst; the rest covers late reports. */
+constexpr double ToleranceFraction = 0.25;
+/** New programs are admitted only while the bucket holds more than this part of the burst, so that programs in progress can go on. */
+constexpr double ReserveFraction = 0.3;
+/** Part of the rate by which the demand of all proxies together is taken as larger, so that each gets a part for new clients. */
+constexpr double SpareDemandFraction = 0.25;
+/** Permits that a proxy without recent demand may use between two reports while the bucket is more than half full. */
+constexpr double MinPart = 4;
+constexpr unsigned ReportedRounds = 4; ///< Reports that still name a customer after its last request, since readers may miss some.
+constexpr int UsefulRetryDivisor = 3;  ///< Clients wait for at most a third of the time that they have left.
+constexpr double SecondsPerKs = 1000;  ///< Scale of CustomerUsage::demandPerKs.
+constexpr Duration MinRetryDelay = std::chrono::milliseconds(250); ///< The reports bring news of the bucket about this often.
 constexpr Duration MaxRetryDelay = std::chrono::seconds(60);
-/** Requests that are refused together return within at least this time. */
-constexpr Duration MinRetrySpread = std::chrono::milliseconds(300);
-constexpr int UsefulRetryDivisor = 3; ///< Clients wait for at most a third of the time that they have left.
-/** A withdrawal covers the demand of half of the permits' validity, but at least of this time, so that few permits expire unused. */
-constexpr Duration MinDemandTime = std::chrono::milliseconds(250);
-/** Most permits of one withdrawal; keeps the conversion from floating point in range. */
-constexpr double MaxWithdrawal = 1e6;
-/** A row that other proxies write too is read before it is written if it was seen longer ago than this, since the write would be refused.
- */
-constexpr Duration SharedRowAge = std::chrono::milliseconds(300);
-constexpr double ShareHeadroom = 1.25;     ///< A share relative to the proxy's own demand.
-constexpr double MinShareDemandPerS = 0.2; ///< Below this demand, renewing a lease costs as many calls as withdrawing single permits.
-constexpr double MinSharePermits = 1;      ///< A share that can't accumulate a whole permit is useless.
-constexpr std::size_t IdleCustomers = 256; ///< Idle customers are removed only beyond this number.
-constexpr Duration IdleTime = std::chrono::minutes(1);
 
 double toSeconds(Duration span)
 {
     return Seconds(span).count();
 }
 
-Duration fromSeconds(double n)
+} // namespace
+
+std::uint64_t customerHash(const std::string &name)
 {
-    return std::chrono::duration_cast<Duration>(Seconds(std::min(n, toSeconds(MaxRetryDelay))));
+    return XXH3_64bits(name.data(), name.size());
 }
 
-std::uint64_t leaseEndMs(std::uint64_t storeMs)
+DecayingRate::DecayingRate(Duration timeConstant)
+    : m_seconds(toSeconds(timeConstant))
 {
-    return storeMs + static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(QuotaLease).count());
 }
 
-/** @return Time until the pool is refilled by a number of permits. */
-Duration refillTime(double permits, const QuotaTerms &terms, const QuotaRow &row, std::uint64_t storeMs)
+void DecayingRate::record(TimePoint now)
 {
-    const double rate = terms.rate * (1 - std::min(leasedShare(row, storeMs), MaxLeasedShare));
-    return rate > 0 ? fromSeconds(std::max(0.0, permits) / rate) : MaxRetryDelay;
+    m_rate = perSecond(now) + 1 / m_seconds;
+    m_at = std::max(m_at, now);
 }
 
-/** @return Retry delay that spreads requests which are refused together, as far as clients wait that long. */
-Duration spreadDelay(Duration delay, const QuotaRequest &request)
+double DecayingRate::perSecond(TimePoint now) const
 {
-    constexpr std::uint64_t Steps = 1024;
-    const auto spread = std::max(delay, MinRetrySpread) * static_cast<int>(request.spreadHash % Steps) / static_cast<int>(Steps);
-    return std::min(delay + spread, std::max(delay, request.timeLeft / UsefulRetryDivisor));
+    return now > m_at ? m_rate * std::exp(-toSeconds(now - m_at) / m_seconds) : m_rate;
 }
 
-} // namespace
-
 QuotaLedger::QuotaLedger(std::string vm, std::string incarnation, const QuotaSettings &settings)
     : m_vm(std::move(vm))
     , m_incarnation(std::move(incarnation))
@@ -67,288 +64,202 @@
 {
 }
 
-QuotaAnswer QuotaLedger::request(const QuotaRequest &request, TimePoint now, std::uint64_t storeMs)
+void QuotaLedger::apply(const std::vector<Customer> &customers, TimePoint now)
 {
-    if (!(request.limit.perSecond > 0)) {
-        return QuotaGranted{};
-    }
-    auto &account = m_accounts[request.customer];
-    applyLimit(account, request.limit, now);
-    account.lastUse = std::max(account.lastUse, now);
-    if (!request.isRepeated) {
-        account.demand.record(now);
-        account.shareDemand.record(now);
-    }
-    accumulate(account, now);
-    const bool mayUsePool = request.isInProgress || now >= account.lowUntil;
-    if (mayUsePool) {
-        if (const auto permit = takePermit(account, now)) {
-            return QuotaGranted{*permit, renewLease(request.customer, account, now, storeMs)};
+    std::set<std::uint64_t> limited;
+    for (const auto &it : customers) {
+        if (!(it.limit.perSecond > 0)) {
+            continue;
         }
-    }
-    const auto blockedUntil = request.isInProgress ? account.emptyUntil : std::max(account.emptyUntil, account.lowUntil);
-    if (now < blockedUntil) {
-        return QuotaRefused{spreadDelay(blockedUntil - now, request)};
-    }
-    if (account.open || account.isReading || now < account.failedUntil) {
-        account.waiting++;
-        return QuotaBusy{};
-    }
-    if (!account.isRowKnown || (account.isRowShared && now - account.rowKnownAt > SharedRowAge)) {
-        account.isReading = true;
-        return QuotaNeedsRead{};
-    }
-    if (account.row.isUnreadable) {
-        advancePool(account.row, account.terms, storeMs);
-    }
-    QuotaRow row = account.row;
-    advancePool(row, account.terms, storeMs);
-    if (row.available < 1) {
-        const auto delay = std::max(QuotaCallInterval, refillTime(1 - row.available, account.terms, row, storeMs));
-        account.emptyUntil = now + delay;
-        return QuotaRefused{spreadDelay(delay, request)};
-    }
-    if (!request.isInProgress && row.available <= account.terms.reserve) {
-        const auto delay = std::max(QuotaCallInterval, refillTime(account.terms.reserve - row.available, account.terms, row, storeMs));
-        account.lowUntil = now + delay;
-        return QuotaRefused{spreadDelay(delay, request)};
-    }
-    const auto demandTime = std::max(MinDemandTime, account.terms.validity / 2);
-    const double waiting = 1 + static_cast<double>(std::exchange(account.waiting, 0));
-    const double wanted = std::max(waiting, account.demand.perSecond(now) * toSeconds(demandTime));
-    const double allowed = request.isInProgress ? row.available : std::max(1.0, row.available - account.terms.reserve);
-    const auto permits = static_cast<std::uint64_t>(std::min({allowed, wanted, MaxWithdrawal}));
-    auto write = openWrite(request.customer, account, std::move(row), permits, now);
-    const bool isDrained = static_cast<double>(permits) + 1 <= wanted;
-    account.open->drain = !isDrained ? Drain::None : (request.isInProgress ? Drain::Empty : Drain::Low);
-    return QuotaNeedsWrite{std::move(write)};
+        const auto hash = customerHash(it.name);
+        limited.insert(hash);
+        const auto [found, isNew] = m_accounts.try_emplace(hash);
+        auto &account = found->second;
+        if (!isNew && account.limit == it.limit) {
+            continue;
+        }
+        advance(account, now);
+        const double burst = std::max(it.limit.burst, 0.0);
+        const double tolerance = (it.limit.perSecond * toSeconds(m_settings.window) + burst) * m_settings.overrun + m_settings.slack;
+        account.limit = it.limit;
+        account.capacity = std::max(1.0, burst + ToleranceFraction * tolerance);
+        // What was sent before this process began isn't known, so the bucket isn't full.
+        account.level = isNew ? account.capacity / 2 : std::min(account.level, account.capacity);
+        account.part = std::min(account.part, std::max(account.level, 0.0));
+        account.advancedAt = now;
+    }
+    std::erase_if(m_accounts, [&limited](const auto &it) {
+        return limited.count(it.first) == 0;
+    });
 }
 
-void QuotaLedger::updateRow(Account &account, QuotaRow row, TimePoint now)
+void QuotaLedger::advance(Account &account, TimePoint now) const
 {
-    account.row = std::move(row);
-    account.isRowKnown = true;
-    account.rowKnownAt = now;
-    const double missing = account.terms.reserve - account.row.available;
-    if (account.row.version != 0 && !account.row.isUnreadable && missing >= 0) {
-        account.lowUntil = now + refillTime(missing, account.terms, account.row, account.row.atMs);
+    if (now <= account.advancedAt) {
+        return;
     }
+    const double seconds = toSeconds(now - account.advancedAt);
+    account.advancedAt = now;
+    account.level = std::min(account.capacity, account.level + std::max(0.0, account.limit.perSecond - account.reservedRate) * seconds);
+    // A frozen proxy, or one that is out of touch, can't save up more than a part of the burst.
+    const double depth = account.limit.perSecond > 0 ? account.capacity * account.partRate / account.limit.perSecond : 0;
+    account.part = std::max(account.part, std::min(account.part + account.partRate * seconds, std::max(1.0, depth)));
 }
 
-void QuotaLedger::applyLimit(Account &account, const CustomerLimit &limit, TimePoint now) const
+Duration QuotaLedger::retryDelay(const Account &account, double missing, const QuotaRequest &request) const
 {
-    if (account.limit == limit) {
-        return;
-    }
-    // Permits of a higher limit would exceed the lower one.
-    account.hands.clear();
-    account.limit = limit;
-    account.terms = quotaTerms(limit, m_settings);
-    account.emptyUntil = {};
-    account.lowUntil = {};
-    accumulate(account, now);
+    constexpr std::uint64_t Steps = 1024;
+    const double rate = std::max(account.limit.perSecond - account.reservedRate, account.limit.perSecond / Steps);
+    const auto refill = std::chrono::duration_cast<Duration>(Seconds(std::min(std::max(missing, 0.0) / rate, toSeconds(MaxRetryDelay))));
+    const auto delay = std::max(refill, MinRetryDelay);
+    const auto spread = delay * static_cast<int>(request.spreadHash % Steps) / static_cast<int>(Steps);
+    return std::min(delay + spread, std::max(delay, request.timeLeft / UsefulRetryDivisor));
 }
 
-void QuotaLedger::accumulate(Account &account, TimePoint now)
+QuotaAnswer QuotaLedger::request(const QuotaRequest &request, TimePoint now)
 {
-    const auto end = std::min(now, account.leaseUntil);
-    const double rate = account.share * account.terms.rate;
-    if (end > account.accumulatedAt) {
-        account.accumulated += rate * toSeconds(end - account.accumulatedAt);
-        account.accumulatedAt = end;
+    const auto found = m_accounts.find(customerHash(request.customer));
+    if (found == m_accounts.end()) {
+        return QuotaGranted{};
     }
-    account.accumulated = std::min(account.accumulated, rate * toSeconds(account.terms.shareDepth));
-    if (now >= account.leaseUntil) {
-        account.share = 0;
-        account.accumulated = 0;
+    auto &account = found->second;
+    advance(account, now);
+    if (!request.isRepeated) {
+        account.demand.record(now);
+        account.quietReports = 0;
     }
-    std::erase_if(account.hands, [now](const Hand &it) {
-        return it.permits == 0 || now >= it.validUntil;
-    });
-}
-
-std::optional<QuotaPermit> QuotaLedger::takePermit(Account &account, TimePoint now)
-{
-    // Withdrawn permits first, the ones that expire soonest before the others; what a share has accumulated stays.
-    const auto hand = std::min_element(account.hands.begin(), account.hands.end(), [](const Hand &a, const Hand &b) {
-        return a.validUntil < b.validUntil;
-    });
-    if (hand != account.hands.end()) {
-        hand->permits--;
-        return QuotaPermit{hand->validUntil};
+    if (isInTouch(now)) {
+        const double needed = 1 + (request.isInProgress ? 0.0 : ReserveFraction * std::max(account.limit.burst, 0.0));
+        if (account.level < needed) {
+            return QuotaRefused{retryDelay(account, needed - account.level, request)};
+        }
     }
-    if (account.accumulated >= 1) {
-        account.accumulated -= 1;
-        return QuotaPermit{now + account.terms.shareValidity};
+    if (account.part < 1) {
+        return QuotaBusy{};
     }
-    return std::nullopt;
+    account.part -= 1;
+    account.level -= 1;
+    account.sent++;
+    return QuotaGranted{};
 }
 
-std::optional<QuotaWrite> QuotaLedger::renewLease(const std::string &customer, Account &account, TimePoint now, std::uint64_t storeMs)
+void QuotaLedger::takeBack(const std::string &customer)
 {
-    const bool isDue = account.share > 0 && now - account.leaseRenewedAt >= QuotaRenewal;
-    if (!isDue || account.open || account.isReading || now < account.failedUntil || !account.isRowKnown) {
-        return std::nullopt;
+    const auto found = m_accounts.find(customerHash(customer));
+    // A count that was reported must not fall, so the permit is only kept for the next request.
+    if (found != m_accounts.end()) {
+        found->second.part += 1;
     }
-    QuotaRow row = account.row;
-    advancePool(row, account.terms, storeMs);
-    return openWrite(customer, account, std::move(row), 0, now);
 }
 
-bool QuotaLedger::isOwn(const QuotaShare &share) const
+UsageReport QuotaLedger::report(TimePoint now)
 {
-    return share.vm == m_vm && share.incarnation == m_incarnation;
-}
-
-double QuotaLedger::nextShare(const Account &account, const QuotaRow &row, TimePoint now) const
-{
-    double others = 0;
-    std::size_t count = 0;
-    for (const auto &it : row.shares) {
-        others += isOwn(it) ? 0 : it.share;
-        count += isOwn(it) ? 0 : 1;
-    }
-    const double demand = account.shareDemand.perSecond(now);
-    const double rate = account.terms.rate;
-    if (count >= MaxQuotaShares || demand < MinShareDemandPerS || !(rate > 0)) {
-        return 0;
+    UsageReport report{m_vm, m_incarnation, ++m_reports, {}};
+    for (auto &[hash, account] : m_accounts) {
+        if (account.sent == 0 || account.quietReports++ >= ReportedRounds) {
+            continue;
+        }
+        const double demand = account.demand.perSecond(now);
+        report.usage.push_back({hash, account.sent, static_cast<std::uint64_t>(demand * SecondsPerKs)});
     }
-    const double share = std::min(ShareHeadroom * demand / rate, MaxLeasedShare - others);
-    return share * rate * toSeconds(account.terms.shareDepth) < MinSharePermits ? 0 : share;
+    return report;
 }
 
-QuotaWrite QuotaLedger::openWrite(const std::string &customer, Account &account, QuotaRow row, std::uint64_t permits, TimePoint now)
+void QuotaLedger::onReportWritten(TimePoint writtenAt)
 {
-    const double share = nextShare(account, row, now);
-    std::erase_if(row.shares, [this](const QuotaShare &it) {
-        return isOwn(it);
-    });
-    if (share > 0) {
-        row.shares.push_back({m_vm, m_incarnation, share, leaseEndMs(row.atMs)});
-    }
-    row.available -= static_cast<double>(permits);
-    row.limit = account.limit;
-    row.writer = m_vm + "/" + m_incarnation + "/" + std::to_string(++m_writes);
-    // The write may be executed at any time from now on, even if it seems to fail; a larger share counts only once it has succeeded.
-    account.share = std::min(account.share, share);
-    accumulate(account, now);
-    account.open = OpenWrite{{customer, std::move(row)}, permits, share, now, account.terms.validity, Drain::None};
-    return account.open->write;
+    m_writtenAt = std::max(m_writtenAt.value_or(writtenAt), writtenAt);
 }
 
-void QuotaLedger::takeBack(const std::string &customer, const QuotaPermit &permit, TimePoint now)
+void QuotaLedger::onReports(const std::vector<UsageReport> &reports, TimePoint readAt, TimePoint now)
 {
-    const auto it = m_accounts.find(customer);
-    if (it == m_accounts.end() || !permit.validUntil || now >= *permit.validUntil) {
-        return;
+    const bool isFirst = !m_readAt;
+    m_readAt = std::max(m_readAt.value_or(readAt), readAt);
+    for (auto &[hash, account] : m_accounts) {
+        advance(account, now);
+    }
+    std::set<std::string> listed;
+    for (const auto &it : reports) {
+        listed.insert(it.vm);
+        if (it.vm != m_vm) {
+            applyReport(it, isFirst, now);
+        }
     }
-    auto &hands = it->second.hands;
-    const auto same = std::find_if(hands.begin(), hands.end(), [&permit](const Hand &hand) {
-        return hand.validUntil == *permit.validUntil;
+    std::erase_if(m_remotes, [&listed](const auto &it) {
+        return listed.count(it.first) == 0;
     });
-    if (same != hands.end()) {
-        same->permits++;
-    } else {
-        hands.push_back({1, *permit.validUntil});
-    }
-}
-
-void QuotaLedger::onRowRead(const std::string &customer, const std::optional<QuotaRow> &row, TimePoint now)
-{
-    const auto it = m_accounts.find(customer);
-    if (it == m_accounts.end()) {
-        return;
-    }
-    auto &account = it->second;
-    account.isReading = false;
-    if (!row) {
-        account.failedUntil = now + QuotaFailurePause;
-        return;
-    }
-    // A version that is known already has the same content, and an unreadable one was replaced by an empty pool.
-    if (row->version > account.row.version || (!account.isRowKnown && row->version != account.row.version)) {
-        updateRow(account, *row, now);
-    }
-    account.isRowKnown = true;
-    account.rowKnownAt = now;
+    dividePermits(now);
 }
 
-void QuotaLedger::onWritten(const std::string &customer, std::uint64_t version, TimePoint now)
+void QuotaLedger::applyReport(const UsageReport &report, bool isBaseline, TimePoint now)
 {
-    const auto it = m_accounts.find(customer);
-    if (it == m_accounts.end() || !it->second.open) {
+    auto &remote = m_remotes[report.vm];
+    const bool isSameProcess = remote.incarnation == report.incarnation;
+    if (isSameProcess && report.number <= remote.number) {
         return;
     }
-    auto &account = it->second;
-    const auto open = std::move(*account.open);
-    account.open.reset();
-    accumulate(account, now);
-    updateRow(account, open.write.row, now);
-    account.row.version = version;
-    account.conflicts = 0;
-    account.waiting = 0;
-    if (account.limit == open.write.row.limit && open.permits != 0) {
-        account.hands.push_back({open.permits, open.requestedAt + open.validity});
+    if (!isSameProcess) {
+        remote = {report.incarnation, 0, now, {}};
     }
-    if (open.drain == Drain::Empty) {
-        const auto delay = refillTime(1 - account.row.available, account.terms, account.row, account.row.atMs);
-        account.emptyUntil = now + std::max(QuotaCallInterval, delay);
-    } else if (open.drain == Drain::Low) {
-        account.lowUntil = std::max(account.lowUntil, now + QuotaCallInterval);
+    remote.number = report.number;
+    remote.changedAt = now;
+    for (auto &[hash, usage] : remote.usage) {
+        usage.demand = 0;
     }
-    const auto leaseUntil = open.requestedAt + QuotaLease - QuotaLeaseMargin;
-    if (open.share > 0 && now < leaseUntil) {
-        account.accumulated = account.share > 0 ? account.accumulated : 0;
-        account.accumulatedAt = now;
-        account.share = open.share;
-        account.leaseUntil = leaseUntil;
-        account.leaseRenewedAt = open.requestedAt;
+    for (const auto &it : report.usage) {
+        const auto account = m_accounts.find(it.customer);
+        if (account == m_accounts.end()) {
+            continue;
+        }
+        auto &known = remote.usage[it.customer];
+        if (!isBaseline && it.sent > known.sent) {
+            account->second.level -= static_cast<double>(it.sent - known.sent);
+        }
+        known.sent = std::max(known.sent, it.sent);
+        known.demand = static_cast<double>(it.demandPerKs) / SecondsPerKs;
     }
 }
 
-void QuotaLedger::onConflict(const std::string &customer, const QuotaRow &row, TimePoint now)
+void QuotaLedger::dividePermits(TimePoint now)
 {
-    const auto it = m_accounts.find(customer);
-    if (it == m_accounts.end() || !it->second.open) {
-        return;
-    }
-    auto &account = it->second;
-    // Another attempt of this write, over the other route to the store, may have succeeded.
-    if (!row.isUnreadable && row.version != 0 && row.writer == account.open->write.row.writer) {
-        onWritten(customer, row.version, now);
-        return;
-    }
-    account.open.reset();
-    updateRow(account, row, now);
-    account.isRowShared = true;
-    if (++account.conflicts > MaxQuotaConflicts) {
-        account.conflicts = 0;
-        account.failedUntil = now + QuotaFailurePause;
+    std::unordered_map<std::uint64_t, std::pair<double, double>> demands; ///< Demand of all other proxies, and of those that are silent.
+    double proxies = 1;
+    for (const auto &[vm, remote] : m_remotes) {
+        const auto silence = now - remote.changedAt;
+        if (silence > LostProxyTime) {
+            continue;
+        }
+        proxies += 1;
+        const bool isSilent = silence > SilentProxyTime;
+        for (const auto &[hash, usage] : remote.usage) {
+            auto &[all, silent] = demands[hash];
+            all += usage.demand;
+            silent += isSilent ? usage.demand : 0.0;
+        }
     }
-}
-
-void QuotaLedger::onWriteFailed(const std::string &customer, TimePoint now)
-{
-    const auto it = m_accounts.find(customer);
-    if (it == m_accounts.end()) {
-        return;
+    for (auto &[hash, account] : m_accounts) {
+        const double rate = account.limit.perSecond;
+        const auto [others, silent] = demands[hash];
+        const double spare = SpareDemandFraction * rate;
+        const double own = account.demand.perSecond(now);
+        const double all = own + others + spare;
+        const double fraction = all > 0 ? (own + spare / proxies) / all : 0;
+        account.partRate = rate * fraction;
+        account.reservedRate = all > 0 ? rate * silent / all : 0;
+        const double level = std::max(account.level, 0.0);
+        const double least = account.level > account.capacity / 2 ? std::max(MinPart, level / proxies) : 0;
+        account.part = std::max(DividedFraction * level * fraction, least);
     }
-    auto &account = it->second;
-    account.open.reset();
-    account.isReading = false;
-    account.waiting = 0;
-    // The write may have been executed, so the known version may be outdated.
-    account.isRowKnown = false;
-    account.failedUntil = now + QuotaFailurePause;
 }
 
-void QuotaLedger::removeIdle(TimePoint now)
+std::vector<std::string> QuotaLedger::expired(TimePoint now) const
 {
-    for (auto it = m_accounts.begin(); it != m_accounts.end() && m_accounts.size() > IdleCustomers;) {
-        const auto &account = it->second;
-        const bool isIdle = !account.open && !account.isReading && now - account.lastUse > IdleTime;
-        it = isIdle ? m_accounts.erase(it) : std::next(it);
+    std::vector<std::string> vms;
+    for (const auto &[vm, remote] : m_remotes) {
+        if (now - remote.changedAt > ReportLifetime) {
+            vms.push_back(vm);
+        }
     }
+    return vms;
 }
 
 std::size_t QuotaLedger::size() const
@@ -356,17 +267,14 @@
     return m_accounts.size();
 }
 
-double QuotaLedger::share(const std::string &customer, TimePoint now) const
+Duration QuotaLedger::reportInterval() const
 {
-    const auto it = m_accounts.find(customer);
-    return it != m_accounts.end() && now < it->second.leaseUntil ? it->second.share : 0;
+    return std::max<Duration>(MinReportInterval, ReportIntervalPerProxy * static_cast<std::int64_t>(m_remotes.size() + 1));
 }
 
-std::size_t QuotaLedger::shareCount(TimePoint now) const
+bool QuotaLedger::isInTouch(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_accounts.begin(), m_accounts.end(), [now](const auto &it) {
-        return it.second.share > 0 && now < it.second.leaseUntil;
-    }));
+    return m_writtenAt && m_readAt && now - std::min(*m_writtenAt, *m_readAt) <= OutOfTouchTime;
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -196,7 +196,7 @@
     unsigned m_storeFailures = 0;                      ///< Failed store calls of this request.
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
-    std::optional<QuotaPermit> m_permit;               ///< Permit of the customer's rate limit.
+    bool m_hasPermit = false;                          ///< True while the request holds a permit of its customer's rate limit.
     std::string m_permitCustomer;                      ///< Customer that the permit was granted to.
     bool m_hasRequestedPermit = false;                 ///< True once a permit was requested.
     bool m_waitsForPermit = false;                     ///< True while waiting for a permit.
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -6,16 +6,16 @@
 #include "timer_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
-/** Longest wait for a permit. A withdrawal takes 10 to 30 ms, and several times that while other proxies change the same row. */
-constexpr Duration MaxPermitWait = std::chrono::milliseconds(500);
-constexpr int PermitWaitDivisor = 4; ///< A request waits for a permit for at most a quarter of its time limit.
-constexpr Duration PermitCheckInterval = std::chrono::milliseconds(
-    25); ///< Interval between requests for a permit after a failed call, which notifies no one when it may be repeated.
+/** Longest wait for a permit: two exchanges of reports, after which this proxy's part follows its demand. */
+constexpr Duration MaxPermitWait = std::chrono::milliseconds(900);
+constexpr int PermitWaitDivisor = 2; ///< A request waits for a permit for at most half of its time limit.
+constexpr Duration PermitCheckInterval = std::chrono::milliseconds(50); ///< Interval between requests for a permit; a part grows steadily.
 
 } // namespace
 
@@ -43,14 +43,13 @@
     const auto hints = programHints();
     const QuotaRequest wanted{
         m_customer->name,
-        m_customer->limit,
         m_proxy.programs.contains(hints, now()),
         std::exchange(m_hasRequestedPermit, true),
         std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
         timeLeft()};
-    const auto result = m_proxy.requestPermit(wanted);
-    if (const auto *granted = std::get_if<QuotaGranted>(&result)) {
-        m_permit = granted->permit;
+    const auto result = m_proxy.quotas.request(wanted, now());
+    if (std::holds_alternative<QuotaGranted>(result)) {
+        m_hasPermit = true;
         m_permitCustomer = m_customer->name;
         m_proxy.programs.record(hints, now());
         continueWithPermit();
@@ -62,10 +61,8 @@
         return;
     }
     m_waitsForPermit = true;
-    m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
-    // While the store is known to be unavailable, waiting for a withdrawal is in vain.
-    const auto maxWait = std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor);
-    const auto waitLeft = m_proxy.isStoreReachable() ? m_request.arrived + maxWait - now() : Duration::zero();
+    m_proxy.addQuotaWaiter(shared_from_this());
+    const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
             self.requestPermit();
@@ -100,8 +97,7 @@
         return true;
     }
     // The customer is another one if its key was moved meanwhile.
-    const bool isOwn = m_permit && m_permitCustomer == m_customer->name;
-    if (isOwn && m_permit->validUntil && now() < *m_permit->validUntil) {
+    if (m_hasPermit && m_permitCustomer == m_customer->name) {
         return true;
     }
     returnPermit();
@@ -111,10 +107,9 @@
 
 void Exchange::returnPermit()
 {
-    if (m_permit && m_mayHaveRun == 0) {
-        m_proxy.quotas.takeBack(m_permitCustomer, *m_permit, now());
+    if (std::exchange(m_hasPermit, false) && m_mayHaveRun == 0) {
+        m_proxy.quotas.takeBack(m_permitCustomer);
     }
-    m_permit.reset();
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_config.cpp
+++ b/packages/proxy/src/proxy_config.cpp
@@ -21,6 +21,7 @@
         const auto version = config->version;
         if (routes.apply(std::move(*config))) {
             customers.apply(routes.config());
+            applyLimits();
             std::string line = "config=" + std::to_string(version) + " routes=" + std::to_string(routes.config().routes.size());
             if (customers.hasCustomers()) {
                 line += " customers=" + std::to_string(routes.config().customers.size()) + " keys=" + std::to_string(customers.keyCount());
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -174,7 +174,6 @@
     onStoreReachable();
     m_storeClockMs = nowMs;
     m_storeClockAt = now();
-    m_storeClock.record(nowMs, m_storeClockAt);
     servers.setStoreClock(std::chrono::milliseconds(nowMs) - m_storeClockAt.time_since_epoch());
 }
 
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -1,10 +1,11 @@
 #include "http_status.h"
 #include "proxy_clock.h"
 #include "proxy_state.h"
+#include "timer_func.h"
 
 #include "vanillahall/platform/wire_quota_func.h"
 
-#include <cmath>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
@@ -12,7 +13,6 @@
 
 constexpr Duration QuotaLogInterval = std::chrono::seconds(10); ///< Interval between log lines of one kind about one customer.
 constexpr std::size_t MaxQuotaLogEntries = 4096; ///< Kinds of lines and customers whose last line is remembered, about 100 bytes each.
-constexpr double LoggedShareChange = 0.1;        ///< Changes of a share by less than this aren't logged.
 
 /** @return Hash of a customer's name for logs and metrics, which mustn't contain the name. */
 std::string customerLabel(const std::string &customer)
@@ -23,140 +23,72 @@
 
 } // namespace
 
-QuotaAnswer ProxyState::requestPermit(const QuotaRequest &request)
+void ProxyState::applyLimits()
 {
-    const auto storeMs = m_storeClock.storeMs(now());
-    if (!storeMs) {
-        return QuotaBusy{};
+    quotas.apply(routes.config().customers, now());
+    if (quotas.size() != 0 && !std::exchange(m_isExchangingUsage, true)) {
+        exchangeUsage();
     }
-    auto answer = quotas.request(request, now(), *storeMs);
-    const auto *granted = std::get_if<QuotaGranted>(&answer);
-    const auto *write = std::get_if<QuotaNeedsWrite>(&answer);
-    const bool needsRead = std::holds_alternative<QuotaNeedsRead>(answer);
-    const bool needsWrite = write != nullptr || (granted != nullptr && granted->renewal);
-    if (granted != nullptr) {
-        metrics.count("vanillahall_quota_requests_total", {"outcome", "granted"});
-    }
-    if ((needsRead || needsWrite) && !isStoreReachable()) {
-        quotas.onWriteFailed(request.customer, now());
-    } else if (needsRead) {
-        readQuota(request.customer);
-    } else if (needsWrite) {
-        writeQuota(write != nullptr ? write->write : *granted->renewal);
-    }
-    return answer;
-}
-
-void ProxyState::writeQuota(const QuotaWrite &write)
-{
-    const auto share = quotas.share(write.customer, now());
-    store.call(Platform::writeQuotaRowCall(write),
-               StoreTimeout,
-               false,
-               [weak = weak_from_this(), customer = write.customer, share](const auto &reply, const Error &reason) {
-                   if (const auto self = weak.lock()) {
-                       self->onQuotaWritten(customer, share, reply, reason);
-                   }
-               });
 }
 
-void ProxyState::onQuotaWritten(const std::string &customer, double oldShare, const std::optional<StoreReply> &reply, const Error &reason)
+void ProxyState::exchangeUsage()
 {
-    Error ec = reason;
-    const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
-    const char *outcome = "failed";
-    if (!answer) {
-        onStoreFailure(ec.message);
-        quotas.onWriteFailed(customer, now());
-    } else if (const auto *done = std::get_if<Platform::TransactionDone>(&*answer)) {
-        onStoreReachable();
-        quotas.onWritten(customer, done->version, now());
-        outcome = "written";
-    } else {
-        onStoreReachable();
-        quotas.onConflict(customer, quotaRow(customer, std::get<Platform::TransactionRefused>(*answer).rows), now());
-        outcome = "changed_by_another";
-    }
-    metrics.count("vanillahall_quota_calls_total", {"outcome", outcome});
-    const auto share = quotas.share(customer, now());
-    if (std::abs(share - oldShare) >= LoggedShareChange) {
-        logQuota(LogLevel::Info, EventNumber::QuotaShareChanged, customer, "share=" + std::to_string(share));
-    }
-    notifyQuotaWaiters(customer);
-}
-
-void ProxyState::readQuota(const std::string &customer)
-{
-    store.call(Platform::readQuotaRowCall(customer),
-               StoreTimeout,
-               false,
-               [weak = weak_from_this(), customer](const auto &reply, const Error &reason) {
-                   if (const auto self = weak.lock()) {
-                       self->onQuotaRead(customer, reply, reason);
-                   }
-               });
-}
-
-void ProxyState::onQuotaRead(const std::string &customer, const std::optional<StoreReply> &reply, const Error &reason)
-{
-    Error ec = reason;
-    const auto rows = reply && reply->status == StatusOk ? Platform::decodeRows(reply->body, ec) : std::nullopt;
-    if (rows) {
-        onStoreReply(rows->nowMs);
-        quotas.onRowRead(customer, quotaRow(customer, rows->rows), now());
-    } else {
-        onStoreFailure(reply && reply->status != StatusOk ? "status " + std::to_string(reply->status) : ec.message);
-        quotas.onRowRead(customer, std::nullopt, now());
+    const auto startedAt = now();
+    runAfter(m_usageTimer, quotas.reportInterval(), *this, [](ProxyState &self) {
+        self.exchangeUsage();
+    });
+    if (quotas.size() == 0) {
+        return;
     }
-    metrics.count("vanillahall_quota_calls_total", {"outcome", rows ? "read" : "read_failed"});
-    notifyQuotaWaiters(customer);
-}
-
-QuotaRow ProxyState::quotaRow(const std::string &customer, const std::vector<Platform::StoreRow> &rows)
-{
-    for (const auto &it : rows) {
-        if (it.key != customer) {
-            continue;
+    const auto write = Platform::writeUsageCall(quotas.report(startedAt));
+    store.call(write, StoreTimeout, false, [weak = weak_from_this(), startedAt](const auto &reply, const Error &reason) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
         }
-        Error ec;
-        if (auto row = Platform::decodeQuotaRow(it, ec)) {
-            return std::move(*row);
+        const bool isDone = reply && reply->status == StatusOk;
+        if (isDone) {
+            self->quotas.onReportWritten(startedAt);
+        } else {
+            self->onStoreFailure(reply ? "status " + std::to_string(reply->status) : reason.message);
         }
-        logQuota(LogLevel::Warning,
-                 EventNumber::QuotaRowUnreadable,
-                 customer,
-                 "version=" + std::to_string(it.version) + " why=\"" + ec.message + '"');
-        QuotaRow row;
-        row.version = it.version;
-        row.isUnreadable = true;
-        return row;
-    }
-    return {};
-}
-
-void ProxyState::addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange)
-{
-    m_quotaWaiters[customer].push_back(exchange);
+        self->metrics.count("vanillahall_quota_calls_total", {"outcome", isDone ? "written" : "failed"});
+    });
+    readAll(Platform::readUsageCall, false, [this, startedAt](const auto &rows) {
+        onUsageRead(rows, startedAt);
+    });
 }
 
-void ProxyState::notifyQuotaWaiters(const std::string &customer)
+void ProxyState::onUsageRead(const std::optional<Platform::StoreRows> &rows, TimePoint readAt)
 {
-    const auto it = m_quotaWaiters.find(customer);
-    if (it == m_quotaWaiters.end()) {
+    metrics.count("vanillahall_quota_calls_total", {"outcome", rows ? "read" : "read_failed"});
+    if (!rows) {
         return;
     }
-    const auto waiters = std::move(it->second);
-    m_quotaWaiters.erase(it);
-    for (const auto &waiter : waiters) {
-        if (const auto exchange = waiter.lock()) {
+    std::vector<UsageReport> reports;
+    for (const auto &it : rows->rows) {
+        Error ec;
+        if (auto report = Platform::decodeUsage(it, ec)) {
+            reports.push_back(std::move(*report));
+        } else {
+            reportInvalidRow(ec, it.version);
+        }
+    }
+    quotas.onReports(reports, readAt, now());
+    for (const auto &it : std::exchange(m_quotaWaiters, {})) {
+        if (const auto exchange = it.lock()) {
             exchange->onPermitUpdate();
         }
     }
 }
 
+void ProxyState::addQuotaWaiter(const std::shared_ptr<Exchange> &exchange)
+{
+    m_quotaWaiters.push_back(exchange);
+}
+
 void ProxyState::recordQuotaRefusal(const std::string &customer, Duration retryAfter)
 {
-    metrics.count("vanillahall_quota_requests_total", {"outcome", "refused"});
     metrics.count("vanillahall_quota_refusals_total", {"customer", customerLabel(customer)});
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count();
     logQuota(LogLevel::Info, EventNumber::PermitRefused, customer, "retry_after_ms=" + std::to_string(ms));
@@ -179,7 +111,7 @@
 void ProxyState::setQuotaGauges()
 {
     metrics.gauge("vanillahall_quota_customers", static_cast<double>(quotas.size()));
-    metrics.gauge("vanillahall_quota_shares", static_cast<double>(quotas.shareCount(now())));
+    metrics.gauge("vanillahall_quota_in_touch", quotas.isInTouch(now()) ? 1 : 0);
     metrics.gauge("vanillahall_programs_in_progress", static_cast<double>(programs.size()));
 }
 
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -2,6 +2,8 @@
 #include "proxy_clock.h"
 #include "proxy_state.h"
 
+#include "vanillahall/platform/wire_quota_func.h"
+
 #include <algorithm>
 
 namespace Vanillahall::Forward {
@@ -228,7 +230,11 @@
     m_nextCleanAt = present + CleanInterval;
     removeCrashRecords(crashes.removeExpired(present));
     removeTokens(ledger.removeIdle(present - TokenRowLifetime));
-    quotas.removeIdle(present);
+    auto silent = quotas.expired(present);
+    if (!silent.empty() && claimCleaningRound()) {
+        silent.resize(std::min(silent.size(), Platform::MaxTransactionEntries));
+        callStore(Platform::removeUsageCall(silent), "remove_usage");
+    }
     sweepTokens();
 }
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -62,6 +62,7 @@
     , m_stopTimer(ioLoop)
     , m_acceptTimer(ioLoop)
     , m_watchTimer(ioLoop)
+    , m_usageTimer(ioLoop)
 {
 }
 
@@ -403,6 +404,7 @@
     stopTimer(m_stopTimer);
     stopTimer(m_acceptTimer);
     stopTimer(m_watchTimer);
+    stopTimer(m_usageTimer);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -13,7 +13,6 @@
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
-#include "vanillahall/core/customer/store_clock_base.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -77,10 +76,8 @@
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
     void addStoreWaiter(const std::shared_ptr<Exchange> &exchange);
-    /** Requests a permit of a customer's rate limit, and makes the call to the store that this needs. */
-    QuotaAnswer requestPermit(const QuotaRequest &request);
-    /** Registers an exchange to be notified after the next store call about a customer's rate limit. */
-    void addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange);
+    /** Registers an exchange to be notified after the next exchange of reports about rate limits. */
+    void addQuotaWaiter(const std::shared_ptr<Exchange> &exchange);
     /** Counts and logs a request that was refused because of its customer's rate limit. */
     void recordQuotaRefusal(const std::string &customer, Duration retryAfter);
     /** Records an attempt with this content that broke the connection, and shares the record with the other proxies. */
@@ -240,13 +237,11 @@
     /** Notifies the exchanges that wait for a program's tokens. */
     void notifyTokenWaiters(const std::string &program, bool hasFailed);
     void onTokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
-    void writeQuota(const QuotaWrite &write);
-    void onQuotaWritten(const std::string &customer, double oldShare, const std::optional<StoreReply> &reply, const Error &reason);
-    void readQuota(const std::string &customer);
-    void onQuotaRead(const std::string &customer, const std::optional<StoreReply> &reply, const Error &reason);
-    /** @return Row of a customer among the rows of a reply; marked as unreadable, and logged, if it can't be decoded. */
-    QuotaRow quotaRow(const std::string &customer, const std::vector<Platform::StoreRow> &rows);
-    void notifyQuotaWaiters(const std::string &customer);
+    /** Applies the limits of the configuration, and starts to exchange reports if there are any. */
+    void applyLimits();
+    /** Writes this proxy's report about the rate limits of customers and reads those of the others, again and again. */
+    void exchangeUsage();
+    void onUsageRead(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
     /** Logs an event about a customer's rate limit; at most one line of each kind per customer in some time. */
     void logQuota(LogLevel level, EventNumber event, const std::string &customer, const std::string &fields);
     void setQuotaGauges();
@@ -315,10 +310,10 @@
         std::uint64_t omitted{};           ///< Events since then.
     };
 
-    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
-        m_quotaWaiters; ///< Exchanges to notify after a call about a rate limit, by customer.
+    std::vector<std::weak_ptr<Exchange>> m_quotaWaiters;                     ///< Exchanges to notify after an exchange of reports.
+    boost::asio::steady_timer m_usageTimer;                                  ///< Delay before the next exchangeUsage().
+    bool m_isExchangingUsage = false;                                        ///< True once exchangeUsage() was started.
     std::map<std::pair<EventNumber, std::string>, QuotaLogEntry> m_quotaLog; ///< Last log lines about rate limits.
-    StoreClock m_storeClock;                                                 ///< Estimate of the store's clock that is never ahead of it.
 };
 
 } // namespace Vanillahall::Forward
