Read the fourth figure of Server-Load, Length-Hint, Affinity-Key and sticky routes

Cause: a Server-Load value with four figures was not read at all, so the load of such servers was unknown to the choice of a server.

Change: the first three figures are the load; the fourth is the time that work takes in percent of the usual time. A fourth figure that is missing, no number, 0 or outside 10 to 10000 counts as usual, since it must neither attract all requests nor keep them away; further figures are ignored. A report whose first three figures aren't all whole numbers is dropped (before, a faulty figure could shift the others). Length-Hint and Affinity-Key are read and still forwarded.

--- a/packages/core/include/vanillahall/core/forward_type.h
+++ b/packages/core/include/vanillahall/core/forward_type.h
@@ -41,6 +41,7 @@
     std::uint32_t maxAttempts = 1;    ///< Maximum number of servers that may run one request.
     bool storesConversation = false;  ///< True if a turn sends only its new input and the system adds the earlier turns.
     Duration retention{};             ///< How long a turn and those before it are stored after its end.
+    bool isSticky = false;            ///< True if a server that handled a request's object lately answers faster.
     bool needsKey = true;             ///< True if a request needs a customer's API key, provided that the configuration has customers.
 };
 
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -217,11 +217,11 @@
                        reason);
     ASSERT_TRUE(config && config->routes.size() == 4 && config->services.count("s") == 1) << reason.message;
     EXPECT_EQ(config->version, 7U);
-    const auto &[name, host, prefix, repetition, timeLimit, objective, rank, targets, maxAttempts, keeps, retention, needsKey]
+    const auto &[name, host, prefix, repetition, timeLimit, objective, rank, targets, maxAttempts, keeps, retention, sticky, needsKey]
         = config->routes[0];
     EXPECT_EQ(std::tie(name, host, prefix, repetition), std::make_tuple("r", "ficu.example", "/a/", Forward::Repetition::Resumable));
-    EXPECT_EQ(std::tie(timeLimit, objective, rank, maxAttempts, keeps, retention, needsKey),
-              std::make_tuple(4s, 250ms, 1U, 2U, true, 60s, true));
+    EXPECT_EQ(std::tie(timeLimit, objective, rank, maxAttempts, keeps, retention, sticky, needsKey),
+              std::make_tuple(4s, 250ms, 1U, 2U, true, 60s, false, true));
     ASSERT_EQ(targets.size(), 2U);
     EXPECT_EQ(std::tie(targets[0].service, targets[0].weight, targets[1].service), std::make_tuple("s", 90U, "t"));
     EXPECT_EQ(config->routes[1].repetition, Forward::Repetition::Stream);
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -91,6 +91,77 @@
     EXPECT_TRUE(attributes.isNotRun);
 }
 
+/** Value of the header that tells a server's load. */
+struct LoadCase
+{
+    const char *name;                        ///< For the test's name.
+    const char *value;                       ///< Value of the header.
+    std::optional<Forward::ServerLoad> load; ///< Expected load.
+};
+
+class LoadHeader : public ::testing::TestWithParam<LoadCase>
+{
+};
+
+// Guards against the loss of a whole report because of a figure that only some services add.
+TEST_P(LoadHeader, IsRead)
+{
+    Forward::ResponseAttributes attributes;
+    readResponseHeader(attributes, "server-load", GetParam().value);
+    const auto &expected = GetParam().load;
+    ASSERT_EQ(attributes.load.has_value(), expected.has_value());
+    if (expected) {
+        const auto &[running, waiting, slots, slowdown] = *attributes.load;
+        EXPECT_EQ(std::tie(running, waiting, slots, slowdown),
+                  std::tie(expected->running, expected->waiting, expected->slots, expected->slowdown));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         LoadHeader,
+                         ::testing::Values(LoadCase{"threeFigures", "3,1,8", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"fourFigures", " 3 , 1, 8,250", Forward::ServerLoad{3, 1, 8, 2.5}},
+                                           LoadCase{"usual", "3,1,8,100", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"fraction", "3,1,8,62.5", Forward::ServerLoad{3, 1, 8, 0.625}},
+                                           LoadCase{"zeroPercent", "3,1,8,0", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"negativePercent", "3,1,8,-50", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"hugePercent", "3,1,8,1e300", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"noNumber", "3,1,8,nan", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"emptyPercent", "3,1,8,", Forward::ServerLoad{3, 1, 8, 1}},
+                                           LoadCase{"fiveFigures", "3,1,8,150,7", Forward::ServerLoad{3, 1, 8, 1.5}},
+                                           LoadCase{"twoFigures", "3,1", std::nullopt},
+                                           LoadCase{"faultyCount", "3,x,1,8", std::nullopt},
+                                           LoadCase{"empty", "", std::nullopt}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+// Guards against hints that are taken from the servers or that differ from what the client sent.
+TEST(RequestAttributes, LengthHintAndObjectAreReadAndForwarded)
+{
+    Forward::RequestAttributes attributes;
+    readRequestHeader(attributes, "length-hint", " 120 ");
+    readRequestHeader(attributes, "Affinity-Key", " doc/7 ");
+    EXPECT_EQ(attributes.lengthHint, 120U);
+    EXPECT_EQ(attributes.object, "doc/7");
+    readRequestHeader(attributes, "Length-Hint", "-1");
+    EXPECT_FALSE(attributes.lengthHint);
+    EXPECT_EQ(requestHeaderPolicy("Length-Hint"), HeaderPolicy::Forward);
+    EXPECT_EQ(requestHeaderPolicy("Affinity-Key"), HeaderPolicy::Forward);
+}
+
+TEST(DecodeConfig, RoutesMayBeSticky)
+{
+    Error reason;
+    const auto config = decodeConfig(R"({"version":1,"services":[],"routes":[
+        {"host":"h","prefix":"/a/","kind":"idempotent","service":"s","sticky":true},
+        {"host":"h","prefix":"/b/","kind":"idempotent","service":"s"}]})",
+                                     reason);
+    ASSERT_TRUE(config && config->routes.size() == 2) << reason.message;
+    EXPECT_TRUE(config->routes[0].isSticky);
+    EXPECT_FALSE(config->routes[1].isSticky);
+}
+
 /** Value of the header that names a server's rate limit. */
 struct RateLimitCase
 {
