Choose servers by learned costs and paces (proxy.placement)

Change: core/placement learns the work of requests by route and customer (WorkEstimator), remaining work, pace and slowdown of servers (ServerBacklog), what is usual at a service (ServiceUsual), and which servers have handled an object (ObjectDirectory); the choice compares expected times to the end. The former constants are the starting values, so that the choice is the former one where nothing has been learned. proxy.placement = fixed chooses as before and learns nothing. Beyond 64 servers of a service, 32 drawn ones, the home, and holders of prompt and object are compared (ServerIndex).

--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -6,6 +6,10 @@
 #pragma once
 
 #include "vanillahall/core/forward_type.h"
+#include "vanillahall/core/placement/object_directory_base.h"
+#include "vanillahall/core/placement/server_backlog_base.h"
+#include "vanillahall/core/placement/server_index_base.h"
+#include "vanillahall/core/placement/work_estimator_base.h"
 #include "vanillahall/core/server_rate_limit_base.h"
 
 #include <deque>
@@ -16,21 +20,24 @@
 
 namespace Vanillahall::Forward {
 
-/** Parameters of the server choice. The default of `promptTokensPerMs` is the figure given for the klokwerk site. */
+/**
+ * Parameters of the server choice. What depends on a deployment is learned; these are the proxy's preferences, as times that a request
+ * would rather wait. docs/design/08-where-a-request-goes.md tells how they were found.
+ */
 struct ChoiceSettings
 {
-    double promptTokensPerMs = 60.0; ///< Prompt tokens that an engine prefills per millisecond.
-    double crossZoneMs = 4.0;        ///< Penalty for a server in another availability zone, in milliseconds.
-    double slotHoldMs = 288.0;       ///< Time that a request occupies one of a server's slots, in milliseconds.
-    double perRequestMs = 2.0;       ///< Delay per request that the server already has, in milliseconds.
-    double homeBonusMs
-        = 150.0; ///< Bonus for the home server, in milliseconds; all entries prefer it, so later turns find their cache there.
-    std::uint32_t newTokensPerTurn = 500; ///< Prompt tokens that a turn adds to its session, assumed where the earlier turns aren't known.
-    double slownessMs = 200.0;            ///< Penalty per multiple of the usual time per event, in milliseconds.
-    double failureRateMs = 300.0;         ///< Penalty for a server whose requests all fail, in milliseconds; scaled by the failure rate.
-    double coldStartMs = 100.0;           ///< Penalty for a server that is still slow after its start, in milliseconds.
-    double backoffMs = 400.0;             ///< Penalty for a server in back-off after a failure or a refusal, in milliseconds.
-    std::uint32_t entries = 12;           ///< Number of proxies assumed until the store has told it.
+    Placement placement = Placement::Learned; ///< Whether costs and paces are learned.
+    double crossZoneMs = 4.0;                 ///< Penalty for a server in another availability zone, in milliseconds; about a round trip.
+    double perRequestMs
+        = 2.0; ///< Delay per request that the server already has, in milliseconds; spreads requests over servers with free slots.
+    double homeBonusMs = 150.0; ///< Bonus for the home server, in milliseconds; all entries prefer it, so later turns find their cache
+                                ///< there. A program's further turns gain from it, so it exceeds the time of one prefill.
+    std::uint32_t newTokensPerTurn
+        = StartingFreshTokens;    ///< Prompt tokens that a turn adds to its session, assumed where the earlier turns aren't known.
+    double slownessMs = 200.0;    ///< Penalty per multiple of the usual time per event, in milliseconds; outweighs the home bonus.
+    double failureRateMs = 300.0; ///< Penalty for a server whose requests all fail, in milliseconds; two failures outweigh the home bonus.
+    double coldStartMs = 100.0;   ///< Penalty for a server that is still slow after its start, in milliseconds; less than the home bonus.
+    double backoffMs = 400.0;     ///< Penalty for a server in back-off after a failure or a refusal, in milliseconds; exceeds the others.
 };
 
 /** Request to choose a server for. */
@@ -42,6 +49,10 @@
     const std::set<std::string> *avoided;                   ///< Servers that already refused or failed this request.
     std::string homeZone;                                   ///< Availability zone of the program's home server; empty for any.
     const std::vector<SoftwareVersion> *software = nullptr; ///< Software versions of which the server has to be one; null for any.
+    std::string_view route = {};                            ///< Name of the route.
+    std::string_view customer = {};                         ///< Name of the customer; empty if none.
+    bool isSticky = false;                                  ///< True if servers that handled the request's object lately answer faster.
+    std::uint32_t tokensPerEvent = 1;                       ///< Generated tokens in one event.
 };
 
 /** Result of the choice. */
@@ -49,7 +60,17 @@
 {
     Server server;                    ///< Chosen server.
     std::uint32_t uncachedTokens = 0; ///< Prompt tokens that it has to prefill, as far as known.
-    double expectedMs = 0;            ///< Expected delay at the server including penalties, in milliseconds.
+    double expectedMs = 0;            ///< Expected delay until the server responds, including penalties, in milliseconds.
+    WorkPlan plan;                    ///< Expected course of the request.
+};
+
+/** Paces of the known servers that have been measured. */
+struct PaceSummary
+{
+    std::size_t measured = 0; ///< Number of servers.
+    double fastest = 1;       ///< Time that work takes at the fastest one, relative to the usual time.
+    double median = 1;        ///< The same at the median.
+    double slowest = 1;       ///< The same at the slowest one.
 };
 
 /** Tracks servers and their load, and chooses among them. */
@@ -73,10 +94,14 @@
     std::vector<std::string> update(const std::vector<Server> &list, bool wasListUnavailable, TimePoint now);
     /** Records a request that was sent to a server. */
     void recordStart(const std::string &id, std::uint32_t uncachedTokens, const RequestAttributes &attributes, TimePoint now);
+    /** Records a request that was sent to the chosen server. */
+    void recordStart(const Choice &choice, const RequestAttributes &attributes, TimePoint now);
     /** Records the first event of a stream: the prompt is prefilled. */
     void recordFirstEvent(const std::string &id, std::uint32_t uncachedTokens);
     /** Records the end of a request at a server. @param hadFirstEvent True if recordFirstEvent() was called for it. */
     void recordEnd(const std::string &id, std::uint32_t uncachedTokens, bool hadFirstEvent);
+    /** Records the end of a request at the chosen server, and learns from it if it is complete. */
+    void recordEnd(const Choice &choice, const AttemptTimes &times, TimePoint now);
     /** Records the load that a server reported. */
     void recordLoad(const std::string &id, const ServerLoad &load, TimePoint now);
     /**
@@ -100,6 +125,8 @@
     void recordRefusal(const std::string &id, TimePoint now);
     /** Sets the number of proxies that share each server's connections and rate limit, and the rank of this one among them, from 0. */
     void setProxies(std::uint32_t proxies, std::uint32_t rank);
+    /** Sets how servers are chosen. What has been learned is kept. */
+    void setPlacement(Placement placement);
     /** Sets the offset of the store's clock to the clock of this process. */
     void setStoreClock(Duration offset);
     /** Records that another server was found at the address of this one. It is not used until it is listed anew or restarted. */
@@ -126,6 +153,10 @@
     [[nodiscard]] std::size_t leavingCount() const;
     /** @return State of a server in the list: "ready", "draining" or "gone". */
     [[nodiscard]] std::string_view listedState(const std::string &id) const;
+    /** @return Accuracy of the expected work of requests. */
+    [[nodiscard]] EstimateError estimateError() const;
+    /** @return Learned paces of the servers. */
+    [[nodiscard]] PaceSummary paces(TimePoint now) const;
     /** @return Number of connections to one server that this entry may open. */
     [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
 
@@ -135,6 +166,7 @@
     {
         Server server;                     ///< As listed.
         std::uint64_t runHash = 0;         ///< Hash of id and start time; a restarted server has an empty prefix cache.
+        ServerBacklog backlog;             ///< Remaining work and pace.
         std::uint32_t running = 0;         ///< Running requests of this entry.
         std::uint64_t prefillTokens = 0;   ///< Uncached prompt tokens of this entry's requests that have no first event yet.
         std::uint32_t otherRequests = 0;   ///< Requests of other entries, by the last load report.
@@ -177,9 +209,39 @@
     /** Data that is looked up once per request, before its servers are compared. */
     struct Lookup
     {
-        std::vector<const CachedPart *> parts; ///< Leading parts of the prompt that are known here.
-        const ServerState *home = nullptr;     ///< Home server of the program.
-        double usualMsPerEvent = 0;            ///< Usual time per event of the service; 0 if unknown.
+        std::vector<const CachedPart *> parts;   ///< Leading parts of the prompt that are known here.
+        const ServerState *home = nullptr;       ///< Home server of the program.
+        double usualMsPerEvent = 0;              ///< Usual time per event of the service; 0 if unknown.
+        const ServiceUsual *usual = nullptr;     ///< Usual figures of the service.
+        WorkFeatures features;                   ///< Work of the request, without its prefill.
+        WorkEstimate work;                       ///< Its estimate, without the prefill.
+        std::uint64_t programKey = 0;            ///< Hash of the program.
+        std::uint64_t spreadKey = 0;             ///< Key by which requests are spread over servers that are about equal.
+        std::uint64_t object = 0;                ///< Hash of the request's object; 0 if none counts.
+        ObjectDirectory::Holders holders{};      ///< Servers that have handled it.
+        const ServerState *objectHome = nullptr; ///< Server that all proxies prefer for it.
+        std::uint32_t share = 0;                 ///< Requests of this proxy that a server may have.
+    };
+    /** Usable servers of a service, as of the last update. */
+    struct ServiceServers
+    {
+        std::vector<const ServerState *> servers;
+        ServerIndex index; ///< Index of `servers`.
+    };
+    /** Expectation for a request at one server. */
+    struct Score
+    {
+        double weight = 0;          ///< Expected time with all preferences, in milliseconds; the least is best.
+        double delayMs = 0;         ///< Expected delay until the server responds, including penalties, in milliseconds.
+        double finishMs = 0;        ///< Expected time to the end, in milliseconds.
+        std::uint32_t uncached = 0; ///< Prompt tokens to prefill.
+        BacklogView view;           ///< State of the server.
+    };
+    /** Best server so far. */
+    struct Best
+    {
+        const ServerState *state = nullptr;
+        Score score;
     };
 
     void recordPrompt(std::uint64_t runHash, const RequestAttributes &attributes);
@@ -191,11 +253,25 @@
     [[nodiscard]] static std::uint32_t cachedTokens(const ServerState &state, const Lookup &lookup, const RequestAttributes &attributes);
     /** @return Servers of a service that were usable at the last update; some may have become unusable since. */
     [[nodiscard]] const std::vector<const ServerState *> &usableServers(const std::string &service) const;
-    [[nodiscard]] const ServerState *home(const ChoiceRequest &request) const;
+    [[nodiscard]] const ServiceServers *serviceServers(const std::string &service) const;
+    /** @return Home for a key among the usable servers of a service. */
+    [[nodiscard]] const ServerState *home(const ChoiceRequest &request, std::uint64_t key, const std::string &zone) const;
+    [[nodiscard]] bool isLearning() const;
+    void lookUpWork(const ChoiceRequest &request, Lookup &lookup) const;
+    /** @return True if a server may be used for a request. */
+    [[nodiscard]] bool isEligible(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const;
+    [[nodiscard]] Score score(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const;
+    void compare(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, Best &best) const;
+    /** @return Positions of a few servers of a service that has many. */
+    [[nodiscard]] std::vector<std::size_t> candidates(const ServiceServers &service, const Lookup &lookup) const;
+    /** @return Penalties that don't depend on the request, in milliseconds. */
+    [[nodiscard]] double penaltyMs(const ServerState &state, double usualMsPerEvent, TimePoint now) const;
+    /** Learns from a complete attempt. */
+    void learn(ServerState &state, const Choice &choice, const AttemptTimes &times, TimePoint now);
+    ServiceUsual &usualOf(const std::string &service);
     [[nodiscard]] static double currentFailureRate(const ServerState &state, TimePoint now);
     [[nodiscard]] std::uint32_t uncachedTokens(const ServerState &state, const Lookup &lookup, const RequestAttributes &attributes) const;
     [[nodiscard]] static double slowness(const ServerState &state, double usualMsPerEvent, TimePoint now);
-    [[nodiscard]] double expectedMs(const ServerState &state, std::uint32_t uncached, double usualMsPerEvent, TimePoint now) const;
 
     std::string m_zone;
     ChoiceSettings m_settings;
@@ -205,8 +281,11 @@
     std::deque<std::string> m_leavingIds;              ///< Ids in `m_leaving`, oldest first.
     /** Servers that were removed from the list, with their last heartbeat; a late write of an earlier one doesn't bring them back. */
     std::unordered_map<std::string, Server> m_removed;
-    std::deque<std::string> m_removedIds;                                          ///< Ids in `m_removed`, oldest first.
-    std::unordered_map<std::string, std::vector<const ServerState *>> m_byService; ///< Usable servers by service, as of the last update.
+    std::deque<std::string> m_removedIds;                        ///< Ids in `m_removed`, oldest first.
+    std::unordered_map<std::string, ServiceServers> m_byService; ///< Usable servers by service, as of the last update.
+    std::unordered_map<std::string, ServiceUsual> m_usual;       ///< Usual figures by service.
+    WorkEstimator m_estimator;                                   ///< Work of requests by kind.
+    ObjectDirectory m_objects;                                   ///< Servers that have handled objects.
     std::unordered_map<std::uint64_t, CachedPart> m_parts;
     std::unordered_map<std::string, double> m_usualMsPerEvent; ///< Usual time per event, by service.
     std::list<std::uint64_t> m_partsByUse;                     ///< Ids of parts, least recently used first.
--- a/packages/core/src/commands/server_registry_cmd.cpp
+++ b/packages/core/src/commands/server_registry_cmd.cpp
@@ -34,7 +34,7 @@
 ServerRegistry::ServerRegistry(std::string zone, ChoiceSettings settings)
     : m_zone(std::move(zone))
     , m_settings(settings)
-    , m_position{settings.entries}
+    , m_position{StartingProxies}
 {
 }
 
@@ -55,7 +55,11 @@
         }
         if (known == m_servers.end() || !isSameRun(known->second.server, it)) {
             ServerState state;
-            state.running = known == m_servers.end() ? 0 : known->second.running;
+            if (known != m_servers.end()) {
+                state.running = known->second.running;
+                state.backlog = known->second.backlog;
+                state.backlog.restart();
+            }
             state.server = it;
             state.runHash = XXH3_64bits_withSeed(it.id.data(), it.id.size(), it.startedMs);
             state.rateLimit = ServerRateLimit(state.runHash);
@@ -121,21 +125,19 @@
     m_byService.clear();
     for (const auto &[id, state] : m_servers) {
         if (state.isUsable()) {
-            m_byService[state.server.service].push_back(&state);
+            auto &service = m_byService[state.server.service];
+            service.servers.push_back(&state);
+            service.index.add(state.runHash, state.server.zone);
         }
     }
 }
 
 void ServerRegistry::recordStart(const std::string &id, std::uint32_t uncachedTokens, const RequestAttributes &attributes, TimePoint now)
 {
-    const auto it = m_servers.find(id);
-    if (it == m_servers.end()) {
-        return;
-    }
-    it->second.running++;
-    it->second.rateLimit.recordSend(now);
-    it->second.prefillTokens += uncachedTokens;
-    recordPrompt(it->second.runHash, attributes);
+    Choice choice;
+    choice.server.id = id;
+    choice.uncachedTokens = uncachedTokens;
+    recordStart(choice, attributes, now);
 }
 
 void ServerRegistry::recordFirstEvent(const std::string &id, std::uint32_t uncachedTokens)
@@ -148,14 +150,14 @@
 
 void ServerRegistry::recordEnd(const std::string &id, std::uint32_t uncachedTokens, bool hadFirstEvent)
 {
-    const auto it = m_servers.find(id);
-    if (it == m_servers.end()) {
-        return;
-    }
-    it->second.running -= std::min(it->second.running, 1U);
-    if (!hadFirstEvent) {
-        recordFirstEvent(id, uncachedTokens);
+    Choice choice;
+    choice.server.id = id;
+    choice.uncachedTokens = uncachedTokens;
+    AttemptTimes times;
+    if (hadFirstEvent) {
+        times.firstEventAt = TimePoint();
     }
+    recordEnd(choice, times, {});
 }
 
 void ServerRegistry::recordLoad(const std::string &id, const ServerLoad &load, TimePoint now)
@@ -164,7 +166,10 @@
     if (it == m_servers.end()) {
         return;
     }
-    const std::uint32_t all = load.running + load.waiting;
+    // The figures are not to be trusted; their sum must not wrap around.
+    const std::uint32_t all = load.running + std::min(load.waiting, UINT32_MAX - load.running);
+    const double others = it->second.backlog.recordLoad(load, now);
+    usualOf(it->second.server.service).recordOthers(others, now);
     it->second.otherRequests = all - std::min(all, it->second.running);
     it->second.otherRequestsAt = now;
     if (load.slots != 0) {
--- /dev/null
+++ b/packages/core/src/placement/server_choice.cpp
@@ -0,0 +1,177 @@
+/** Choice of a server: the least expected time to the end of the request, with the proxy's preferences. */
+#include "placement/key_hash_func.h"
+
+#include "vanillahall/core/server_registry_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration LoadReportMaxAge = std::chrono::milliseconds(600); ///< Load of other entries that was reported longer ago counts half.
+/**
+ * Differences up to this share of a request's slot time, divided by the slots, are less than the error of the expected wait: one request of
+ * another proxy that isn't known yet. Within them, the key of the request decides, so that proxies with the same view choose differently.
+ */
+constexpr double SpreadShare = 1.0;
+
+/** @return Number from 0 to 1 that is fixed for a key and a server. */
+double fraction(std::uint64_t key, std::uint64_t runHash)
+{
+    constexpr int ShownBits = 53;
+    return std::ldexp(static_cast<double>(homeRank(key, runHash) >> (64 - ShownBits)), -ShownBits);
+}
+
+} // namespace
+
+bool ServerRegistry::isLearning() const
+{
+    return m_settings.placement == Placement::Learned;
+}
+
+void ServerRegistry::lookUpWork(const ChoiceRequest &request, Lookup &lookup) const
+{
+    static const ServiceUsual nothingLearned;
+    const auto &attributes = *request.attributes;
+    const auto usual = m_usual.find(request.service);
+    lookup.usual = usual == m_usual.end() || !isLearning() ? &nothingLearned : &usual->second;
+    lookup.spreadKey = attributes.requestId.empty() ? lookup.programKey : keyHash(attributes.requestId);
+    if (!isLearning()) {
+        return;
+    }
+    auto &features = lookup.features;
+    features.kind = {keyHash(request.route), request.customer.empty() ? 0 : keyHash(request.customer)};
+    features.isModelTurn = attributes.promptTokens != 0;
+    features.hintedTokens = attributes.lengthHint.value_or(0);
+    features.maxTokens = attributes.maxGenerated;
+    features.tokensPerEvent = std::max(1U, request.tokensPerEvent);
+    features.tokensPerMs = lookup.usual->tokensPerMs();
+    if (lookup.usualMsPerEvent > 0) {
+        features.perEvent = Milliseconds(lookup.usualMsPerEvent);
+    }
+    lookup.work = m_estimator.estimate(features);
+    if (request.isSticky && !attributes.object.empty()) {
+        lookup.object = keyHash(attributes.object) ^ keyHash(request.service);
+        lookup.holders = m_objects.holders(lookup.object);
+        lookup.objectHome = home(request, lookup.object, {});
+    }
+}
+
+ServerRegistry::Score
+ServerRegistry::score(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const
+{
+    Score score;
+    score.uncached = uncachedTokens(state, lookup, *request.attributes);
+    const double slots = std::max(1U, state.server.slots);
+    auto &view = score.view;
+    if (isLearning()) {
+        view = state.backlog.view(*lookup.usual, slots, lookup.work.hold, now);
+    } else {
+        view.load = (now - state.otherRequestsAt < LoadReportMaxAge ? state.otherRequests : state.otherRequests / 2.0) + state.running;
+        view.excess = std::max(0.0, view.load - slots + 1);
+        view.wait = view.excess * StartingHold / slots;
+    }
+    const double prefillMs = (static_cast<double>(state.prefillTokens) + score.uncached) / lookup.usual->tokensPerMs();
+    const double startMs = prefillMs * view.slowness + view.load * m_settings.perRequestMs + view.wait.count();
+    score.delayMs = startMs + penaltyMs(state, lookup.usualMsPerEvent, now);
+    double runMs = lookup.work.run.count() * view.slowness;
+    const bool knowsObject = lookup.object != 0
+        && (&state == lookup.objectHome || std::find(lookup.holders.begin(), lookup.holders.end(), state.runHash) != lookup.holders.end());
+    if (knowsObject) {
+        runMs -= m_objects.saving() * lookup.work.hold.count() * view.slowness;
+    }
+    score.finishMs = startMs + std::max(0.0, runMs);
+    // An unused slot expires, while the capacity of the home remains.
+    const bool hasBonus = &state == lookup.home || state.rateLimit.rate().has_value();
+    score.weight = score.delayMs + runMs - (hasBonus ? m_settings.homeBonusMs : 0.0);
+    const double confidence = lookup.usual->confidence();
+    if (confidence > 0) {
+        score.weight += confidence * SpreadShare * lookup.usual->hold().count() / slots * fraction(lookup.spreadKey, state.runHash);
+    }
+    return score;
+}
+
+void ServerRegistry::compare(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, Best &best) const
+{
+    if (!isEligible(state, request, lookup, now)) {
+        return;
+    }
+    const auto result = score(state, request, lookup, now);
+    const auto hasHigherRank = [&] {
+        return homeRank(lookup.programKey, state.runHash) > homeRank(lookup.programKey, best.state->runHash);
+    };
+    if (best.state == nullptr || result.weight < best.score.weight || (result.weight == best.score.weight && hasHigherRank())) {
+        best = {&state, result};
+    }
+}
+
+std::vector<std::size_t> ServerRegistry::candidates(const ServiceServers &service, const Lookup &lookup) const
+{
+    std::vector<std::size_t> positions;
+    positions.reserve(2 * MaxComparedServers);
+    service.index.draw(lookup.spreadKey, m_zone, positions);
+    const auto add = [&](std::uint64_t runHash) {
+        if (const auto position = service.index.position(runHash)) {
+            positions.push_back(*position);
+        }
+    };
+    // The deepest known part of the prompt saves the most.
+    if (!lookup.parts.empty()) {
+        for (const auto &it : lookup.parts.back()->holders) {
+            add(it.runHash);
+        }
+    }
+    for (const auto *it : {lookup.home, lookup.objectHome}) {
+        if (it != nullptr) {
+            add(it->runHash);
+        }
+    }
+    for (const auto it : lookup.holders) {
+        add(it);
+    }
+    return positions;
+}
+
+std::optional<Choice> ServerRegistry::choose(const ChoiceRequest &request, TimePoint now) const
+{
+    const auto *service = serviceServers(request.service);
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    const auto lookup = lookUp(request);
+    Best best;
+    if (isLearning() && !service->index.isSmall()) {
+        for (const auto it : candidates(*service, lookup)) {
+            compare(*service->servers[it], request, lookup, now, best);
+        }
+    }
+    if (best.state == nullptr) {
+        for (const auto *it : service->servers) {
+            compare(*it, request, lookup, now, best);
+        }
+    }
+    if (best.state == nullptr) {
+        return std::nullopt;
+    }
+    Choice choice;
+    choice.server = best.state->server;
+    choice.uncachedTokens = best.score.uncached;
+    choice.expectedMs = best.score.delayMs;
+    auto &plan = choice.plan;
+    plan.features = lookup.features;
+    plan.features.uncachedTokens = best.score.uncached;
+    plan.estimate = isLearning() ? m_estimator.estimate(plan.features) : WorkEstimate();
+    plan.wait = best.score.view.wait;
+    plan.finish = Milliseconds(best.score.finishMs);
+    plan.slowdown = best.score.view.slowdown;
+    plan.hadFreeSlot = best.score.view.excess < 1;
+    plan.prefillAhead = best.state->prefillTokens;
+    plan.object = lookup.object;
+    plan.isObjectKnown
+        = lookup.object != 0 && std::find(lookup.holders.begin(), lookup.holders.end(), best.state->runHash) != lookup.holders.end();
+    return choice;
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -1,16 +1,14 @@
 #include "vanillahall/core/server_registry_base.h"
 
+#include "placement/key_hash_func.h"
+
 #include <algorithm>
 #include <cmath>
-#include <tuple>
-
-#include <xxhash.h>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
-constexpr Duration LoadReportMaxAge = std::chrono::milliseconds(600); ///< Load of other entries that was reported longer ago counts half.
 /** Half-life of the failure rate; lets an avoided server be tried again after a few seconds. */
 constexpr double FailureRateHalfLifeSeconds = 2.0;
 /** An older measurement of the event time is ignored, so that a slow server is tried again. */
@@ -18,20 +16,6 @@
 constexpr double NormalSlowdown = 1.6;      ///< Load alone makes events up to this many times slower than usual.
 constexpr std::uint32_t MinConnections = 4; ///< Connections that an entry may always open to one server.
 
-std::uint64_t keyHash(const std::string &key)
-{
-    return XXH3_64bits(key.data(), key.size());
-}
-
-/**
- * @return Rank of a server for a key. It is the same at each entry, so that turns of a program meet at one server without any
- * communication.
- */
-std::uint64_t homeRank(std::uint64_t keyHash, std::uint64_t runHash)
-{
-    return XXH3_64bits_withSeed(&runHash, sizeof runHash, keyHash);
-}
-
 bool hasSoftware(const Server &server, const std::vector<SoftwareVersion> *wanted)
 {
     return wanted == nullptr || std::any_of(wanted->begin(), wanted->end(), [&server](const SoftwareVersion &it) {
@@ -56,9 +40,14 @@
         }
         lookup.parts.push_back(&part->second);
     }
-    lookup.home = home(request);
+    lookup.programKey = keyHash(request.attributes->program);
+    if (!request.attributes->program.empty() && !request.attributes->promptParts.empty()) {
+        lookup.home = home(request, lookup.programKey, request.homeZone);
+    }
     const auto usual = m_usualMsPerEvent.find(request.service);
     lookup.usualMsPerEvent = usual == m_usualMsPerEvent.end() ? 0 : usual->second;
+    lookup.share = connectionShare(request.maxConnections);
+    lookUpWork(request, lookup);
     return lookup;
 }
 
@@ -99,19 +88,9 @@
     return std::max(0.0, state.msPerEvent / usualMsPerEvent - NormalSlowdown);
 }
 
-double ServerRegistry::expectedMs(const ServerState &state, std::uint32_t uncached, double usualMsPerEvent, TimePoint now) const
+double ServerRegistry::penaltyMs(const ServerState &state, double usualMsPerEvent, TimePoint now) const
 {
-    double ms = (static_cast<double>(state.prefillTokens) + uncached) / m_settings.promptTokensPerMs;
-    const double otherRequests = now - state.otherRequestsAt < LoadReportMaxAge ? state.otherRequests : state.otherRequests / 2.0;
-    const double load = otherRequests + state.running;
-    ms += load * m_settings.perRequestMs;
-    const double slots = std::max(1U, state.server.slots);
-    if (load >= slots) {
-        ms += (load - slots + 1) * m_settings.slotHoldMs / slots;
-    }
-    if (state.server.zone != m_zone) {
-        ms += m_settings.crossZoneMs;
-    }
+    double ms = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
     ms += slowness(state, usualMsPerEvent, now) * m_settings.slownessMs + currentFailureRate(state, now) * m_settings.failureRateMs;
     if (now < state.coldUntil) {
         ms += m_settings.coldStartMs;
@@ -127,36 +106,44 @@
     return std::max(MinConnections, maxConnections / m_position.proxies);
 }
 
+const ServerRegistry::ServiceServers *ServerRegistry::serviceServers(const std::string &service) const
+{
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? nullptr : &it->second;
+}
+
 const std::vector<const ServerRegistry::ServerState *> &ServerRegistry::usableServers(const std::string &service) const
 {
     static const std::vector<const ServerState *> none;
-    const auto it = m_byService.find(service);
-    return it == m_byService.end() ? none : it->second;
+    const auto *it = serviceServers(service);
+    return it == nullptr ? none : it->servers;
 }
 
-const ServerRegistry::ServerState *ServerRegistry::home(const ChoiceRequest &request) const
+const ServerRegistry::ServerState *ServerRegistry::home(const ChoiceRequest &request, std::uint64_t key, const std::string &zone) const
 {
-    const ServerState *best = nullptr;
-    // Without a rate limit, in the home zone, rank. A proxy's slots are too rare for all turns of a program.
-    std::tuple<bool, bool, std::uint64_t> bestQuality;
-    if (request.attributes->program.empty() || request.attributes->promptParts.empty()) {
+    const auto *service = serviceServers(request.service);
+    if (service == nullptr) {
         return nullptr;
     }
-    const auto key = keyHash(request.attributes->program);
-    for (const auto *state : usableServers(request.service)) {
-        if (!hasSoftware(state->server, request.software)) {
-            continue;
+    const auto position = service->index.home(key, zone, [&](std::size_t n) {
+        const auto &state = *service->servers[n];
+        if (!hasSoftware(state.server, request.software)) {
+            return HomeSuitability::Unusable;
         }
-        const auto rank = homeRank(key, state->runHash);
-        const bool isInHomeZone = state->server.zone == request.homeZone;
-        const bool isUnlimited = !state->rateLimit.rate();
-        const auto quality = std::make_tuple(isUnlimited, isInHomeZone, rank);
-        if (state->isUsable() && (best == nullptr || quality > bestQuality)) {
-            best = state;
-            bestQuality = quality;
+        if (!state.isUsable()) {
+            return HomeSuitability::Unusable;
         }
-    }
-    return best;
+        // A proxy's slots at a server with a rate limit are too rare for all turns of a program.
+        return state.rateLimit.rate() ? HomeSuitability::Limited : HomeSuitability::Suitable;
+    });
+    return position ? service->servers[*position] : nullptr;
+}
+
+bool ServerRegistry::isEligible(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const
+{
+    return state.isUsable() && state.running < lookup.share && !request.avoided->contains(state.server.id)
+        && hasSoftware(state.server, request.software) && hasModel(state.server, request.attributes->model)
+        && state.rateLimit.nextSlot(m_position, now) <= now;
 }
 
 std::uint32_t ServerRegistry::uncachedTokens(const ServerState &state, const Lookup &lookup, const RequestAttributes &attributes) const
@@ -171,41 +158,6 @@
     return attributes.promptTokens - std::min(attributes.promptTokens, cached);
 }
 
-std::optional<Choice> ServerRegistry::choose(const ChoiceRequest &request, TimePoint now) const
-{
-    const auto &attributes = *request.attributes;
-    const auto share = connectionShare(request.maxConnections);
-    const auto lookup = lookUp(request);
-    const auto key = keyHash(attributes.program);
-    const ServerState *best = nullptr;
-    double bestWeight = 0;
-    Choice choice;
-    for (const auto *state : usableServers(request.service)) {
-        if (!state->isUsable() || state->running >= share || request.avoided->count(state->server.id) != 0
-            || !hasSoftware(state->server, request.software) || !hasModel(state->server, attributes.model)
-            || state->rateLimit.nextSlot(m_position, now) > now) {
-            continue;
-        }
-        const std::uint32_t uncached = uncachedTokens(*state, lookup, attributes);
-        const double ms = expectedMs(*state, uncached, lookup.usualMsPerEvent, now);
-        // An unused slot expires, while the capacity of the home remains.
-        const bool hasBonus = state == lookup.home || state->rateLimit.rate().has_value();
-        const double weight = ms - (hasBonus ? m_settings.homeBonusMs : 0.0);
-        const bool isTie = best != nullptr && weight == bestWeight;
-        if (best == nullptr || weight < bestWeight || (isTie && homeRank(key, state->runHash) > homeRank(key, best->runHash))) {
-            best = state;
-            bestWeight = weight;
-            choice.uncachedTokens = uncached;
-            choice.expectedMs = ms;
-        }
-    }
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    choice.server = best->server;
-    return choice;
-}
-
 bool ServerRegistry::hasServer(const std::string &service) const
 {
     const auto &servers = usableServers(service);
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -37,6 +37,11 @@
     return stop;
 }
 
+Forward::Placement toPlacement(const Settings &settings)
+{
+    return settings.proxyPlacement == "fixed" ? Forward::Placement::Fixed : Forward::Placement::Learned;
+}
+
 Forward::ProxySettings toProxySettings(const Settings &settings)
 {
     Forward::ProxySettings proxy;
@@ -59,6 +64,7 @@
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
+    proxy.choice.placement = toPlacement(settings);
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, ReservedFiles)) / FilesPerClient;
     return proxy;
 }
@@ -155,6 +161,7 @@
         setLogLevel(settings->logLevel);
         m_proxy.setStore(toAddress(settings->store));
         m_proxy.setStopSettings(toStopSettings(*settings));
+        m_proxy.setPlacement(toPlacement(*settings));
         writeFields(LogLevel::Info, EventNumber::SettingsReloaded, std::string("cause=") + cause);
     }
 
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -176,6 +176,12 @@
     return value == "model" || value == "service";
 }
 
+bool setPlacement(std::string &field, const std::string &value)
+{
+    field = value;
+    return value == "learned" || value == "fixed";
+}
+
 bool setLogLevel(std::string &field, const std::string &value)
 {
     field = value;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -71,6 +71,7 @@
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
     std::optional<Duration> proxyStopLimit;                      ///< proxy.stop_limit_ms
     std::optional<Duration> proxyGracePeriod;                    ///< proxy.grace_s
+    std::string proxyPlacement = "learned";                      ///< proxy.placement
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -38,6 +38,7 @@
 bool setEndpoint(Endpoint &field, const std::string &value);
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
+bool setPlacement(std::string &field, const std::string &value);
 bool setLogLevel(std::string &field, const std::string &value);
 
 #define VH_SETTING(function, field)                                                                                                        \
@@ -254,6 +255,12 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalSeconds, proxyGracePeriod),
      "Time from SIGTERM until the process is killed."},
+    {"proxy",
+     "placement",
+     "learned or fixed",
+     RequiredBy::Nobody,
+     VH_SETTING(setPlacement, proxyPlacement),
+     "Whether servers are chosen by costs and paces that the proxy learns, or by fixed figures; without it, learned."},
     {"log",
      "level",
      "info, warning or error",
--- a/packages/proxy/include/vanillahall/proxy/proxy_base.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_base.h
@@ -37,6 +37,8 @@
     void stop(std::function<void()> stopped);
     /** Changes the parameters of a planned stop, also of one that has begun. */
     void setStopSettings(const StopSettings &settings);
+    /** Sets how servers are chosen. */
+    void setPlacement(Placement placement);
     /** Switches to a store at another address. */
     void setStore(const ProxyAddress &store);
 
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -136,8 +136,7 @@
         return m_newVersion;
     }
     // The first write of the row names the version of the server that would be chosen now.
-    const ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
-    const auto choice = m_proxy.servers.choose(wanted, now());
+    const auto choice = m_proxy.servers.choose(choiceRequest(), now());
     return choice ? std::optional(choice->server.software()) : std::nullopt;
 }
 
@@ -288,7 +287,7 @@
 std::optional<Choice> Exchange::chooseServer()
 {
     const auto &program = m_request.attributes.program;
-    ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(program)};
+    auto wanted = choiceRequest();
     if (m_origin) {
         const std::vector<SoftwareVersion> origin{*m_origin};
         wanted.software = &origin;
@@ -380,7 +379,7 @@
         m_serverChosenAt = now();
     }
     m_triedServers += (m_triedServers.empty() ? "" : ",") + choice.server.id;
-    m_proxy.servers.recordStart(choice.server.id, choice.uncachedTokens, m_request.attributes, now());
+    m_proxy.servers.recordStart(choice, m_request.attributes, now());
     // A fault that breaks one idle connection often breaks all of them, and a request may be repeated only a few times. On the connection
     // of an earlier refusal, a copy of it couldn't be told from the answer.
     const bool needsNewConnection = m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -85,7 +85,12 @@
     /** Handles the end of an attempt whose server has ended the response early, or sent one that can't be passed on. */
     void onAttemptBroken(const std::string &message);
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
-    void endAttempt();
+    /** @param isComplete True if the server has answered the whole request successfully, so that its time tells its cost. */
+    void endAttempt(bool isComplete);
+    /** @return What the choice of a server depends on, for servers of any software version. */
+    [[nodiscard]] ChoiceRequest choiceRequest() const;
+    /** @return Fields of the log line about the expected course of the request. */
+    [[nodiscard]] std::string placementFields() const;
     /** Ends the current attempt, which its server may still run. @param why Reason for the log. */
     void abandonAttempt(std::string_view why);
     /** Records that the current attempt has ended for the proxy, while its server may still run it. */
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -263,7 +263,7 @@
     if (isSuccess(m_head.status) && !m_endsWithConnection) {
         m_proxy.recordContentSuccess(m_contentHash, m_attemptStartedAt);
     }
-    endAttempt();
+    endAttempt(isSuccess(m_head.status) && !m_continuesAnswer);
     if (!m_conversation || !isSuccess(m_head.status)) {
         endAnswer(rest);
         return;
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -45,14 +45,9 @@
     onAttemptFailed(m_failure, m_failureReason.empty() ? message : m_failureReason);
 }
 
-void Exchange::endAttempt()
-{
-    m_proxy.servers.recordEnd(m_choice.server.id, m_choice.uncachedTokens, m_hadFirstEvent);
-}
-
 void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &message)
 {
-    endAttempt();
+    endAttempt(false);
     m_excludedServers.insert(m_choice.server.id);
     const bool canResume = m_hasBegunAnswer && m_lastEvent && m_route.repetition == Repetition::Resumable && !m_head.length;
     const AttemptHistory history{
@@ -174,7 +169,7 @@
     }
     m_connection->abandon();
     m_connection.reset();
-    endAttempt();
+    endAttempt(false);
 }
 
 void Exchange::recordAbandoned(std::string_view why)
@@ -218,7 +213,7 @@
          << " servers=" << m_triedServers << " tries=" << m_attempts
          << " placed_ms=" << (m_serverChosenAt ? ms(*m_serverChosenAt - m_request.arrived) : -1)
          << " first_ms=" << (m_firstByteAt ? ms(*m_firstByteAt - m_request.arrived) : -1) << " all_ms=" << ms(ended - m_request.arrived)
-         << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << " list_age_ms=" << ms(m_proxy.listAge())
+         << " expected_ms=" << static_cast<int>(m_choice.expectedMs) << placementFields() << " list_age_ms=" << ms(m_proxy.listAge())
          << " home_zone=" << m_proxy.ledger.homeZone(attributes.program) << " events=" << m_forwardedEvents
          << " unread=" << m_choice.uncachedTokens << " version=" << m_choice.server.softwareVersion
          << " last_event=" << (attributes.lastEventId ? std::to_string(*attributes.lastEventId) : "")
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -24,6 +24,11 @@
     m_state->stop(std::move(stopped));
 }
 
+void Proxy::setPlacement(Placement placement)
+{
+    m_state->servers.setPlacement(placement);
+}
+
 void Proxy::setStopSettings(const StopSettings &settings)
 {
     m_state->plannedStop.setSettings(settings);
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -1,6 +1,7 @@
 #include "proxy_state.h"
 
 #include "http_status.h"
+#include "placement_gauges_func.h"
 #include "proxy_clock.h"
 #include "timer_func.h"
 
@@ -278,6 +279,7 @@
     metrics.gauge("vanillahall_servers_known", static_cast<double>(servers.size()));
     metrics.gauge("vanillahall_servers_limited", static_cast<double>(servers.limitedCount()));
     metrics.gauge("vanillahall_servers_leaving", static_cast<double>(servers.leavingCount()));
+    setPlacementGauges(metrics, servers, now());
     metrics.gauge("vanillahall_server_list_age_seconds", std::chrono::duration<double>(listAge()).count());
     metrics.gauge("vanillahall_config_version", static_cast<double>(routes.config().version));
     metrics.gauge("vanillahall_programs_with_reservation", static_cast<double>(ledger.size()));
--- a/tests/core/server_registry_test.cpp
+++ b/tests/core/server_registry_test.cpp
@@ -577,9 +577,8 @@
 
 TEST(ServerRegistry, ConnectionsAreSharedAmongEntries)
 {
-    ChoiceSettings settings;
-    settings.entries = 10;
-    ServerRegistry registry("z1", settings);
+    ServerRegistry registry("z1", {});
+    registry.setProxies(10, 0);
     registry.update({makeServer("a")}, false, Start);
     const RequestAttributes plain;
     for (std::uint32_t n = 0; n < 12; n++) {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -142,6 +142,7 @@
                                            BadLine{"lease.renew_interval_ms=2000", "renew_interval_ms"},
                                            BadLine{"entry.certificate=/tmp/c", "private_key"},
                                            BadLine{"log.level=loud", "level"},
+                                           BadLine{"proxy.placement=random", "placement"},
                                            BadLine{"gate.slots=none", "slots"},
                                            BadLine{"process.colour=red", "colour"},
                                            BadLine{"role", "role"}));
