--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -268,7 +268,7 @@
     void compare(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, Best &best) const;
     /** @return Positions of a few servers of a service that has many. */
     [[nodiscard]] std::vector<std::size_t> candidates(const ServiceServers &service, const Lookup &lookup) const;
-    /** @return Penalties that don't depend on the request, in milliseconds. */
+    /** @return Penalties for the server's faults, in milliseconds. */
     [[nodiscard]] double penaltyMs(const ServerState &state, double usualMsPerEvent, TimePoint now) const;
     /** Learns from a complete attempt. */
     void learn(ServerState &state, const Choice &choice, const AttemptTimes &times, TimePoint now);
--- a/packages/core/src/placement/server_backlog.cpp
+++ b/packages/core/src/placement/server_backlog.cpp
@@ -71,8 +71,8 @@
 
 double ServiceUsual::paceTrust() const
 {
-    // The slope of observed over learned deviations. The prior is that of 20 requests at servers that deviate by a third.
-    constexpr double Prior = 2;
+    // The slope of observed over learned deviations. The prior is that of 40 requests at servers that deviate by a third.
+    constexpr double Prior = 4;
     return std::clamp(m_paceCovariance / (m_paceVariance + Prior), 0.0, 1.0);
 }
 
--- a/packages/core/src/placement/server_choice.cpp
+++ b/packages/core/src/placement/server_choice.cpp
@@ -75,7 +75,10 @@
     }
     const double prefillMs = (static_cast<double>(state.prefillTokens) + score.uncached) / lookup.usual->tokensPerMs();
     const double startMs = prefillMs * view.slowness + view.load * m_settings.perRequestMs + view.wait.count();
-    score.delayMs = startMs + penaltyMs(state, lookup.usualMsPerEvent, now);
+    // Preferences were measured against waits for slots that are held for the starting time; where they are held longer, waits are longer.
+    const double scale = std::max(1.0, lookup.usual->hold() / StartingHold);
+    const double zoneMs = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
+    score.delayMs = startMs + zoneMs + scale * penaltyMs(state, lookup.usualMsPerEvent, now);
     double runMs = lookup.work.run.count() * view.slowness;
     const bool knowsObject = lookup.object != 0
         && (&state == lookup.objectHome || std::find(lookup.holders.begin(), lookup.holders.end(), state.runHash) != lookup.holders.end());
@@ -85,7 +88,7 @@
     score.finishMs = startMs + std::max(0.0, runMs);
     // An unused slot expires, while the capacity of the home remains.
     const bool hasBonus = &state == lookup.home || state.rateLimit.rate().has_value();
-    score.weight = score.delayMs + runMs - (hasBonus ? m_settings.homeBonusMs : 0.0);
+    score.weight = score.delayMs + runMs - (hasBonus ? scale * m_settings.homeBonusMs : 0.0);
     // Homes spread the programs already.
     const double confidence = lookup.home == nullptr ? lookup.usual->confidence() : 0;
     if (confidence > 0 && view.excess > 0) {
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -90,8 +90,7 @@
 
 double ServerRegistry::penaltyMs(const ServerState &state, double usualMsPerEvent, TimePoint now) const
 {
-    double ms = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
-    ms += slowness(state, usualMsPerEvent, now) * m_settings.slownessMs + currentFailureRate(state, now) * m_settings.failureRateMs;
+    double ms = slowness(state, usualMsPerEvent, now) * m_settings.slownessMs + currentFailureRate(state, now) * m_settings.failureRateMs;
     if (now < state.coldUntil) {
         ms += m_settings.coldStartMs;
     }
