--- a/packages/core/src/placement/server_choice.cpp
+++ b/packages/core/src/placement/server_choice.cpp
@@ -16,6 +16,7 @@
  * another proxy that isn't known yet. Within them, the key of the request decides, so that proxies with the same view choose differently.
  */
 constexpr double SpreadShare = 1.0;
+constexpr std::size_t MaxHolderCandidates = 6; ///< Holders of the prompt that are compared where not all servers are.
 
 /** @return Number from 0 to 1 that is fixed for a key and a server. */
 double fraction(std::uint64_t key, std::uint64_t runHash)
@@ -122,10 +123,11 @@
             positions.push_back(*position);
         }
     };
-    // The deepest known part of the prompt saves the most.
+    // The deepest known part of the prompt saves the most, and the latest holders are the least likely to have dropped it.
     if (!lookup.parts.empty()) {
-        for (const auto &it : lookup.parts.back()->holders) {
-            add(it.runHash);
+        const auto &holders = lookup.parts.back()->holders;
+        for (std::size_t n = 0; n < std::min(MaxHolderCandidates, holders.size()); n++) {
+            add(holders[holders.size() - 1 - n].runHash);
         }
     }
     for (const auto *it : {lookup.home, lookup.objectHome}) {
--- a/packages/core/src/placement/server_index.cpp
+++ b/packages/core/src/placement/server_index.cpp
@@ -86,8 +86,8 @@
 
 void ServerIndex::draw(std::uint64_t key, const std::string &zone, std::vector<std::size_t> &positions) const
 {
-    constexpr std::size_t Draws = MaxComparedServers
-        / 4; // From the zone, and as many from all: far more than two, so that the best of them is near the best of all.
+    // From the zone, and as many from all: far more than two, so that the best of them is close to the best of all.
+    constexpr std::size_t Draws = 12;
     const auto inZone = m_positionsByZone.find(zone);
     for (std::uint64_t n = 0; n < Draws; n++) {
         const auto random = homeRank(key, n);
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -242,6 +242,24 @@
     print("proxy_choice_among_2200_servers_of_one_service_" + name, choice / CallsPerMeasurement, "us");
 }
 
+void measurePlacementMemory()
+{
+    double before = allocatedBytes();
+    Forward::WorkEstimator estimator;
+    for (std::uint64_t n = 1; n <= Forward::MaxWorkKinds; n++) {
+        Forward::WorkFeatures features;
+        features.kind.route = n;
+        estimator.record(features, {}, Forward::Milliseconds(1), 0, 1, TimePoint(1s));
+    }
+    print("memory_of_all_work_kinds", allocatedBytes() - before, "bytes");
+    before = allocatedBytes();
+    Forward::ObjectDirectory objects;
+    for (std::uint64_t n = 1; n <= Forward::MaxObjects; n++) {
+        objects.record(n, n);
+    }
+    print("memory_of_all_objects", allocatedBytes() - before, "bytes");
+}
+
 /** Measures a proxy's server registry with 8 services of equal size and prompts of ten parts, some of them cached at servers. */
 void measureProxyServers()
 {
@@ -382,6 +400,7 @@
     Vanillahall::measurePrograms();
     Vanillahall::measureWorkers();
     Vanillahall::measureProxyServers();
+    Vanillahall::measurePlacementMemory();
     Vanillahall::measureProxyChoice(Vanillahall::Forward::Placement::Learned, "learned");
     Vanillahall::measureProxyChoice(Vanillahall::Forward::Placement::Fixed, "fixed");
     Vanillahall::measureMessages();
