--- a/tests/core/placement_test.cpp
+++ b/tests/core/placement_test.cpp
@@ -180,6 +180,39 @@
     EXPECT_NE(registry.choose(request, Start)->server.id, first->server.id);
 }
 
+RC_GTEST_PROP(PlacementProperty, TheChoiceIsTheFixedOneWhereNothingIsLearned, ())
+{
+    ChoiceSettings fixedSettings;
+    fixedSettings.placement = Placement::Fixed;
+    ServerRegistry learned("z1", {});
+    ServerRegistry fixed("z1", fixedSettings);
+    std::vector<Server> list(*rc::gen::inRange<std::size_t>(1, 12));
+    for (std::size_t n = 0; n < list.size(); n++) {
+        list[n].id = std::to_string(n);
+        list[n].zone = n % 3 == 0 ? "z1" : "z2";
+        list[n].slots = 1 + n % 4;
+    }
+    const std::set<std::string> none;
+    for (auto *it : {&learned, &fixed}) {
+        it->update(list, false, Start);
+    }
+    for (int n = 0; n < 40; n++) {
+        const auto now = Start + n * 50ms;
+        RequestAttributes attributes;
+        attributes.program = std::to_string(*rc::gen::inRange(0, 5));
+        attributes.promptParts = {{1, 400}, {*rc::gen::inRange<std::uint64_t>(2, 9), 900}};
+        attributes.promptTokens = *rc::gen::element(0U, 1300U);
+        const auto expected = fixed.choose({"", &attributes, 1000, &none, {}}, now);
+        RC_ASSERT(learned.choose({"", &attributes, 1000, &none, {}}, now)->server.id == expected->server.id);
+        const ServerLoad load{*rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 9U), 0};
+        const auto reporter = std::to_string(*rc::gen::inRange<std::size_t>(0, list.size()));
+        for (auto *it : {&learned, &fixed}) {
+            it->recordStart(*expected, attributes, now);
+            it->recordLoad(reporter, load, now);
+        }
+    }
+}
+
 RC_GTEST_PROP(PlacementProperty, OnlyUsableServersAndFiniteTimes, ())
 {
     ServerRegistry registry("z1", {});
