Count a request's own time a quarter against waits

Change: a request's own time in a slot counts a quarter; the preference for the home is 0.7 of what is in proportion to the slot time.

--- a/packages/core/src/placement/server_choice.cpp
+++ b/packages/core/src/placement/server_choice.cpp
@@ -16,6 +16,13 @@
  * another proxy that isn't known yet. Within them, the key of the request decides, so that proxies with the same view choose differently.
  */
 constexpr double SpreadShare = 1.0;
+/**
+ * Share of a request's own time in a slot that counts against waits. If it counted in full, all proxies would fill the fast servers until
+ * the wait there equals the gain; the gain would be lost on the requests that follow.
+ */
+constexpr double RunShare = 0.25;
+/** Share of the preference for the home: learned waits differ less from each other than those by old reports, so less outweighs them. */
+constexpr double HomeShare = 0.7;
 constexpr std::size_t MaxHolderCandidates = 6; ///< Holders of the prompt that are compared where not all servers are.
 
 /** @return Number from 0 to 1 that is fixed for a key and a server. */
@@ -76,23 +83,27 @@
     }
     const double prefillMs = (static_cast<double>(state.prefillTokens) + score.uncached) / lookup.usual->tokensPerMs();
     const double startMs = prefillMs * view.slowness + view.load * m_settings.perRequestMs + view.wait.count();
-    // Preferences were measured against waits for slots that are held for the starting time; where they are held longer, waits are longer.
-    const double scale = std::max(1.0, lookup.usual->hold() / StartingHold);
+    // The preference for the home was measured against waits for slots that are held for the starting time, and is kept in proportion to
+    // them. Faults never count less than there, since their cost doesn't fall with the time of a slot.
+    const double confidence = lookup.usual->confidence();
+    const double holdRatio = lookup.usual->hold() / StartingHold;
+    const double homeScale = 1 + confidence * (HomeShare * holdRatio - 1);
+    const double scale = std::max(1.0, holdRatio);
     const double zoneMs = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
     score.delayMs = startMs + zoneMs + scale * penaltyMs(state, lookup.usualMsPerEvent, now);
-    double runMs = lookup.work.run.count() * view.slowness;
+    const double runMs = lookup.work.run.count() * view.slowness;
+    double savedMs = 0;
     const bool knowsObject = lookup.object != 0
         && (&state == lookup.objectHome || std::find(lookup.holders.begin(), lookup.holders.end(), state.runHash) != lookup.holders.end());
     if (knowsObject) {
-        runMs -= m_objects.saving() * lookup.work.hold.count() * view.slowness;
+        savedMs = m_objects.saving() * lookup.work.hold.count() * view.slowness;
     }
-    score.finishMs = startMs + std::max(0.0, runMs);
+    score.finishMs = startMs + std::max(0.0, runMs - savedMs);
     // An unused slot expires, while the capacity of the home remains.
     const bool hasBonus = &state == lookup.home || state.rateLimit.rate().has_value();
-    score.weight = score.delayMs + runMs - (hasBonus ? scale * m_settings.homeBonusMs : 0.0);
+    score.weight = score.delayMs + RunShare * runMs - savedMs - (hasBonus ? homeScale * m_settings.homeBonusMs : 0.0);
     // Homes spread the programs already.
-    const double confidence = lookup.home == nullptr ? lookup.usual->confidence() : 0;
-    if (confidence > 0 && view.excess > 0) {
+    if (lookup.home == nullptr && confidence > 0 && view.excess > 0) {
         const double spreadMs = SpreadShare * lookup.usual->hold().count() / slots * std::min(1.0, view.excess);
         score.weight += confidence * spreadMs * fraction(lookup.spreadKey, state.runHash);
     }
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -162,7 +162,7 @@
     ("a reported slowdown counts for ever", CORE + "placement/server_backlog.cpp", "(m_slowdown - 1) * std::exp(-age)", "(m_slowdown - 1)", "core_test", "ServerBacklogReports*"),
     ("a pace outlives a restart", CORE + "placement/server_backlog.cpp", "    *this = fresh;\n", "", "core_test", "ServerBacklogReports*"),
     ("the paces of equal servers are trusted", CORE + "placement/server_backlog.cpp", "std::clamp(m_paceCovariance / (m_paceVariance + Prior), 0.0, 1.0);", "1.0;", "core_test", "*ServiceUsualPace*"),
-    ("objects are spread", CORE + "placement/server_choice.cpp", "        runMs -= m_objects.saving() * lookup.work.hold.count() * view.slowness;\n", "", "core_test", "*StickyObjects*"),
+    ("objects are spread", CORE + "placement/server_choice.cpp", "        savedMs = m_objects.saving() * lookup.work.hold.count() * view.slowness;\n", "", "core_test", "*StickyObjects*"),
     ("draining servers are candidates", CORE + "queries/server_registry_query.cpp", "return state.isUsable() && state.running < lookup.share", "return state.running < lookup.share", "core_test", "*Server*"),
 ]
 
