--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -37,6 +37,11 @@
     return stop;
 }
 
+Forward::Placement toPlacement(const Settings &settings)
+{
+    return settings.proxyPlacement == "fixed" ? Forward::Placement::Fixed : Forward::Placement::Learned;
+}
+
 Forward::ProxySettings toProxySettings(const Settings &settings)
 {
     Forward::ProxySettings proxy;
@@ -63,6 +68,7 @@
     proxy.quota.window = settings.proxyQuotaWindow.value_or(proxy.quota.window);
     proxy.quota.overrun = settings.proxyQuotaOverrun.value_or(proxy.quota.overrun);
     proxy.quota.slack = settings.proxyQuotaSlack.value_or(proxy.quota.slack);
+    proxy.choice.placement = toPlacement(settings);
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, ReservedFiles)) / FilesPerClient;
     return proxy;
 }
@@ -159,6 +165,7 @@
         setLogLevel(settings->logLevel);
         m_proxy.setStore(toAddress(settings->store));
         m_proxy.setStopSettings(toStopSettings(*settings));
+        m_proxy.setPlacement(toPlacement(*settings));
         writeFields(LogLevel::Info, EventNumber::SettingsReloaded, std::string("cause=") + cause);
     }
 
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -76,6 +76,7 @@
     std::optional<Duration> proxyQuotaWindow;                    ///< proxy.quota_window_s
     std::optional<double> proxyQuotaOverrun;                     ///< proxy.quota_overrun
     std::optional<double> proxyQuotaSlack;                       ///< proxy.quota_slack
+    std::string proxyPlacement = "learned";                      ///< proxy.placement
     std::string logLevel = "info";                               ///< log.level
 };
 
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -40,6 +40,7 @@
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
 bool setFlag(bool &field, const std::string &value);
+bool setPlacement(std::string &field, const std::string &value);
 bool setLogLevel(std::string &field, const std::string &value);
 
 #define VH_SETTING(function, field)                                                                                                        \
@@ -288,6 +289,12 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalAmount, proxyQuotaSlack),
      "Tolerated excess over a rate limit in a window, in requests; 20 by default."},
+    {"proxy",
+     "placement",
+     "learned or fixed",
+     RequiredBy::Nobody,
+     VH_SETTING(setPlacement, proxyPlacement),
+     "Whether servers are chosen by costs and paces that the proxy learns, or by fixed figures; without it, learned."},
     {"log",
      "level",
      "info, warning or error",
