--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -52,6 +52,7 @@
     ConfigInForce = 1801,      ///< A new version of the configuration is in effect.
     ConfigRefused = 1802,      ///< A change of the configuration was refused.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
+    ClientsClosed = 1902,      ///< Connections of clients were closed, or their requests refused, to release memory or descriptors.
 };
 
 /** Severity of a log line. */
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include <malloc.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <boost/asio/io_context.hpp>
@@ -20,10 +22,23 @@
 constexpr unsigned FileCheckTicks = 4;                     ///< The settings file is checked every 4th tick, once a second.
 
 constexpr std::uint64_t BytesPerMb = std::uint64_t{1024} * 1024;
-constexpr std::uint64_t BodyMemoryDivisor = 5;  ///< A fifth of the memory for request bodies; responses to slow clients may need as much.
-constexpr std::uint64_t TurnMemoryDivisor = 10; ///< A tenth of the memory for stored turns.
-constexpr std::uint64_t ReservedFiles = 250;    ///< Descriptors reserved for files, listeners, the store and other proxies.
-constexpr std::uint64_t FilesPerClient = 2;     ///< Descriptors per client: its connection, and one to a backend server for its request.
+constexpr std::uint64_t BodyMemoryDivisor = 5;   ///< A fifth of the memory for request bodies; responses to slow clients may need as much.
+constexpr std::uint64_t ClientMemoryDivisor = 2; ///< Half of the memory for all that is held for clients, request bodies included.
+constexpr std::uint64_t TurnMemoryDivisor = 10;  ///< A tenth of the memory for stored turns.
+constexpr std::uint64_t ReservedFiles = 250;     ///< Descriptors reserved for files, listeners, the store and other proxies.
+constexpr std::uint64_t FilesPerClient = 2;      ///< Descriptors per client: its connection, and one to a backend server for its request.
+constexpr int MmapThresholdBytes
+    = 512 * 1024; ///< Larger buffers are returned to the system when they are freed. Without a fixed value the allocator raises it.
+
+/** @return Number of descriptors that the process may open. */
+std::uint64_t maxFiles(const Settings &settings)
+{
+    struct rlimit limit
+    {
+    };
+    const bool isLimited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    return isLimited ? std::min<std::uint64_t>(settings.proxyMaxFiles, limit.rlim_cur) : settings.proxyMaxFiles;
+}
 
 Forward::ProxyAddress toAddress(const Endpoint &endpoint)
 {
@@ -59,7 +74,9 @@
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
-    proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, ReservedFiles)) / FilesPerClient;
+    proxy.maxClientBytes = settings.proxyMemoryMb * BytesPerMb / ClientMemoryDivisor;
+    const auto files = maxFiles(settings);
+    proxy.maxClients = (files - std::min(files, ReservedFiles)) / FilesPerClient;
     return proxy;
 }
 
@@ -186,6 +203,7 @@
 
 bool runProxy(const Settings &settings, const std::string &path, const ReloadSettings &reloadSettings, Error &reason)
 {
+    mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
     ProxyProcess process(settings, path, reloadSettings);
     return process.run(reason);
 }
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -57,6 +57,7 @@
     {EventNumber::ConfigInForce, "config_in_force"},
     {EventNumber::ConfigRefused, "config_refused"},
     {EventNumber::ContentQuarantined, "content_quarantined"},
+    {EventNumber::ClientsClosed, "clients_closed"},
 });
 
 } // namespace Vanillahall
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -34,6 +34,8 @@
     Duration turnSweepCycle = std::chrono::minutes(5); ///< Time in which all proxies together scan all stored turns once for expired ones.
     StopSettings stop;                                 ///< Parameters of a planned stop.
     std::size_t maxBufferedBytes = std::size_t{24} * 1024 * 1024; ///< Limit on request bodies in memory, over all connections.
+    std::size_t maxClientBytes = std::size_t{64} * 1024 * 1024;   ///< Limit on all memory held for clients, bodies included.
+    std::size_t maxServerBytes = std::size_t{32} * 1024 * 1024;   ///< Limit on bytes of requests that one server holds for this proxy.
     std::size_t maxTurnBytes = std::size_t{8} * 1024 * 1024;      ///< Capacity of the cache for turns of stored conversations.
     std::size_t rowBytes = 65536;                                 ///< Longest value of a row in the store, in base64.
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -6,16 +6,39 @@
 #include "socket_option_func.h"
 #include "timer_func.h"
 
+#include <array>
+
 #include <boost/asio/write.hpp>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
+constexpr std::size_t ReadBufferBytes = std::size_t{16} * 1024; ///< Largest number of bytes read at once.
 constexpr std::size_t MaxReadAheadBytes
-    = std::size_t{64} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
+    = std::size_t{8} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
 constexpr std::size_t MaxUnsentBytes = std::size_t{128} * 1024; ///< Bytes buffered for a slow client before reading from the server pauses.
-constexpr std::chrono::seconds LingerTimeout{1};                ///< Time for the client to close its side after the last response.
+constexpr std::size_t MaxUnsentBytesIfShort = std::size_t{16} * 1024; ///< The same while memory for clients is short.
+constexpr std::size_t MaxUnsentAheadBytes
+    = std::size_t{16} * 1024; ///< The next pipelined request is read only if at most this many bytes of responses are unsent.
+constexpr std::size_t MaxKeptCapacity = std::size_t{8} * 1024; ///< Larger empty buffers are released.
+constexpr std::size_t SessionBytes
+    = std::size_t{6} * 1024; ///< Memory for a session, its socket, and the state of its request without head and body (estimated).
+constexpr std::chrono::seconds LingerTimeout{1}; ///< Time for the client to close its side after the last response.
+
+/** @return Receive buffer of the thread; each loop runs on one thread and empties the buffer before the next read. */
+std::array<char, ReadBufferBytes> &readBuffer()
+{
+    thread_local std::array<char, ReadBufferBytes> buffer;
+    return buffer;
+}
+
+void releaseIfLarge(std::string &buf)
+{
+    if (buf.empty() && buf.capacity() > MaxKeptCapacity) {
+        std::string().swap(buf);
+    }
+}
 
 } // namespace
 
@@ -24,6 +47,9 @@
     , m_timer(m_socket.get_executor())
     , m_handler(handler)
     , m_number(number)
+    , m_heldConnection(handler.account(), Holding::Connection)
+    , m_heldHead(handler.account(), Holding::Head)
+    , m_heldResponse(handler.account(), Holding::Response)
 {
 }
 
@@ -34,25 +60,65 @@
 
 bool ClientSession::isBusy() const
 {
-    return m_isAnswering || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
+    return m_isAnswering || m_isClosing || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
+}
+
+std::optional<ClosableClient> ClientSession::closableState() const
+{
+    if (m_isAnswering || m_isClosed) {
+        return std::nullopt;
+    }
+    const auto bytes = m_heldHead.bytes() + m_heldResponse.bytes() + m_reservedBodyBytes;
+    return ClosableClient{m_number, bytes, m_heldSince, m_progressAt, m_isClosing, m_hasBeenServed};
+}
+
+std::size_t ClientSession::unsentBytes() const
+{
+    return m_out.size() + m_sending.size();
+}
+
+std::size_t ClientSession::maxUnsentBytes() const
+{
+    return m_handler.account().isShort() ? MaxUnsentBytesIfShort : MaxUnsentBytes;
+}
+
+void ClientSession::updateHeldBytes()
+{
+    // The fields that are forwarded and the parsed attributes take about as much as the head itself, each.
+    m_heldHead.set(m_in.capacity() + 2 * m_headBytes);
+    m_heldResponse.set(m_out.capacity() + m_sending.capacity());
+    m_handler.onMemoryHeld();
 }
 
 void ClientSession::start()
 {
     setSocketOptions(m_socket);
+    boost::system::error_code ec;
+    m_socket.non_blocking(true, ec);
+    m_heldConnection.set(SessionBytes);
+    m_heldSince = now();
+    m_progressAt = m_heldSince;
     setTimer();
     read();
 }
 
 void ClientSession::read()
 {
-    if (m_isReading || m_isClosed || (m_isAnswering && m_in.size() >= MaxReadAheadBytes)) {
+    if (m_isReading || m_isClosed || ((m_isAnswering || m_waitsForDrain) && m_in.size() >= MaxReadAheadBytes)) {
         return;
     }
     m_isReading = true;
-    m_socket.async_read_some(boost::asio::buffer(m_buf), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+    // Waiting needs no buffer, so idle connections don't hold one.
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &waitError) {
         self->m_isReading = false;
-        if (!self->m_isClosed) {
+        if (self->m_isClosed) {
+            return;
+        }
+        auto ec = waitError;
+        const std::size_t n = ec ? 0 : self->m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
+        if (ec == boost::asio::error::would_block) {
+            self->read();
+        } else {
             self->onRead(ec, n);
         }
     });
@@ -69,7 +135,8 @@
         return;
     }
     if (!m_isClosing) {
-        m_in.append(m_buf.data(), n);
+        m_in.append(readBuffer().data(), n);
+        m_progressAt = now();
         readRequest();
     }
     read();
@@ -80,31 +147,60 @@
     if (m_isAnswering || m_isClosing || m_isClosed) {
         return;
     }
+    if (!m_reader.hasBegun() && unsentBytes() > MaxUnsentAheadBytes) {
+        m_waitsForDrain = true;
+        updateHeldBytes();
+        return;
+    }
+    m_waitsForDrain = false;
     const bool hadBegun = m_reader.hasBegun();
-    const auto progress = m_reader.read(m_in, m_handler.limits(), now());
-    if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, m_reader.bodySize())) {
-        refuse({StatusUnavailable, "memory limit for request bodies exceeded", ShortRetryAfter});
+    const auto progress = m_reader.read(m_in, m_handler.limits(), m_progressAt);
+    m_headBytes = m_reader.headBytes();
+    if (!hadBegun && m_reader.hasBegun()) {
+        m_heldSince = m_progressAt;
+    }
+    if (progress == RequestReader::Progress::Invalid) {
+        const auto error = m_reader.error();
+        refuse(error);
         return;
     }
-    m_reservedBodyBytes = m_reader.bodySize();
-    switch (progress) {
-    case RequestReader::Progress::Invalid:
-        refuse(m_reader.error());
+    if (!reserveBody()) {
         return;
-    case RequestReader::Progress::NeedMore:
+    }
+    if (progress == RequestReader::Progress::NeedMore) {
         if (m_reader.takeExpectContinue()) {
             write("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        if (m_reader.hasHead() || (!hadBegun && m_reader.hasBegun())) {
+        if (!hadBegun && m_reader.hasBegun()) {
             setTimer();
         }
+        updateHeldBytes();
         return;
-    case RequestReader::Progress::Complete:
-        break;
     }
     m_isAnswering = true;
+    m_hasBeenServed = true;
     stopTimer(m_timer);
-    m_handler.onRequest(shared_from_this(), m_reader.takeRequest());
+    auto request = m_reader.takeRequest();
+    releaseIfLarge(m_in);
+    updateHeldBytes();
+    m_handler.onRequest(shared_from_this(), std::move(request));
+}
+
+bool ClientSession::reserveBody()
+{
+    const auto size = m_reader.bodySize();
+    if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, size)) {
+        m_handler.makeRoomForBody(size - m_reservedBodyBytes);
+        if (m_isClosing || m_isClosed) {
+            return false;
+        }
+        if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, size)) {
+            refuse({StatusUnavailable, "memory limit for request bodies exceeded", ShortRetryAfter});
+            return false;
+        }
+    }
+    m_reservedBodyBytes = size;
+    return true;
 }
 
 bool ClientSession::write(std::string_view bytes)
@@ -114,7 +210,10 @@
     }
     m_out.append(bytes);
     send();
-    m_isSendBufferFull = m_out.size() + m_sending.size() > MaxUnsentBytes;
+    if (!bytes.empty()) {
+        updateHeldBytes();
+    }
+    m_isSendBufferFull = unsentBytes() > maxUnsentBytes();
     return !m_isSendBufferFull;
 }
 
@@ -127,6 +226,7 @@
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_sending), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             self->m_sending.clear();
+            releaseIfLarge(self->m_sending);
             if (self->m_isClosed) {
                 return;
             }
@@ -134,11 +234,20 @@
                 self->onRead(ec, 0);
                 return;
             }
+            self->m_progressAt = now();
             self->send();
-            if (self->m_isSendBufferFull && self->m_out.size() + self->m_sending.size() <= MaxUnsentBytes) {
+            self->updateHeldBytes();
+            if (self->m_isClosed) {
+                return;
+            }
+            if (self->m_isSendBufferFull && self->unsentBytes() <= self->maxUnsentBytes()) {
                 self->m_isSendBufferFull = false;
                 self->m_handler.onSessionDrained(self);
             }
+            if (self->m_waitsForDrain && self->unsentBytes() <= MaxUnsentAheadBytes) {
+                self->readRequest();
+                self->read();
+            }
             if (self->m_isClosing && self->m_sending.empty()) {
                 self->closeGracefully();
             }
@@ -153,6 +262,9 @@
     m_isAnswering = false;
     m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
     m_reservedBodyBytes = 0;
+    m_headBytes = 0;
+    m_heldSince = now();
+    m_progressAt = m_heldSince;
     // The client may not know that the proxy is stopping, if its response began before that.
     if (!keepsAlive || (m_in.empty() && !m_handler.keepsConnections())) {
         beginClose();
@@ -186,9 +298,37 @@
     m_isClosing = true;
     if (m_sending.empty()) {
         closeGracefully();
+    } else {
+        setTimer(m_handler.limits().idleTimeout);
     }
 }
 
+void ClientSession::evict()
+{
+    if (m_isClosing || !m_reader.hasBegun() || unsentBytes() != 0) {
+        close();
+        return;
+    }
+    refuse({StatusUnavailable, "closed to release memory or connections", ShortRetryAfter});
+}
+
+void ClientSession::releaseInput()
+{
+    m_reader = {};
+    std::string().swap(m_in);
+    m_headBytes = 0;
+    m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
+    m_reservedBodyBytes = 0;
+}
+
+void ClientSession::releaseHeldBytes()
+{
+    releaseInput();
+    m_heldConnection.set(0);
+    m_heldHead.set(0);
+    m_heldResponse.set(0);
+}
+
 void ClientSession::closeIfIdle()
 {
     if (!isBusy()) {
@@ -199,6 +339,8 @@
 void ClientSession::refuse(const RequestError &error)
 {
     m_handler.onRequestError(error);
+    releaseInput();
+    m_isClosing = true;
     write(formatLocalResponse({error.status, {}, error.retryAfter, false}));
     finish(false);
 }
@@ -206,18 +348,29 @@
 void ClientSession::setTimer()
 {
     const auto &limits = m_handler.limits();
-    runAfter(m_timer, m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout, *this, [](ClientSession &self) {
+    setTimer(m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout);
+}
+
+void ClientSession::setTimer(Duration span)
+{
+    runAfter(m_timer, span, *this, [](ClientSession &self) {
         self.onTimeout();
     });
 }
 
 void ClientSession::onTimeout()
 {
-    if (!m_reader.hasBegun()) {
+    // A client that sends a body or reads a response has the whole time again after each progress.
+    const bool isMoving = unsentBytes() != 0 || m_reader.hasHead();
+    const auto &limits = m_handler.limits();
+    const auto left = m_progressAt + (m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout) - now();
+    if (isMoving && left > Duration::zero()) {
+        setTimer(left);
+    } else if (m_isClosing || !m_reader.hasBegun()) {
         close();
-        return;
+    } else {
+        refuse({StatusRequestTimeout, "request not received in time"});
     }
-    refuse({StatusRequestTimeout, "request not received in time"});
 }
 
 void ClientSession::closeGracefully()
@@ -237,8 +390,7 @@
         return;
     }
     m_isClosed = true;
-    m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
-    m_reservedBodyBytes = 0;
+    releaseHeldBytes();
     stopTimer(m_timer);
     boost::system::error_code ec;
     m_socket.close(ec);
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -1,9 +1,9 @@
 /** Server side of a client connection. */
 #pragma once
 
+#include "client_account.h"
 #include "request_reader.h"
 
-#include <array>
 #include <memory>
 #include <string>
 
@@ -34,6 +34,12 @@
     /** Changes the memory reserved for a body from `oldSize` to `newSize` bytes. @return False if that would exceed the limit; nothing
      * changes then. */
     virtual bool reserveBodyBytes(std::size_t oldSize, std::size_t newSize) = 0;
+    /** Refuses requests that are being received, possibly that of the caller, to make room for a body. @param bytes Bytes needed. */
+    virtual void makeRoomForBody(std::size_t bytes) = 0;
+    /** @return Account of the memory held for clients. */
+    [[nodiscard]] virtual ClientAccount &account() = 0;
+    /** Called when more memory is held for a client than before. May refuse or close any session without a request in progress. */
+    virtual void onMemoryHeld() = 0;
     /** @return False if connections have to be closed once they are idle. */
     [[nodiscard]] virtual bool keepsConnections() const = 0;
 };
@@ -59,6 +65,8 @@
     void abortResponse(bool isCloseDelimited);
     /** Closes the connection if no request is in progress. */
     void closeIfIdle();
+    /** Refuses the request that is being received, or closes the connection, and releases what is held for it. */
+    void evict();
 
     // Queries.
 
@@ -66,13 +74,23 @@
     [[nodiscard]] std::uint64_t number() const;
     /** @return True while a request is being read or answered. */
     [[nodiscard]] bool isBusy() const;
+    /** @return State of the connection if it can be closed without breaking off a request in progress. */
+    [[nodiscard]] std::optional<ClosableClient> closableState() const;
 
 private:
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void readRequest();
+    /** Reserves memory for the body received so far. @return False if the request was refused for lack of it. */
+    bool reserveBody();
     void send();
+    [[nodiscard]] std::size_t unsentBytes() const;
+    [[nodiscard]] std::size_t maxUnsentBytes() const;
+    void updateHeldBytes();
+    void releaseInput();
+    void releaseHeldBytes();
     void setTimer();
+    void setTimer(Duration span);
     void onTimeout();
     void refuse(const RequestError &error);
     void beginClose();
@@ -87,8 +105,15 @@
     std::string m_in;
     std::string m_out;
     std::string m_sending;
-    std::array<char, 8192> m_buf{};
+    HeldBytes m_heldConnection;
+    HeldBytes m_heldHead;
+    HeldBytes m_heldResponse;
     std::size_t m_reservedBodyBytes = 0;
+    std::size_t m_headBytes = 0; ///< Size of the head of the current request.
+    TimePoint m_heldSince{};     ///< When the current request, idle time or unread response began.
+    TimePoint m_progressAt{};    ///< When bytes were last received or sent.
+    bool m_hasBeenServed = false;
+    bool m_waitsForDrain = false; ///< True while the next request isn't read because responses are unread.
     bool m_isAnswering = false;
     bool m_isReading = false;
     bool m_isClosing = false;
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -34,6 +34,8 @@
     , m_request(std::move(request))
     , m_limitTimer(proxy.loop)
     , m_waitTimer(proxy.loop)
+    , m_heldCopy(proxy.clientAccount, Holding::Copy)
+    , m_heldBody(proxy.clientAccount, Holding::Response)
 {
 }
 
@@ -354,11 +356,14 @@
     if (m_lastEvent && m_hasBegunAnswer) {
         text += Platform::resumeHeader(*m_lastEvent);
     }
-    const std::string body = m_conversation ? m_conversation->turn().body() : m_request.body;
+    const std::string conversation = m_conversation ? m_conversation->turn().body() : std::string();
+    const std::string &body = m_conversation ? conversation : m_request.body;
     if (m_request.hasBody || !body.empty()) {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
-    return text + "\r\n" + body;
+    text += "\r\n";
+    text.reserve(text.size() + body.size());
+    return text.append(body);
 }
 
 void Exchange::send(const Choice &choice)
@@ -373,6 +378,7 @@
     m_attemptEvents = 0;
     m_attemptStartedAt = now();
     m_bufferedBody.clear();
+    m_heldBody.set(0);
     m_failure = AttemptFailure::Broken;
     m_failureReason.clear();
     m_events = {};
@@ -385,7 +391,9 @@
     // of an earlier refusal, a copy of it couldn't be told from the answer.
     const bool needsNewConnection = m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0;
     m_connection = m_proxy.acquireConnection(choice.server, needsNewConnection ? ConnectionChoice::New : ConnectionChoice::Any);
-    m_connection->send(this, requestText(choice.server), m_request.attributes.requestId, m_request.method == "HEAD");
+    auto text = requestText(choice.server);
+    m_heldCopy.set(text.size());
+    m_connection->send(this, std::move(text), m_request.attributes.requestId, m_request.method == "HEAD");
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -168,6 +168,8 @@
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
+    HeldBytes m_heldCopy;                              ///< Request text of the current attempt, until the response begins.
+    HeldBytes m_heldBody;                              ///< Size of m_bufferedBody.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
 
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxBufferedBodyBytes
     = std::size_t{256} * 1024; ///< Limit on a body that is buffered until it is complete; longer ones are forwarded as received.
 
+constexpr std::size_t MaxBufferedBodyBytesIfShort = std::size_t{16} * 1024; ///< The same while memory for clients is short.
+
 bool isSuccess(unsigned status)
 {
     return status >= StatusOk && status < StatusSuccessEnd;
@@ -29,6 +31,7 @@
 
 bool Exchange::onResponseHead(const ResponseHead &head)
 {
+    m_heldCopy.set(0);
     const auto &attributes = head.attributes;
     if (attributes.load) {
         m_proxy.servers.recordLoad(m_choice.server.id, *attributes.load, now());
@@ -145,12 +148,15 @@
         return bodyAction();
     }
     m_bufferedBody.append(piece);
-    if (m_bufferedBody.size() <= MaxBufferedBodyBytes && !m_hasBegunAnswer) {
+    m_heldBody.set(m_bufferedBody.capacity());
+    const auto maxBuffered = m_proxy.clientAccount.isShort() ? MaxBufferedBodyBytesIfShort : MaxBufferedBodyBytes;
+    if (m_bufferedBody.size() <= maxBuffered && !m_hasBegunAnswer) {
         return BodyAction::More;
     }
     if (!m_hasBegunAnswer) {
         beginAnswer();
     }
+    m_heldBody.set(0);
     forwardToClient(std::exchange(m_bufferedBody, {}));
     return bodyAction();
 }
--- a/packages/proxy/src/message_server.cpp
+++ b/packages/proxy/src/message_server.cpp
@@ -1,7 +1,9 @@
 #include "message_server.h"
 
+#include "http_status.h"
 #include "timer_func.h"
 
+#include <algorithm>
 #include <memory>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -14,77 +16,152 @@
 namespace Http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr std::chrono::seconds IdleTimeout{10};                        ///< An idle connection is closed after this time.
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{2} * 1024 * 1024; ///< The store accepts calls of at most 1 MB.
+constexpr std::chrono::seconds IdleTimeout{10}; ///< An idle connection is closed after this time.
+constexpr Duration AcceptRetryDelay
+    = std::chrono::milliseconds(50);         ///< Delay after a failed accept, for example without a free descriptor.
+constexpr std::uint32_t MaxHeadBytes = 4096; ///< Limit on the head of a request; those of proxies have below 500 bytes.
+constexpr std::size_t BufferBytes = std::size_t{2} * MaxHeadBytes; ///< Limit on received bytes that aren't parsed yet.
+
+} // namespace
 
 /** One connection. */
 class MessageConnection : public std::enable_shared_from_this<MessageConnection>
 {
 public:
-    MessageConnection(tcp::socket socket, MessageServer::Handler handler)
+    MessageConnection(tcp::socket socket, MessageServer &server)
         : m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
-        , m_handler(std::move(handler))
+        , m_server(&server)
+        , m_buffer(BufferBytes)
     {
     }
 
+    /** Reads a request; the time limit includes its response. */
     void read()
     {
+        m_isServing = false;
         runAfter(m_timer, IdleTimeout, *this, [](MessageConnection &self) {
-            boost::system::error_code ignored;
-            self.m_socket.close(ignored);
+            self.close();
         });
         m_parser = std::make_unique<Http::request_parser<Http::string_body>>();
-        m_parser->body_limit(MaxBodyBytes);
+        m_parser->header_limit(MaxHeadBytes);
+        m_parser->body_limit(m_server->limits().maxBodyBytes);
+        Http::async_read_header(
+            m_socket, m_buffer, *m_parser, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
+                if (ec) {
+                    self->close();
+                } else if (!self->m_isClosed) {
+                    self->readBody();
+                }
+            });
+    }
+
+    /** Closes the connection and releases what it holds. */
+    void close()
+    {
+        if (m_isClosed) {
+            return;
+        }
+        m_isClosed = true;
+        stopTimer(m_timer);
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        releaseBody();
+        m_server->remove(*this);
+    }
+
+    /** Detaches the connection from the server, which is being destroyed. */
+    void detach()
+    {
+        m_isClosed = true;
+        stopTimer(m_timer);
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    /** @return True while the handler prepares the response, or it is sent. */
+    [[nodiscard]] bool isServing() const
+    {
+        return m_isServing;
+    }
+
+private:
+    void readBody()
+    {
+        const auto length = m_parser->chunked() ? m_server->limits().maxBodyBytes : m_parser->content_length().value_or(0);
+        if (length != 0 && !m_server->reserveBody(length)) {
+            m_isServing = true;
+            m_closesAfter = true;
+            answer({StatusUnavailable, {}, {}});
+            return;
+        }
+        m_reservedBytes = length;
         Http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
-            if (!ec) {
+            if (ec) {
+                self->close();
+            } else if (!self->m_isClosed) {
                 self->serve();
-            } else {
-                stopTimer(self->m_timer);
             }
         });
     }
 
-private:
     void serve()
     {
-        const auto &request = m_parser->get();
-        const MessageRequest message{std::string(request.method_string()), std::string(request.target()), request.body()};
-        m_handler(message, [self = shared_from_this()](MessageReply reply) {
-            self->answer(std::move(reply));
+        m_isServing = true;
+        auto &request = m_parser->get();
+        const MessageRequest message{std::string(request.method_string()), std::string(request.target()), std::move(request.body())};
+        m_server->handle(message, [self = shared_from_this()](MessageReply reply) {
+            if (!self->m_isClosed) {
+                self->answer(std::move(reply));
+            }
         });
     }
 
     void answer(MessageReply reply)
     {
+        releaseBody();
         m_answer = {};
         m_answer.version(m_parser->get().version());
-        m_answer.keep_alive(m_parser->keep_alive());
+        m_keepsAlive = m_parser->keep_alive() && !m_closesAfter;
+        m_answer.keep_alive(m_keepsAlive);
         m_answer.result(reply.status);
         if (!reply.type.empty()) {
             m_answer.set(Http::field::content_type, reply.type);
         }
         m_answer.body() = std::move(reply.body);
         m_answer.prepare_payload();
+        m_parser.reset();
         Http::async_write(m_socket, m_answer, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
-            if (!ec && self->m_answer.keep_alive()) {
-                self->read();
+            self->m_answer = {};
+            if (self->m_isClosed) {
+                return;
+            }
+            if (ec || !self->m_keepsAlive) {
+                self->close();
             } else {
-                stopTimer(self->m_timer);
+                self->read();
             }
         });
     }
 
+    void releaseBody()
+    {
+        m_server->releaseBody(std::exchange(m_reservedBytes, 0));
+    }
+
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    MessageServer::Handler m_handler;
+    MessageServer *m_server; ///< Not used after detach().
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Http::request_parser<Http::string_body>> m_parser;
     Http::response<Http::string_body> m_answer;
+    std::size_t m_reservedBytes = 0;
+    bool m_isServing = false;
+    bool m_closesAfter = false;
+    bool m_keepsAlive = true;
+    bool m_isClosed = false;
 };
 
-} // namespace
-
 bool openAcceptor(tcp::acceptor &acceptor, const ProxyAddress &address, Error &reason)
 {
     boost::system::error_code ec;
@@ -112,12 +189,21 @@
     return false;
 }
 
-MessageServer::MessageServer(boost::asio::io_context &loop, Handler handler)
+MessageServer::MessageServer(boost::asio::io_context &loop, Handler handler, MessageLimits limits)
     : m_acceptor(loop)
+    , m_acceptTimer(loop)
+    , m_limits(limits)
     , m_handler(std::move(handler))
 {
 }
 
+MessageServer::~MessageServer()
+{
+    for (const auto &it : m_connections) {
+        it->detach();
+    }
+}
+
 bool MessageServer::listen(const ProxyAddress &address, Error &reason)
 {
     if (!openAcceptor(m_acceptor, address, reason)) {
@@ -131,6 +217,7 @@
 {
     boost::system::error_code ec;
     m_acceptor.close(ec);
+    m_acceptTimer.cancel();
 }
 
 std::uint16_t MessageServer::port() const
@@ -138,6 +225,56 @@
     return m_acceptor.local_endpoint().port();
 }
 
+const MessageLimits &MessageServer::limits() const
+{
+    return m_limits;
+}
+
+std::size_t MessageServer::closedConnections() const
+{
+    return m_closedConnections;
+}
+
+void MessageServer::handle(const MessageRequest &request, const Reply &answer)
+{
+    m_handler(request, answer);
+}
+
+bool MessageServer::reserveBody(std::size_t bytes)
+{
+    if (m_bodyBytes + bytes > m_limits.maxHeldBytes) {
+        return false;
+    }
+    m_bodyBytes += bytes;
+    return true;
+}
+
+void MessageServer::releaseBody(std::size_t bytes)
+{
+    m_bodyBytes -= bytes;
+}
+
+void MessageServer::remove(const MessageConnection &connection)
+{
+    m_connections.remove_if([&connection](const auto &it) {
+        return it.get() == &connection;
+    });
+}
+
+void MessageServer::makeRoom()
+{
+    if (m_connections.size() < m_limits.maxConnections) {
+        return;
+    }
+    // The oldest one that waits for a request or its end; a complete request is answered, unless all connections have one.
+    const auto oldest = std::find_if(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        return !it->isServing();
+    });
+    const auto connection = oldest != m_connections.end() ? *oldest : m_connections.front();
+    m_closedConnections++;
+    connection->close();
+}
+
 void MessageServer::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
@@ -145,9 +282,18 @@
             return;
         }
         if (!ec) {
-            std::make_shared<MessageConnection>(std::move(socket), m_handler)->read();
+            makeRoom();
+            m_connections.push_back(std::make_shared<MessageConnection>(std::move(socket), *this));
+            m_connections.back()->read();
+            accept();
+            return;
         }
-        accept();
+        m_acceptTimer.expires_after(AcceptRetryDelay);
+        m_acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
+            if (!waitError) {
+                accept();
+            }
+        });
     });
 }
 
--- /dev/null
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -0,0 +1,125 @@
+#include "http_status.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+constexpr Duration LogInterval
+    = std::chrono::seconds(10);                ///< Interval between log lines about closed clients; the metrics count all of them.
+constexpr std::size_t MaxLoggedRefusals = 100; ///< Limit on log lines about refused requests in one interval.
+constexpr std::size_t BodyRoomDivisor = 8;    ///< An eighth of the limit is made free at once, so that clients aren't sorted for each read.
+constexpr std::size_t MaxClosedPerAccept = 4; ///< Connections closed to accept one; several, since closing ones have to end first.
+
+} // namespace
+
+ClientAccount &ProxyState::account()
+{
+    return clientAccount;
+}
+
+void ProxyState::addClient(boost::asio::ip::tcp::socket socket)
+{
+    if (m_sessions.size() >= settings.maxClients) {
+        evictClients(selectForConnections(closableClients(), m_sessions.size() - settings.maxClients + 1), "connections");
+    }
+    if (m_sessions.size() >= settings.maxClients + MaxClosedPerAccept) {
+        rejectClient();
+        return;
+    }
+    const auto session = std::make_shared<ClientSession>(std::move(socket), *this, m_nextSession++);
+    m_sessions[session->number()] = session;
+    session->start();
+}
+
+void ProxyState::rejectClient()
+{
+    metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
+    if (m_rejectionLoggedAt && now() - *m_rejectionLoggedAt < LogInterval) {
+        return;
+    }
+    m_rejectionLoggedAt = now();
+    log(LogLevel::Warning,
+        EventNumber::DependencyLost,
+        "peer=clients why=\"" + std::to_string(m_sessions.size()) + " open connections, further ones are closed\"");
+}
+
+std::vector<ClosableClient> ProxyState::closableClients() const
+{
+    std::vector<ClosableClient> clients;
+    for (const auto &[number, session] : m_sessions) {
+        if (const auto state = session->closableState()) {
+            clients.push_back(*state);
+        }
+    }
+    return clients;
+}
+
+void ProxyState::evictClients(const std::vector<std::uint64_t> &sessions, const char *reason)
+{
+    m_isEvicting = true;
+    for (const auto number : sessions) {
+        const auto it = m_sessions.find(number);
+        if (it != m_sessions.end()) {
+            const auto session = it->second;
+            session->evict();
+            m_evictions++;
+            metrics.count("vanillahall_clients_closed_total", {"reason", reason});
+        }
+    }
+    m_isEvicting = false;
+    if (sessions.empty() || (m_evictionLoggedAt && now() - *m_evictionLoggedAt < LogInterval)) {
+        return;
+    }
+    m_evictionLoggedAt = now();
+    log(LogLevel::Warning,
+        EventNumber::ClientsClosed,
+        "reason=" + std::string(reason) + " clients=" + std::to_string(std::exchange(m_evictions, 0))
+            + " open=" + std::to_string(m_sessions.size()) + " bytes_held=" + std::to_string(clientAccount.total()));
+}
+
+void ProxyState::onMemoryHeld()
+{
+    if (!m_isEvicting && clientAccount.isOver()) {
+        evictClients(selectForMemory(closableClients(), clientAccount.excess(), now()), "memory");
+    }
+}
+
+bool ProxyState::reserveBodyBytes(std::size_t oldSize, std::size_t newSize)
+{
+    if (newSize > oldSize && clientAccount.bytes(Holding::Body) + newSize - oldSize > settings.maxBufferedBytes) {
+        return false;
+    }
+    clientAccount.change(Holding::Body, oldSize, newSize);
+    return true;
+}
+
+void ProxyState::makeRoomForBody(std::size_t bytes)
+{
+    if (!m_isEvicting) {
+        evictClients(selectForMemory(closableClients(), bytes + settings.maxBufferedBytes / BodyRoomDivisor, now()), "bodies");
+    }
+}
+
+void ProxyState::onRequestError(const RequestError &error)
+{
+    metrics.count("vanillahall_faulty_requests_total", {"status", std::to_string(error.status)});
+    if (now() - m_refusalPeriodAt > LogInterval) {
+        m_refusalPeriodAt = now();
+        m_loggedRefusals = 0;
+    }
+    if (m_loggedRefusals++ < MaxLoggedRefusals) {
+        log(LogLevel::Warning, EventNumber::RequestRefused, "status=" + std::to_string(error.status) + " why=\"" + error.message + '"');
+    }
+}
+
+void ProxyState::setClientGauges()
+{
+    for (std::size_t n = 0; n < HoldingCount; n++) {
+        metrics.gauge("vanillahall_client_" + std::string(HoldingNames.at(n)) + "_bytes_held",
+                      static_cast<double>(clientAccount.bytes(static_cast<Holding>(n))));
+    }
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration ReturnTimeout = std::chrono::milliseconds(300); ///< Time for another proxy to give tokens back: two writes of its own.
+constexpr std::size_t MinStoreWaiters = 64;                        ///< Ended requests aren't searched for among fewer waiting ones.
 constexpr Duration CleanInterval = std::chrono::seconds(5);        ///< Interval between searches for rows of programs that have ended.
 
 } // namespace
@@ -20,6 +21,12 @@
 
 void ProxyState::addStoreWaiter(const std::shared_ptr<Exchange> &exchange)
 {
+    // Requests that ended meanwhile would take memory as long as the store is unavailable.
+    if (m_storeWaiters.size() > 2 * m_exchanges.size() + MinStoreWaiters) {
+        std::erase_if(m_storeWaiters, [](const auto &it) {
+            return it.expired();
+        });
+    }
     m_storeWaiters.push_back(exchange);
 }
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -20,8 +20,10 @@
 constexpr Duration MaxCrashReadWait
     = std::chrono::seconds(3);                ///< A proxy reports ready without the crash records if it can't read them for this time.
 constexpr std::size_t MaxIdleConnections = 6; ///< Limit on idle connections to one server.
-constexpr Duration RejectionLogInterval
-    = std::chrono::seconds(10); ///< Interval between log lines about rejected clients; the metric counts all of them.
+
+constexpr MessageLimits StatusLimits{16, 1024, 4096}; ///< Readiness checks and metrics have no body.
+constexpr MessageLimits PeerLimits{
+    64, std::size_t{2} * 1024 * 1024, std::size_t{4} * 1024 * 1024}; ///< Calls of other proxies; the store accepts calls of at most 1 MB.
 
 /** @return Name of this incarnation of the process; identifies its rows in the store. */
 std::string processName(const ProxySettings &settings)
@@ -34,6 +36,7 @@
 ProxyState::ProxyState(boost::asio::io_context &ioLoop, ProxySettings proxySettings, ProxyLog log)
     : loop(ioLoop)
     , settings(std::move(proxySettings))
+    , clientAccount(settings.maxClientBytes)
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
     , turns(settings.maxTurnBytes)
@@ -41,18 +44,24 @@
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
-    , readinessServer(ioLoop,
-                      [this](const MessageRequest &request, const MessageServer::Reply &answer) {
-                          answerStatus(request, answer);
-                      })
-    , metricsServer(ioLoop,
-                    [this](const MessageRequest &request, const MessageServer::Reply &answer) {
-                        answerStatus(request, answer);
-                    })
-    , peerServer(ioLoop,
-                 [this](const MessageRequest &request, const MessageServer::Reply &answer) {
-                     answerPeer(request, answer);
-                 })
+    , readinessServer(
+          ioLoop,
+          [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+              answerStatus(request, answer);
+          },
+          StatusLimits)
+    , metricsServer(
+          ioLoop,
+          [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+              answerStatus(request, answer);
+          },
+          StatusLimits)
+    , peerServer(
+          ioLoop,
+          [this](const MessageRequest &request, const MessageServer::Reply &answer) {
+              answerPeer(request, answer);
+          },
+          PeerLimits)
     , m_processName(processName(settings))
     , m_log(std::move(log))
     , m_periodicTimer(ioLoop)
@@ -105,29 +114,6 @@
     });
 }
 
-void ProxyState::addClient(tcp::socket socket)
-{
-    if (m_sessions.size() >= settings.maxClients) {
-        rejectClient();
-        return;
-    }
-    const auto session = std::make_shared<ClientSession>(std::move(socket), *this, m_nextSession++);
-    m_sessions[session->number()] = session;
-    session->start();
-}
-
-void ProxyState::rejectClient()
-{
-    metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
-    if (m_rejectionLoggedAt && now() - *m_rejectionLoggedAt < RejectionLogInterval) {
-        return;
-    }
-    m_rejectionLoggedAt = now();
-    log(LogLevel::Warning,
-        EventNumber::DependencyLost,
-        "peer=clients why=\"" + std::to_string(m_sessions.size()) + " open connections, further ones are closed\"");
-}
-
 void ProxyState::onRequest(const std::shared_ptr<ClientSession> &session, ClientRequest request)
 {
     const auto exchange = std::make_shared<Exchange>(*this, session, std::move(request));
@@ -153,12 +139,6 @@
     }
 }
 
-void ProxyState::onRequestError(const RequestError &error)
-{
-    log(LogLevel::Warning, EventNumber::RequestRefused, "status=" + std::to_string(error.status) + " why=\"" + error.message + '"');
-    metrics.count("vanillahall_faulty_requests_total", {"status", std::to_string(error.status)});
-}
-
 void ProxyState::onSessionClosed(const std::shared_ptr<ClientSession> &session)
 {
     m_sessions.erase(session->number());
@@ -174,15 +154,6 @@
     return routes.config().limits;
 }
 
-bool ProxyState::reserveBodyBytes(std::size_t oldSize, std::size_t newSize)
-{
-    if (newSize > oldSize && m_reservedBytes + newSize - oldSize > settings.maxBufferedBytes) {
-        return false;
-    }
-    m_reservedBytes = m_reservedBytes + newSize - oldSize;
-    return true;
-}
-
 bool ProxyState::isStopping() const
 {
     return plannedStop.hasBegun();
@@ -218,6 +189,7 @@
     }
     auto connection = std::move(it->second.back());
     it->second.pop_back();
+    m_idleCount--;
     if (it->second.empty()) {
         m_idleConnections.erase(it);
     }
@@ -257,14 +229,20 @@
 {
     if (!isReusable) {
         const auto it = m_idleConnections.find(connection->server().id);
-        if (it != m_idleConnections.end() && std::erase(it->second, connection) != 0 && it->second.empty()) {
-            m_idleConnections.erase(it);
+        if (it != m_idleConnections.end() && std::erase(it->second, connection) != 0) {
+            m_idleCount--;
+            if (it->second.empty()) {
+                m_idleConnections.erase(it);
+            }
         }
         return;
     }
     auto &idle = m_idleConnections[connection->server().id];
     idle.push_back(connection);
-    if (idle.size() > MaxIdleConnections || m_isShutDown) {
+    m_idleCount++;
+    // Each client has a descriptor for its connection and one for that to a server.
+    const bool isCrowded = m_idleCount + m_exchanges.size() > settings.maxClients;
+    if (idle.size() > MaxIdleConnections || isCrowded || m_isShutDown) {
         const auto oldest = idle.front();
         oldest->abandon();
     }
@@ -274,7 +252,8 @@
 {
     metrics.gauge("vanillahall_client_connections", static_cast<double>(m_sessions.size()));
     metrics.gauge("vanillahall_requests_open", static_cast<double>(m_exchanges.size()));
-    metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(m_reservedBytes));
+    metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(clientAccount.bytes(Holding::Body)));
+    setClientGauges();
     metrics.gauge("vanillahall_servers_known", static_cast<double>(servers.size()));
     metrics.gauge("vanillahall_servers_limited", static_cast<double>(servers.limitedCount()));
     metrics.gauge("vanillahall_servers_leaving", static_cast<double>(servers.leavingCount()));
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -54,6 +54,9 @@
     void onSessionClosed(const std::shared_ptr<ClientSession> &session) override;
     [[nodiscard]] const ClientLimits &limits() const override;
     bool reserveBodyBytes(std::size_t oldSize, std::size_t newSize) override;
+    void makeRoomForBody(std::size_t bytes) override;
+    [[nodiscard]] ClientAccount &account() override;
+    void onMemoryHeld() override;
     [[nodiscard]] bool keepsConnections() const override;
     /** @return True after stop(). */
     [[nodiscard]] bool isStopping() const;
@@ -120,6 +123,7 @@
 
     boost::asio::io_context &loop;
     ProxySettings settings;
+    ClientAccount clientAccount;
     RouteTable routes;
     CustomerDirectory customers;
     ServerRegistry servers;
@@ -157,9 +161,14 @@
     /** @return An idle connection to a server, or null. */
     std::shared_ptr<ServerConnection> popIdleConnection(const std::string &server);
     void rejectClient();
+    /** Closes connections, or refuses the requests that are received on them. @param reason Label of the counter, and text of the log. */
+    void evictClients(const std::vector<std::uint64_t> &sessions, const char *reason);
+    /** @return Sessions that can be closed without breaking off a request in progress. */
+    [[nodiscard]] std::vector<ClosableClient> closableClients() const;
     void addClient(boost::asio::ip::tcp::socket socket);
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
+    void setClientGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void sendHeartbeat();
     void applyCrashes(const Platform::StoreRows &rows);
@@ -252,7 +261,6 @@
     std::vector<std::weak_ptr<Exchange>> m_storeWaiters; ///< Exchanges to notify when the store answers.
     std::map<std::string, std::uint64_t> m_invalidRows;  ///< Version of each invalid row that was logged last.
     std::uint64_t m_nextSession = 1;                     ///< Id of the next session.
-    std::size_t m_reservedBytes = 0;                     ///< Memory reserved for bodies.
     std::optional<TimePoint> m_serversReadAt;            ///< When the server list was last known to be up to date.
     std::optional<TimePoint> m_serversFirstReadAt;       ///< When the server list was first read.
     std::optional<TimePoint> m_storeAnsweredAt;          ///< When the store last answered.
@@ -270,6 +278,12 @@
     std::shared_ptr<TableWatcher> m_serverWatcher;       ///< Watches the server table.
     std::vector<Server> m_serverList;                    ///< Server list as last read.
     std::optional<TimePoint> m_rejectionLoggedAt;        ///< When rejected clients were last logged.
+    TimePoint m_refusalPeriodAt{};                       ///< When the period of MaxLoggedRefusals began.
+    std::size_t m_loggedRefusals = 0;                    ///< Refusals logged in this period.
+    std::optional<TimePoint> m_evictionLoggedAt;         ///< When closed clients were last logged.
+    std::size_t m_evictions = 0;                         ///< Clients closed since then.
+    bool m_isEvicting = false;                           ///< True inside evictClients(); guards against recursion.
+    std::size_t m_idleCount = 0;                         ///< Number of connections in m_idleConnections.
     bool m_areCrashesRead = false;                       ///< True once the crash records of the other proxies were read.
     bool m_areRequestsEnded = false;                     ///< True once the limit of a stop has ended the requests in progress.
     bool m_isShutDown = false;                           ///< True after shutDown().
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -13,7 +13,11 @@
 namespace Http = boost::beast::http;
 
 constexpr unsigned HttpVersion10 = 10;
-constexpr unsigned MaxEmptyLines = 8; ///< Limit on empty lines before a request; old clients send one after a body.
+constexpr std::size_t MinBytesPerField
+    = 8; ///< Average size of the fields of a head of the permitted size, line ends included; real ones have 20 bytes and more.
+constexpr std::size_t MinMaxFields = 100;    ///< Fields that are accepted however short the permitted head is.
+constexpr std::size_t BodyGrowthDivisor = 4; ///< A chunked body's buffer grows by a quarter, so that little of it is unused.
+constexpr unsigned MaxEmptyLines = 8;        ///< Limit on empty lines before a request; old clients send one after a body.
 
 /** @return Error if two HTTP implementations could frame the head differently (request smuggling), else null. */
 const char *findFramingError(std::string_view head)
@@ -63,8 +67,9 @@
 RequestReader::Progress RequestReader::readHead(std::string &in, const ClientLimits &limits)
 {
     constexpr std::string_view End = "\r\n\r\n";
-    const auto end = in.find(End);
+    const auto end = in.find(End, m_searchedBytes);
     if (end == std::string::npos) {
+        m_searchedBytes = in.size() - std::min(in.size(), End.size() - 1);
         return in.size() > limits.maxHeaderBytes ? refuse(StatusHeadersTooLarge, "headers too large") : Progress::NeedMore;
     }
     const std::size_t size = end + End.size();
@@ -74,6 +79,11 @@
     if (const char *why = findFramingError(std::string_view(in).substr(0, size))) {
         return refuse(StatusBadRequest, why);
     }
+    // The parser allocates memory for each field, up to a hundred times its size.
+    const auto lines = static_cast<std::size_t>(std::count(in.begin(), in.begin() + static_cast<std::ptrdiff_t>(size), '\n'));
+    if (lines > std::max(limits.maxHeaderBytes / MinBytesPerField, MinMaxFields)) {
+        return refuse(StatusHeadersTooLarge, "too many header fields");
+    }
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes + 1));
     m_parser->body_limit(limits.maxBodyBytes);
@@ -87,8 +97,14 @@
         return refuse(StatusBadRequest, ec ? ec.message() : "incomplete headers");
     }
     in.erase(0, size);
+    m_headBytes = size;
     m_parser->eager(true);
-    return processHead() ? Progress::Complete : Progress::Invalid;
+    if (!processHead()) {
+        return Progress::Invalid;
+    }
+    // Everything needed was copied; the parsed fields would take many times the size of the head while the body is received.
+    m_parser->get().base().clear();
+    return Progress::Complete;
 }
 
 bool RequestReader::processHead()
@@ -151,6 +167,8 @@
             return Progress::NeedMore;
         }
         m_hasBegun = true;
+        m_headBytes = 0;
+        m_searchedBytes = 0;
         m_request = {};
         m_request.arrived = now;
     }
@@ -163,6 +181,10 @@
     }
     boost::system::error_code ec;
     while (!m_parser->is_done() && !in.empty()) {
+        auto &body = m_parser->get().body();
+        if (m_parser->chunked() && body.size() + in.size() > body.capacity()) {
+            body.reserve(std::min(limits.maxBodyBytes, body.size() + std::max(in.size(), body.size() / BodyGrowthDivisor)));
+        }
         const auto n = m_parser->put(boost::asio::buffer(in), ec);
         in.erase(0, n);
         if (ec == Http::error::need_more) {
@@ -207,7 +229,17 @@
 
 std::size_t RequestReader::bodySize() const
 {
-    return m_parser ? m_parser->get().body().size() : 0;
+    if (!m_parser) {
+        return 0;
+    }
+    // The buffer of an announced body is reserved at once, but takes memory only as far as it is filled.
+    const auto &body = m_parser->get().body();
+    return m_parser->chunked() && !body.empty() ? body.capacity() : body.size();
+}
+
+std::size_t RequestReader::headBytes() const
+{
+    return m_headBytes;
 }
 
 const RequestError &RequestReader::error() const
--- a/packages/proxy/src/request_reader.h
+++ b/packages/proxy/src/request_reader.h
@@ -39,7 +39,9 @@
     [[nodiscard]] bool hasBegun() const;
     /** @return True from the end of a request's headers to the end of the request. */
     [[nodiscard]] bool hasHead() const;
-    /** @return Number of body bytes received so far. */
+    /** @return Size of the head of the request that is being read or was last read, in bytes; 0 before its end. */
+    [[nodiscard]] std::size_t headBytes() const;
+    /** @return Number of bytes held for the body received so far. */
     [[nodiscard]] std::size_t bodySize() const;
     /** @return Error of an invalid request. */
     [[nodiscard]] const RequestError &error() const;
@@ -54,7 +56,9 @@
     std::unique_ptr<Parser> m_parser;
     ClientRequest m_request;
     RequestError m_error;
-    unsigned m_emptyLines = 0; ///< Empty lines before the current request.
+    std::size_t m_headBytes = 0;
+    std::size_t m_searchedBytes = 0; ///< Bytes of an incomplete head that don't contain its end.
+    unsigned m_emptyLines = 0;       ///< Empty lines before the current request.
     bool m_hasBegun = false;
     bool m_hasHead = false;
     bool m_expectsContinue = false;
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -129,7 +129,8 @@
                 self->fail("write: " + ec.message());
                 return;
             }
-            self->m_out.clear();
+            // An idle connection must not keep the buffer of a large request.
+            std::string().swap(self->m_out);
             if (self->m_isDone) {
                 self->release(true);
             }
