Bytes of requests at one server are bounded; newcomers replace connections without progress

Cause: a server crashes if the requests that it holds exceed its memory; 75 idle connections shut all further clients out; each connection to a server held a buffer of 16 KB while idle.

--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -75,6 +75,7 @@
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
     proxy.maxClientBytes = settings.proxyMemoryMb * BytesPerMb / ClientMemoryDivisor;
+    proxy.maxServerBytes = settings.proxyServerRequestMb * BytesPerMb;
     const auto files = maxFiles(settings);
     proxy.maxClients = (files - std::min(files, ReservedFiles)) / FilesPerClient;
     return proxy;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -67,6 +67,7 @@
     Endpoint proxyPeerListen;                                    ///< proxy.peer_listen
     std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
+    std::uint64_t proxyServerRequestMb = 16;                     ///< proxy.server_request_mb
     Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
     std::optional<Duration> proxyStopLimit;                      ///< proxy.stop_limit_ms
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -2,19 +2,17 @@
 
 #include "http_status.h"
 #include "proxy_clock.h"
+#include "read_buffer_func.h"
 #include "response_text_func.h"
 #include "socket_option_func.h"
 #include "timer_func.h"
 
-#include <array>
-
 #include <boost/asio/write.hpp>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = std::size_t{16} * 1024; ///< Largest number of bytes read at once.
 constexpr std::size_t MaxReadAheadBytes
     = std::size_t{8} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
 constexpr std::size_t MaxUnsentBytes = std::size_t{128} * 1024; ///< Bytes buffered for a slow client before reading from the server pauses.
@@ -23,16 +21,9 @@
     = std::size_t{16} * 1024; ///< The next pipelined request is read only if at most this many bytes of responses are unsent.
 constexpr std::size_t MaxKeptCapacity = std::size_t{8} * 1024; ///< Larger empty buffers are released.
 constexpr std::size_t SessionBytes
-    = std::size_t{6} * 1024; ///< Memory for a session, its socket, and the state of its request without head and body (estimated).
+    = std::size_t{8} * 1024; ///< Memory for a session, its request without head and body, and the connection to a server (estimated).
 constexpr std::chrono::seconds LingerTimeout{1}; ///< Time for the client to close its side after the last response.
 
-/** @return Receive buffer of the thread; each loop runs on one thread and empties the buffer before the next read. */
-std::array<char, ReadBufferBytes> &readBuffer()
-{
-    thread_local std::array<char, ReadBufferBytes> buffer;
-    return buffer;
-}
-
 void releaseIfLarge(std::string &buf)
 {
     if (buf.empty() && buf.capacity() > MaxKeptCapacity) {
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -270,7 +270,7 @@
         answerVersionGone();
         return;
     }
-    const auto choice = chooseServer();
+    const auto choice = chooseServerWithRoom();
     if (!choice) {
         waitForServer();
         return;
@@ -393,6 +393,7 @@
     m_connection = m_proxy.acquireConnection(choice.server, needsNewConnection ? ConnectionChoice::New : ConnectionChoice::Any);
     auto text = requestText(choice.server);
     m_heldCopy.set(text.size());
+    addServerBytes();
     m_connection->send(this, std::move(text), m_request.attributes.requestId, m_request.method == "HEAD");
 }
 
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -70,6 +70,13 @@
     [[nodiscard]] std::optional<SoftwareVersion> versionToName() const;
     /** @return Server for the request, among those whose version fits. */
     [[nodiscard]] std::optional<Choice> chooseServer();
+    /** @return Server for the request, among those that may be sent its bytes; the others are excluded. */
+    [[nodiscard]] std::optional<Choice> chooseServerWithRoom();
+    /** @return Size of the request as it is sent, without its first line and the headers of the proxy. */
+    [[nodiscard]] std::size_t requestBytes() const;
+    /** Counts the request among those that its server holds, until removeServerBytes(). */
+    void addServerBytes();
+    void removeServerBytes();
     /** @return True if the versions at which the stream may begin are those of the program's row. */
     [[nodiscard]] bool isVersionInRow() const;
     /** @return True if the tokens of the turn have to be reserved, so that its program has a row in the store. */
@@ -169,6 +176,7 @@
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
     HeldBytes m_heldCopy;                              ///< Request text of the current attempt, until the response begins.
+    std::size_t m_serverBytes = 0;                     ///< Bytes counted by addServerBytes().
     HeldBytes m_heldBody;                              ///< Size of m_bufferedBody.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -47,7 +47,7 @@
 
 void Exchange::endAttempt()
 {
-    m_heldCopy.set(0);
+    removeServerBytes();
     m_proxy.servers.recordEnd(m_choice.server.id, m_choice.uncachedTokens, m_hadFirstEvent);
 }
 
@@ -206,7 +206,7 @@
     const auto self = shared_from_this();
     stopTimer(m_limitTimer);
     stopTimer(m_waitTimer);
-    m_heldCopy.set(0);
+    removeServerBytes();
     m_heldBody.set(0);
     settleTokens();
     if (m_conversation) {
--- /dev/null
+++ b/packages/proxy/src/exchange_memory.cpp
@@ -0,0 +1,35 @@
+#include "exchange.h"
+#include "proxy_state.h"
+
+namespace Vanillahall::Forward {
+
+std::size_t Exchange::requestBytes() const
+{
+    return m_request.headers.size() + (m_conversation ? m_conversation->turn().bodySize() : m_request.body.size());
+}
+
+std::optional<Choice> Exchange::chooseServerWithRoom()
+{
+    while (auto choice = chooseServer()) {
+        if (m_proxy.serverRequestBytes.fits(choice->server.id, requestBytes())) {
+            return choice;
+        }
+        m_proxy.metrics.count("vanillahall_servers_passed_over_total", {"reason", "request_bytes"});
+        m_excludedServers.insert(choice->server.id);
+    }
+    return std::nullopt;
+}
+
+void Exchange::addServerBytes()
+{
+    m_serverBytes = requestBytes();
+    m_proxy.serverRequestBytes.add(m_choice.server.id, m_serverBytes);
+}
+
+void Exchange::removeServerBytes()
+{
+    m_heldCopy.set(0);
+    m_proxy.serverRequestBytes.remove(m_choice.server.id, std::exchange(m_serverBytes, 0));
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_clients.cpp
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -9,8 +9,7 @@
 constexpr Duration LogInterval
     = std::chrono::seconds(10);                ///< Interval between log lines about closed clients; the metrics count all of them.
 constexpr std::size_t MaxLoggedRefusals = 100; ///< Limit on log lines about refused requests in one interval.
-constexpr std::size_t BodyRoomDivisor = 8;    ///< An eighth of the limit is made free at once, so that clients aren't sorted for each read.
-constexpr std::size_t MaxClosedPerAccept = 4; ///< Connections closed to accept one; several, since closing ones have to end first.
+constexpr std::size_t BodyRoomDivisor = 8; ///< An eighth of the limit is made free at once, so that clients aren't sorted for each read.
 
 } // namespace
 
@@ -22,11 +21,14 @@
 void ProxyState::addClient(boost::asio::ip::tcp::socket socket)
 {
     if (m_sessions.size() >= settings.maxClients) {
-        evictClients(selectForConnections(closableClients(), m_sessions.size() - settings.maxClients + 1), "connections");
-    }
-    if (m_sessions.size() >= settings.maxClients + MaxClosedPerAccept) {
-        rejectClient();
-        return;
+        // A refused client stays connected until it has read the refusal, so there may be one more than the limit.
+        const std::size_t needed = m_sessions.size() - settings.maxClients + 1;
+        const auto closed = selectForConnections(closableClients(), needed);
+        evictClients(closed, "connections");
+        if (closed.size() < needed) {
+            rejectClient();
+            return;
+        }
     }
     const auto session = std::make_shared<ClientSession>(std::move(socket), *this, m_nextSession++);
     m_sessions[session->number()] = session;
@@ -116,6 +118,8 @@
 
 void ProxyState::setClientGauges()
 {
+    const auto closed = readinessServer.closedConnections() + metricsServer.closedConnections() + peerServer.closedConnections();
+    metrics.gauge("vanillahall_listener_connections_closed", static_cast<double>(closed));
     for (std::size_t n = 0; n < HoldingCount; n++) {
         metrics.gauge("vanillahall_client_" + std::string(HoldingNames.at(n)) + "_bytes_held",
                       static_cast<double>(clientAccount.bytes(static_cast<Holding>(n))));
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -37,6 +37,7 @@
     : loop(ioLoop)
     , settings(std::move(proxySettings))
     , clientAccount(settings.maxClientBytes)
+    , serverRequestBytes(settings.maxServerBytes)
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
     , turns(settings.maxTurnBytes)
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -5,6 +5,7 @@
 #include "exchange.h"
 #include "message_server.h"
 #include "server_connection.h"
+#include "server_request_bytes.h"
 #include "store_router.h"
 #include "table_watcher.h"
 
@@ -124,6 +125,7 @@
     boost::asio::io_context &loop;
     ProxySettings settings;
     ClientAccount clientAccount;
+    ServerRequestBytes serverRequestBytes;
     RouteTable routes;
     CustomerDirectory customers;
     ServerRegistry servers;
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -1,14 +1,16 @@
 #include "server_connection.h"
 
 #include "proxy_clock.h"
+#include "read_buffer_func.h"
 #include "socket_option_func.h"
 #include "timer_func.h"
 
 #include "vanillahall/platform/wire_header_func.h"
 
-#include <boost/asio/write.hpp>
 #include <limits>
 
+#include <boost/asio/write.hpp>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -104,6 +106,8 @@
             return;
         }
         self->m_isOpen = true;
+        boost::system::error_code ec;
+        self->m_socket.non_blocking(true, ec);
         if (self->m_openedHandler) {
             self->read();
             self->release(true);
@@ -143,9 +147,17 @@
         return;
     }
     m_isReading = true;
-    m_socket.async_read_some(boost::asio::buffer(m_buf), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+    // Waiting needs no buffer, so idle connections don't hold one.
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &waitError) {
         self->m_isReading = false;
-        if (!self->m_isClosed) {
+        if (self->m_isClosed) {
+            return;
+        }
+        auto ec = waitError;
+        const std::size_t n = ec ? 0 : self->m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
+        if (ec == boost::asio::error::would_block) {
+            self->read();
+        } else {
             self->onRead(ec, n);
         }
     });
@@ -168,7 +180,7 @@
         fail("read: " + ec.message());
         return;
     }
-    m_in.append(m_buf.data(), n);
+    m_in.append(readBuffer().data(), n);
     parse();
     // An element that needs more bytes to be parsed, such as a chunk extension or a trailer, may not be longer than a head.
     if (m_listener != nullptr && !m_isPaused && m_in.size() > MaxResponseHeadBytes) {
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -127,7 +127,6 @@
     std::string m_requestId;                        ///< Id of the current request.
     std::size_t m_skippedBytes = 0;                 ///< Bytes of heads, and of responses to other requests, received since send().
     std::string m_in;                               ///< Received bytes that aren't parsed yet.
-    std::array<char, 16384> m_buf{};                ///< Receive buffer.
     std::unique_ptr<Parser> m_parser;               ///< Parser of the current response.
     ResponseHead m_head;                            ///< Head of the current response.
     TimePoint m_idleSince{};                        ///< When the last response ended.
