Requests whose clients leave count; small bodies pass while large ones use up their share

Cause: a request that must not be repeated runs on after its client has left; its body and its connection were no longer counted. Large bodies in progress made the proxy refuse bodies of 100 bytes. An account that only connections in progress use up made each read search all connections. Change: the body is released when the client leaves, and the connection to its server counts as a client; bodies up to 1/1024 of the share of bodies are accepted while the total allows; holdings below 4 KB are left alone; a failed accept closes one connection and is logged at most every 10 s; the account is shared, since handlers of sockets may outlive the proxy.

--- a/packages/proxy/src/client_account.cpp
+++ b/packages/proxy/src/client_account.cpp
@@ -42,6 +42,11 @@
     return m_total;
 }
 
+bool ClientAccount::fits(std::size_t bytes) const
+{
+    return m_total + bytes <= m_maxBytes;
+}
+
 bool ClientAccount::isOver() const
 {
     return m_total > m_maxBytes;
@@ -57,8 +62,8 @@
     return isOver() ? m_total - (m_maxBytes - m_maxBytes / ReliefDivisor) : 0;
 }
 
-HeldBytes::HeldBytes(ClientAccount &account, Holding holding)
-    : m_account(account)
+HeldBytes::HeldBytes(std::shared_ptr<ClientAccount> account, Holding holding)
+    : m_account(std::move(account))
     , m_holding(holding)
 {
 }
@@ -70,7 +75,7 @@
 
 void HeldBytes::set(std::size_t bytes)
 {
-    m_account.change(m_holding, m_bytes, bytes);
+    m_account->change(m_holding, m_bytes, bytes);
     m_bytes = bytes;
 }
 
@@ -81,13 +86,16 @@
 
 std::vector<std::uint64_t> selectForMemory(std::vector<ClosableClient> clients, std::size_t excess, TimePoint now)
 {
+    std::erase_if(clients, [](const ClosableClient &it) {
+        return it.bytes < MinClosedBytes;
+    });
     std::sort(clients.begin(), clients.end(), [now](const ClosableClient &left, const ClosableClient &right) {
         return weight(left, now) > weight(right, now);
     });
     std::vector<std::uint64_t> chosen;
     std::size_t released = 0;
     for (const auto &it : clients) {
-        if (released >= excess || it.bytes == 0) {
+        if (released >= excess) {
             break;
         }
         released += it.bytes;
--- a/packages/proxy/src/client_account.h
+++ b/packages/proxy/src/client_account.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -44,6 +45,8 @@
     [[nodiscard]] std::size_t bytes(Holding holding) const;
     /** @return Bytes held in all categories. */
     [[nodiscard]] std::size_t total() const;
+    /** @return True if `bytes` more stay within the limit. */
+    [[nodiscard]] bool fits(std::size_t bytes) const;
     /** @return True if more is held than the limit allows. */
     [[nodiscard]] bool isOver() const;
     /** @return True if so much is held that buffers should stay small. */
@@ -61,7 +64,8 @@
 class HeldBytes
 {
 public:
-    HeldBytes(ClientAccount &account, Holding holding);
+    /** The account is shared, since handlers of sockets may outlive the proxy. */
+    HeldBytes(std::shared_ptr<ClientAccount> account, Holding holding);
     ~HeldBytes();
     HeldBytes(const HeldBytes &) = delete;
     HeldBytes &operator=(const HeldBytes &) = delete;
@@ -71,7 +75,7 @@
     [[nodiscard]] std::size_t bytes() const;
 
 private:
-    ClientAccount &m_account;
+    std::shared_ptr<ClientAccount> m_account;
     Holding m_holding;
     std::size_t m_bytes = 0;
 };
@@ -87,9 +91,13 @@
     bool hasBeenServed = false; ///< True if it has completed a request before.
 };
 
+/** Smallest holding for which a connection is closed: a quarter of a head of the usual limit. */
+inline constexpr std::size_t MinClosedBytes = std::size_t{4} * 1024;
+
 /**
  * Selects the connections to close so that memory is released. Those come first whose product of bytes and time, both since the request
- * began and since the last progress, is highest: stalled clients precede active ones, and a small new request comes last.
+ * began and since the last progress, is highest: stalled clients precede active ones, and a small new request comes last. Those
+ * that hold less than MinClosedBytes are left alone, since closing them would release next to nothing.
  * @param excess Bytes to release.
  * @return Ids of the sessions to close.
  */
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -70,7 +70,7 @@
 
 std::size_t ClientSession::maxUnsentBytes() const
 {
-    return m_handler.account().isShort() ? MaxUnsentBytesIfShort : MaxUnsentBytes;
+    return m_handler.account()->isShort() ? MaxUnsentBytesIfShort : MaxUnsentBytes;
 }
 
 void ClientSession::updateHeldBytes()
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -37,7 +37,7 @@
     /** Refuses requests that are being received, possibly that of the caller, to make room for a body. @param bytes Bytes needed. */
     virtual void makeRoomForBody(std::size_t bytes) = 0;
     /** @return Account of the memory held for clients. */
-    [[nodiscard]] virtual ClientAccount &account() = 0;
+    [[nodiscard]] virtual const std::shared_ptr<ClientAccount> &account() const = 0;
     /** Called when more memory is held for a client than before. May refuse or close any session without a request in progress. */
     virtual void onMemoryHeld() = 0;
     /** @return False if connections have to be closed once they are idle. */
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -149,7 +149,7 @@
     }
     m_bufferedBody.append(piece);
     m_heldBody.set(m_bufferedBody.capacity());
-    const auto maxBuffered = m_proxy.clientAccount.isShort() ? MaxBufferedBodyBytesIfShort : MaxBufferedBodyBytes;
+    const auto maxBuffered = m_proxy.clientAccount->isShort() ? MaxBufferedBodyBytesIfShort : MaxBufferedBodyBytes;
     if (m_bufferedBody.size() <= maxBuffered && !m_hasBegunAnswer) {
         return BodyAction::More;
     }
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -160,6 +160,8 @@
     recordUnresponsiveServer();
     // A request that must not be repeated continues to its end; otherwise its outcome would be unknown.
     if (m_connection && m_connection->wasSent() && m_route.repetition == Repetition::NonIdempotent) {
+        // It isn't sent again, and its memory is no longer reserved.
+        std::string().swap(m_request.body);
         return;
     }
     if (m_connection) {
--- a/packages/proxy/src/proxy_clients.cpp
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -9,20 +9,26 @@
 constexpr Duration LogInterval
     = std::chrono::seconds(10);                ///< Interval between log lines about closed clients; the metrics count all of them.
 constexpr std::size_t MaxLoggedRefusals = 100; ///< Limit on log lines about refused requests in one interval.
+constexpr Duration ReliefInterval
+    = std::chrono::milliseconds(20); ///< If nothing more can be released, the connections are searched again only after this time.
+constexpr std::size_t SmallBodyDivisor = 1024; ///< Bodies of up to 1/1024 of their share (17 KB at 88 MB) are accepted although large ones
+                                               ///< use it up, as long as the total allows.
 constexpr std::size_t BodyRoomDivisor = 8; ///< An eighth of the limit is made free at once, so that clients aren't sorted for each read.
 
 } // namespace
 
-ClientAccount &ProxyState::account()
+const std::shared_ptr<ClientAccount> &ProxyState::account() const
 {
     return clientAccount;
 }
 
 void ProxyState::addClient(boost::asio::ip::tcp::socket socket)
 {
-    if (m_sessions.size() >= settings.maxClients) {
+    // A request that runs after its client has left holds a connection to its server.
+    const std::size_t clients = m_sessions.size() + m_detached.size();
+    if (clients >= settings.maxClients) {
         // A refused client stays connected until it has read the refusal, so there may be one more than the limit.
-        const std::size_t needed = m_sessions.size() - settings.maxClients + 1;
+        const std::size_t needed = clients - settings.maxClients + 1;
         const auto closed = selectForConnections(closableClients(), needed);
         evictClients(closed, "connections");
         if (closed.size() < needed) {
@@ -35,6 +41,16 @@
     session->start();
 }
 
+void ProxyState::onAcceptFailure(const std::string &message)
+{
+    metrics.count("vanillahall_clients_turned_away_total", {"reason", "accept"});
+    evictClients(selectForConnections(closableClients(), 1), "connections");
+    if (!m_acceptFailureLoggedAt || now() - *m_acceptFailureLoggedAt > LogInterval) {
+        m_acceptFailureLoggedAt = now();
+        log(LogLevel::Warning, EventNumber::DependencyLost, "peer=clients why=\"accept: " + message + '"');
+    }
+}
+
 void ProxyState::rejectClient()
 {
     metrics.count("vanillahall_clients_turned_away_total", {"reason", "connections"});
@@ -78,22 +94,30 @@
     log(LogLevel::Warning,
         EventNumber::ClientsClosed,
         "reason=" + std::string(reason) + " clients=" + std::to_string(std::exchange(m_evictions, 0))
-            + " open=" + std::to_string(m_sessions.size()) + " bytes_held=" + std::to_string(clientAccount.total()));
+            + " open=" + std::to_string(m_sessions.size()) + " bytes_held=" + std::to_string(clientAccount->total()));
 }
 
 void ProxyState::onMemoryHeld()
 {
-    if (!m_isEvicting && clientAccount.isOver()) {
-        evictClients(selectForMemory(closableClients(), clientAccount.excess(), now()), "memory");
+    if (m_isEvicting || !clientAccount->isOver() || now() < m_nextReliefAt) {
+        return;
+    }
+    evictClients(selectForMemory(closableClients(), clientAccount->excess(), now()), "memory");
+    if (clientAccount->isOver()) {
+        m_nextReliefAt = now() + ReliefInterval;
     }
 }
 
 bool ProxyState::reserveBodyBytes(std::size_t oldSize, std::size_t newSize)
 {
-    if (newSize > oldSize && clientAccount.bytes(Holding::Body) + newSize - oldSize > settings.maxBufferedBytes) {
-        return false;
+    if (newSize > oldSize) {
+        const std::size_t added = newSize - oldSize;
+        const bool isWithinShare = clientAccount->bytes(Holding::Body) + added <= settings.maxBufferedBytes;
+        if ((!isWithinShare && newSize > settings.maxBufferedBytes / SmallBodyDivisor) || !clientAccount->fits(added)) {
+            return false;
+        }
     }
-    clientAccount.change(Holding::Body, oldSize, newSize);
+    clientAccount->change(Holding::Body, oldSize, newSize);
     return true;
 }
 
@@ -122,7 +146,7 @@
     metrics.gauge("vanillahall_listener_connections_closed", static_cast<double>(closed));
     for (std::size_t n = 0; n < HoldingCount; n++) {
         metrics.gauge("vanillahall_client_" + std::string(HoldingNames.at(n)) + "_bytes_held",
-                      static_cast<double>(clientAccount.bytes(static_cast<Holding>(n))));
+                      static_cast<double>(clientAccount->bytes(static_cast<Holding>(n))));
     }
 }
 
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -36,7 +36,7 @@
 ProxyState::ProxyState(boost::asio::io_context &ioLoop, ProxySettings proxySettings, ProxyLog log)
     : loop(ioLoop)
     , settings(std::move(proxySettings))
-    , clientAccount(settings.maxClientBytes)
+    , clientAccount(std::make_shared<ClientAccount>(settings.maxClientBytes))
     , serverRequestBytes(settings.maxServerBytes)
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
@@ -108,7 +108,7 @@
             self->acceptClients();
             return;
         }
-        self->log(LogLevel::Warning, EventNumber::DependencyLost, "peer=clients why=\"accept: " + ec.message() + '"');
+        self->onAcceptFailure(ec.message());
         runAfter(self->m_acceptTimer, AcceptRetryDelay, *self, [](ProxyState &proxy) {
             proxy.acceptClients();
         });
@@ -143,11 +143,15 @@
 void ProxyState::onSessionClosed(const std::shared_ptr<ClientSession> &session)
 {
     m_sessions.erase(session->number());
+    if (m_exchanges.contains(session->number())) {
+        m_detached.insert(session->number());
+    }
 }
 
 void ProxyState::removeExchange(const ClientSession &session)
 {
     m_exchanges.erase(session.number());
+    m_detached.erase(session.number());
 }
 
 const ClientLimits &ProxyState::limits() const
@@ -253,7 +257,7 @@
 {
     metrics.gauge("vanillahall_client_connections", static_cast<double>(m_sessions.size()));
     metrics.gauge("vanillahall_requests_open", static_cast<double>(m_exchanges.size()));
-    metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(clientAccount.bytes(Holding::Body)));
+    metrics.gauge("vanillahall_body_bytes_held", static_cast<double>(clientAccount->bytes(Holding::Body)));
     setClientGauges();
     metrics.gauge("vanillahall_servers_known", static_cast<double>(servers.size()));
     metrics.gauge("vanillahall_servers_limited", static_cast<double>(servers.limitedCount()));
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -56,7 +56,7 @@
     [[nodiscard]] const ClientLimits &limits() const override;
     bool reserveBodyBytes(std::size_t oldSize, std::size_t newSize) override;
     void makeRoomForBody(std::size_t bytes) override;
-    [[nodiscard]] ClientAccount &account() override;
+    [[nodiscard]] const std::shared_ptr<ClientAccount> &account() const override;
     void onMemoryHeld() override;
     [[nodiscard]] bool keepsConnections() const override;
     /** @return True after stop(). */
@@ -124,7 +124,7 @@
 
     boost::asio::io_context &loop;
     ProxySettings settings;
-    ClientAccount clientAccount;
+    std::shared_ptr<ClientAccount> clientAccount;
     ServerRequestBytes serverRequestBytes;
     RouteTable routes;
     CustomerDirectory customers;
@@ -163,6 +163,8 @@
     /** @return An idle connection to a server, or null. */
     std::shared_ptr<ServerConnection> popIdleConnection(const std::string &server);
     void rejectClient();
+    /** Closes a connection, since usually no descriptor is free. */
+    void onAcceptFailure(const std::string &message);
     /** Closes connections, or refuses the requests that are received on them. @param reason Label of the counter, and text of the log. */
     void evictClients(const std::vector<std::uint64_t> &sessions, const char *reason);
     /** @return Sessions that can be closed without breaking off a request in progress. */
@@ -279,10 +281,13 @@
     std::shared_ptr<TableWatcher> m_configWatcher;       ///< Watches the configuration table.
     std::shared_ptr<TableWatcher> m_serverWatcher;       ///< Watches the server table.
     std::vector<Server> m_serverList;                    ///< Server list as last read.
+    std::optional<TimePoint> m_acceptFailureLoggedAt;    ///< When a failed accept was last logged.
     std::optional<TimePoint> m_rejectionLoggedAt;        ///< When rejected clients were last logged.
     TimePoint m_refusalPeriodAt{};                       ///< When the period of MaxLoggedRefusals began.
     std::size_t m_loggedRefusals = 0;                    ///< Refusals logged in this period.
     std::optional<TimePoint> m_evictionLoggedAt;         ///< When closed clients were last logged.
+    TimePoint m_nextReliefAt{};                          ///< When connections are next searched for memory to release.
+    std::set<std::uint64_t> m_detached;                  ///< Closed sessions whose request still runs at a server.
     std::size_t m_evictions = 0;                         ///< Clients closed since then.
     bool m_isEvicting = false;                           ///< True inside evictClients(); guards against recursion.
     std::size_t m_idleCount = 0;                         ///< Number of connections in m_idleConnections.
