--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -54,13 +54,20 @@
     return m_isAnswering || m_isClosing || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
 }
 
-std::optional<ClosableClient> ClientSession::closableState() const
+ClosableClient ClientSession::state() const
 {
-    if (m_isAnswering || m_isClosed) {
-        return std::nullopt;
-    }
     const auto bytes = m_heldHead.bytes() + m_heldResponse.bytes() + m_reservedBodyBytes;
-    return ClosableClient{m_number, bytes, m_heldSince, m_progressAt, m_isClosing, m_hasBeenServed};
+    return {m_number, bytes, m_heldSince, m_progressAt, m_isClosing, m_hasBeenServed};
+}
+
+std::optional<ClosableClient> ClientSession::closableState() const
+{
+    return m_isAnswering || m_isClosed ? std::nullopt : std::optional(state());
+}
+
+std::optional<ClosableClient> ClientSession::waitingState() const
+{
+    return m_isAnswering && !m_isClosed && unsentBytes() == 0 ? std::optional(state()) : std::nullopt;
 }
 
 std::size_t ClientSession::unsentBytes() const
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -76,6 +76,8 @@
     [[nodiscard]] bool isBusy() const;
     /** @return State of the connection if it can be closed without breaking off a request in progress. */
     [[nodiscard]] std::optional<ClosableClient> closableState() const;
+    /** @return State of the connection while its request waits; nothing if its response has begun or no request is complete. */
+    [[nodiscard]] std::optional<ClosableClient> waitingState() const;
 
 private:
     void read();
@@ -84,6 +86,7 @@
     /** Reserves memory for the body received so far. @return False if the request was refused for lack of it. */
     bool reserveBody();
     void send();
+    [[nodiscard]] ClosableClient state() const;
     [[nodiscard]] std::size_t unsentBytes() const;
     [[nodiscard]] std::size_t maxUnsentBytes() const;
     void updateHeldBytes();
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -35,6 +35,13 @@
     void onStopLimit();
     /** Called when the client's send buffer has drained. */
     void onClientDrained();
+    /** Refuses the request to release its memory. @pre canBeRefused() */
+    void refuseForMemory();
+
+    // Queries.
+
+    /** @return True if the request waits and was never sent to a server, so that it can be refused as not run. */
+    [[nodiscard]] bool canBeRefused() const;
 
     // Events of the server connection.
 
--- a/packages/proxy/src/exchange_memory.cpp
+++ b/packages/proxy/src/exchange_memory.cpp
@@ -1,5 +1,7 @@
 #include "exchange.h"
+#include "http_status.h"
 #include "proxy_state.h"
+#include "response_text_func.h"
 
 namespace Vanillahall::Forward {
 
@@ -8,6 +10,16 @@
     return m_request.headers.size() + (m_conversation ? m_conversation->turn().bodySize() : m_request.body.size());
 }
 
+bool Exchange::canBeRefused() const
+{
+    return !m_isEnded && !m_isClientDisconnected && !m_hasBegunAnswer && !m_connection && m_attempts == 0;
+}
+
+void Exchange::refuseForMemory()
+{
+    answer(StatusUnavailable, ShortRetryAfter, Outcome::TooManyBytesHeld);
+}
+
 std::optional<Choice> Exchange::chooseServerWithRoom()
 {
     while (auto choice = chooseServer()) {
--- a/packages/proxy/src/proxy_clients.cpp
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -74,6 +74,19 @@
     return clients;
 }
 
+std::vector<ClosableClient> ProxyState::refusableClients() const
+{
+    auto clients = closableClients();
+    for (const auto &[number, exchange] : m_exchanges) {
+        const auto session = m_sessions.find(number);
+        const auto state = session != m_sessions.end() && exchange->canBeRefused() ? session->second->waitingState() : std::nullopt;
+        if (state) {
+            clients.push_back(*state);
+        }
+    }
+    return clients;
+}
+
 void ProxyState::evictClients(const std::vector<std::uint64_t> &sessions, const char *reason)
 {
     m_isEvicting = true;
@@ -81,7 +94,13 @@
         const auto it = m_sessions.find(number);
         if (it != m_sessions.end()) {
             const auto session = it->second;
-            session->evict();
+            const auto waiting = m_exchanges.find(number);
+            if (waiting != m_exchanges.end()) {
+                const auto exchange = waiting->second;
+                exchange->refuseForMemory();
+            } else {
+                session->evict();
+            }
             m_evictions++;
             metrics.count("vanillahall_clients_closed_total", {"reason", reason});
         }
@@ -102,7 +121,7 @@
     if (m_isEvicting || !clientAccount->isOver() || now() < m_nextReliefAt) {
         return;
     }
-    evictClients(selectForMemory(closableClients(), clientAccount->excess(), now()), "memory");
+    evictClients(selectForMemory(refusableClients(), clientAccount->excess(), now()), "memory");
     if (clientAccount->isOver()) {
         m_nextReliefAt = now() + ReliefInterval;
     }
@@ -124,7 +143,7 @@
 void ProxyState::makeRoomForBody(std::size_t bytes)
 {
     if (!m_isEvicting) {
-        evictClients(selectForMemory(closableClients(), bytes + settings.maxBufferedBytes / BodyRoomDivisor, now()), "bodies");
+        evictClients(selectForMemory(refusableClients(), bytes + settings.maxBufferedBytes / BodyRoomDivisor, now()), "bodies");
     }
 }
 
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -169,6 +169,8 @@
     void evictClients(const std::vector<std::uint64_t> &sessions, const char *reason);
     /** @return Sessions that can be closed without breaking off a request in progress. */
     [[nodiscard]] std::vector<ClosableClient> closableClients() const;
+    /** @return The same, and sessions whose complete request waits and can be refused as not run. */
+    [[nodiscard]] std::vector<ClosableClient> refusableClients() const;
     void addClient(boost::asio::ip::tcp::socket socket);
     void answerStatus(const MessageRequest &request, const MessageServer::Reply &answer);
     void setGauges();
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -353,6 +353,15 @@
             proxy.deployment.store.away = None
         self.play(load)
 
+    def test_complete_bodies_and_a_silent_store(self):
+        """Guards as well against the refusal of ordinary requests while large ones wait for the store."""
+        async def load(proxy, crowd):
+            proxy.deployment.store.away = "silent"
+            fields = ["Program-Id: p", "Token-Budget: 100000", "Token-Usage: 10,100", "Content-Length: 2000000"]
+            crowd.keep_returning(proxy.front, head("/chat/x", fields) + b"f" * 2000000, 40)
+            await asyncio.sleep(3)
+        self.play(load)
+
     def listener(self, name, path):
         async def load(proxy, crowd):
             address = getattr(proxy, name)
