--- a/packages/net/include/vanillahall/net/http_type.h
+++ b/packages/net/include/vanillahall/net/http_type.h
@@ -53,11 +53,12 @@
 /** Where and how a server listens. */
 struct HttpServerSettings
 {
-    std::string address = "127.0.0.1";                    ///< IP address to listen on.
-    std::uint16_t port = 0;                               ///< Port; 0 selects a free one.
-    TlsFiles tls;                                         ///< TLS files, if TLS is used.
-    std::size_t maxBody = std::size_t{4} * 1024 * 1024;   ///< Largest request body, in bytes.
-    std::size_t maxConnections = 4096;                    ///< Maximum number of open connections.
+    std::string address = "127.0.0.1";                         ///< IP address to listen on.
+    std::uint16_t port = 0;                                    ///< Port; 0 selects a free one.
+    TlsFiles tls;                                              ///< TLS files, if TLS is used.
+    std::size_t maxBody = std::size_t{4} * 1024 * 1024;        ///< Largest request body, in bytes.
+    std::size_t maxHeldBodies = std::size_t{64} * 1024 * 1024; ///< Limit on all bodies that are being received, in bytes.
+    std::size_t maxConnections = 4096; ///< Maximum number of open connections. Beyond it the oldest one without a request is closed.
     std::size_t maxUnsent = std::size_t{4} * 1024 * 1024; ///< A caller with more unsent response bytes than this is disconnected.
     Duration bodyTimeout = std::chrono::seconds(30);      ///< Maximum time to receive a complete request.
     Duration sendTimeout = std::chrono::seconds(30);      ///< A caller that reads nothing for this long is disconnected.
--- a/packages/net/src/http_listen.cpp
+++ b/packages/net/src/http_listen.cpp
@@ -156,7 +156,7 @@
         if (fd < 0) {
             return;
         }
-        if (connections.size() >= settings.maxConnections) {
+        if (connections.size() - closingConnections >= settings.maxConnections && !closeIdleConnection()) {
             close(fd);
             continue;
         }
@@ -170,6 +170,7 @@
 
 void HttpServerState::addConnection(lws *wsi)
 {
+    connections[wsi].number = ++lastConnection;
     connections[wsi].timer = loop.startTimer(settings.bodyTimeout, [wsi] {
         lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
     });
@@ -180,10 +181,29 @@
     const auto it = connections.find(wsi);
     if (it != connections.end()) {
         loop.stopTimer(it->second.timer);
+        closingConnections -= it->second.isClosing ? 1 : 0;
         connections.erase(it);
     }
 }
 
+bool HttpServerState::closeIdleConnection()
+{
+    auto oldest = connections.end();
+    for (auto it = connections.begin(); it != connections.end(); ++it) {
+        const bool isIdle = it->second.exchanges == 0 && !it->second.isClosing;
+        if (isIdle && (oldest == connections.end() || it->second.number < oldest->second.number)) {
+            oldest = it;
+        }
+    }
+    if (oldest == connections.end()) {
+        return false;
+    }
+    oldest->second.isClosing = true;
+    closingConnections++;
+    lws_set_timeout(oldest->first, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    return true;
+}
+
 void HttpServerState::onExchangeStarted(lws *wsi)
 {
     const auto it = connections.find(lws_get_network_wsi(wsi));
--- a/packages/net/src/http_request.cpp
+++ b/packages/net/src/http_request.cpp
@@ -163,7 +163,11 @@
         respondWithError(*exchange, HTTP_STATUS_REQ_ENTITY_TOO_LARGE, "too_large", "the request body is too large");
         return 0;
     }
-    exchange->request.body += piece;
+    makeRoomForBody(piece.size());
+    if (!exchange->responding) {
+        exchange->request.body += piece;
+        heldBodies += piece.size();
+    }
     return 0;
 }
 
@@ -183,8 +187,37 @@
     return 0;
 }
 
+void HttpServerState::makeRoomForBody(std::size_t bytes)
+{
+    while (heldBodies + bytes > settings.maxHeldBodies) {
+        // Those that hold most for longest come first: a large body that stalls goes before a new small one.
+        ServerExchange *victim = nullptr;
+        std::uint64_t most = 0;
+        for (const auto &[id, it] : exchanges) {
+            const std::uint64_t weight = it->request.body.size() * (lastId - id.value + 1);
+            if (!it->delivered && !it->responding && weight > most) {
+                victim = it.get();
+                most = weight;
+            }
+        }
+        if (victim == nullptr) {
+            return;
+        }
+        respondWithError(*victim, HTTP_STATUS_SERVICE_UNAVAILABLE, "overloaded", "too many request bodies are being received");
+    }
+}
+
+void HttpServerState::releaseBody(ServerExchange &exchange)
+{
+    if (!exchange.delivered) {
+        heldBodies -= exchange.request.body.size();
+        std::string().swap(exchange.request.body);
+    }
+}
+
 void HttpServerState::deliver(ServerExchange &exchange)
 {
+    heldBodies -= exchange.request.body.size();
     loop.stopTimer(exchange.timer);
     exchange.timer = TimerId();
     exchange.delivered = true;
@@ -197,7 +230,7 @@
     exchange.closeAfter = true;
     exchange.responding = true;
     exchange.ended = true;
-    exchange.request.body.clear();
+    releaseBody(exchange);
     exchange.head.status = status;
     exchange.out = R"({"error":{"code":")";
     exchange.out += code;
--- a/packages/net/src/http_response.cpp
+++ b/packages/net/src/http_response.cpp
@@ -237,6 +237,7 @@
 void HttpServerState::removeExchange(ServerExchange &exchange)
 {
     loop.stopTimer(exchange.timer);
+    releaseBody(exchange);
     unwatchPeer(exchange);
     lws_set_opaque_user_data(exchange.wsi, nullptr);
     onExchangeEnded(exchange.wsi);
--- a/packages/net/src/http_server_state.h
+++ b/packages/net/src/http_server_state.h
@@ -39,6 +39,8 @@
 {
     TimerId timer;             ///< Closes the connection if no request is received in time.
     std::size_t exchanges = 0; ///< Number of requests in progress.
+    std::uint64_t number = 0;  ///< Grows with each accepted connection.
+    bool isClosing = false;    ///< True once the connection was closed to accept another one.
 };
 
 /** A request header that is passed to the handler. */
@@ -73,6 +75,8 @@
     // Connections.
     void addConnection(lws *wsi);
     void removeConnection(lws *wsi);
+    /** Closes the oldest connection without a request. @return False if all have one. */
+    bool closeIdleConnection();
     void onExchangeStarted(lws *wsi);
     void onExchangeEnded(lws *wsi);
 
@@ -81,6 +85,9 @@
     int onBody(lws *wsi, std::string_view piece);
     int onBodyEnd(lws *wsi);
     void onClosed(lws *wsi);
+    /** Refuses requests that hold much for long, possibly the one that needs it, until `bytes` more fit. */
+    void makeRoomForBody(std::size_t bytes);
+    void releaseBody(ServerExchange &exchange);
     void deliver(ServerExchange &exchange);
     void respondWithError(ServerExchange &exchange, std::uint32_t status, std::string_view code, std::string_view message);
     void onBodyTimeout(HttpExchangeId id);
@@ -110,6 +117,9 @@
     std::vector<WantedHeader> wanted;                                              ///< Headers passed to the handler.
     std::unordered_map<lws *, AcceptedConnection> connections;                     ///< Open connections.
     std::unordered_map<HttpExchangeId, std::unique_ptr<ServerExchange>> exchanges; ///< Requests in progress.
+    std::size_t heldBodies = 0;                                                    ///< Bytes of the bodies that are being received.
+    std::uint64_t lastConnection = 0;                                              ///< Number of the newest connection.
+    std::size_t closingConnections = 0;                                            ///< Connections with isClosing.
     std::uint64_t lastId = 0;                                                      ///< ID of the newest exchange.
     std::vector<unsigned char> scratch;                                            ///< Buffer for writing.
 };
--- a/tests/net/http_input_test.cpp
+++ b/tests/net/http_input_test.cpp
@@ -215,4 +215,45 @@
 
 } // namespace
 
+// Guards against bodies that stall just short of their end and fill the memory, or shut further callers out.
+TEST(HttpMemoryTest, AStalledBodyIsRefusedToMakeRoom)
+{
+    HttpServerSettings settings;
+    settings.maxHeldBodies = MaxBody;
+    NetFixture net(settings);
+    net.onRequest = [&](HttpExchangeId id, HttpRequest &&) {
+        net.answer(id, "fine");
+    };
+    RawSocket stalled = RawSocket::connectTo(net.port);
+    stalled.send(post("Content-Length: 1000\r\n", std::string(900, 'x')));
+    RawSocket small = RawSocket::connectTo(net.port);
+    net.runUntil([&] {
+        return net.server->openExchanges() == 1;
+    });
+    small.send(post("Content-Length: 500\r\n", std::string(500, 'x')));
+    net.runUntil([&] {
+        return small.text().find("fine") != std::string::npos && stalled.text().find("}}") != std::string::npos;
+    });
+    EXPECT_EQ(stalled.text().find("HTTP/1.1 503"), 0U);
+    EXPECT_EQ(small.text().find("HTTP/1.1 200"), 0U);
+}
+
+// Guards against connections without a request that shut further callers out.
+TEST(HttpMemoryTest, AFurtherConnectionReplacesTheOldestWithoutARequest)
+{
+    HttpServerSettings settings;
+    settings.maxConnections = 2;
+    NetFixture net(settings);
+    net.onRequest = [&](HttpExchangeId id, HttpRequest &&) {
+        net.answer(id, "fine");
+    };
+    RawSocket first = RawSocket::connectTo(net.port);
+    RawSocket second = RawSocket::connectTo(net.port);
+    EXPECT_EQ(net.exchange(net.request("/next")).body, "fine");
+    net.runUntil([&] {
+        return first.ended();
+    });
+    EXPECT_FALSE(second.ended());
+}
+
 } // namespace Vanillahall
