--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -30,6 +30,9 @@
 constexpr int MmapThresholdBytes
     = 512 * 1024; ///< Larger buffers are returned to the system when they are freed. Without a fixed value the allocator raises it.
 
+constexpr int TrimThresholdBytes
+    = 4 * 1024 * 1024; ///< Free memory kept for reuse; with the default of 128 KB each larger body would be mapped anew.
+
 /** @return Number of descriptors that the process may open. */
 std::uint64_t maxFiles(const Settings &settings)
 {
@@ -205,6 +208,7 @@
 bool runProxy(const Settings &settings, const std::string &path, const ReloadSettings &reloadSettings, Error &reason)
 {
     mallopt(M_MMAP_THRESHOLD, MmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, TrimThresholdBytes);
     ProxyProcess process(settings, path, reloadSettings);
     return process.run(reason);
 }
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -15,8 +15,6 @@
 
 constexpr std::size_t MaxReadAheadBytes
     = std::size_t{8} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
-constexpr std::size_t MaxUnsentBytes = std::size_t{128} * 1024; ///< Bytes buffered for a slow client before reading from the server pauses.
-constexpr std::size_t MaxUnsentBytesIfShort = std::size_t{16} * 1024; ///< The same while memory for clients is short.
 constexpr std::size_t MaxUnsentAheadBytes
     = std::size_t{16} * 1024; ///< The next pipelined request is read only if at most this many bytes of responses are unsent.
 constexpr std::size_t MaxKeptCapacity = std::size_t{8} * 1024; ///< Larger empty buffers are released.
@@ -54,40 +52,6 @@
     return m_isAnswering || m_isClosing || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
 }
 
-ClosableClient ClientSession::state() const
-{
-    const auto bytes = m_heldHead.bytes() + m_heldResponse.bytes() + m_reservedBodyBytes;
-    return {m_number, bytes, m_heldSince, m_progressAt, m_isClosing, m_hasBeenServed};
-}
-
-std::optional<ClosableClient> ClientSession::closableState() const
-{
-    return m_isAnswering || m_isClosed ? std::nullopt : std::optional(state());
-}
-
-std::optional<ClosableClient> ClientSession::waitingState() const
-{
-    return m_isAnswering && !m_isClosed && unsentBytes() == 0 ? std::optional(state()) : std::nullopt;
-}
-
-std::size_t ClientSession::unsentBytes() const
-{
-    return m_out.size() + m_sending.size();
-}
-
-std::size_t ClientSession::maxUnsentBytes() const
-{
-    return m_handler.account()->isShort() ? MaxUnsentBytesIfShort : MaxUnsentBytes;
-}
-
-void ClientSession::updateHeldBytes()
-{
-    // The fields that are forwarded and the parsed attributes take about as much as the head itself, each.
-    m_heldHead.set(m_in.capacity() + 2 * m_headBytes);
-    m_heldResponse.set(m_out.capacity() + m_sending.capacity());
-    m_handler.onMemoryHeld();
-}
-
 void ClientSession::start()
 {
     setSocketOptions(m_socket);
@@ -102,24 +66,36 @@
 
 void ClientSession::read()
 {
-    if (m_isReading || m_isClosed || ((m_isAnswering || m_waitsForDrain) && m_in.size() >= MaxReadAheadBytes)) {
+    if (m_isReading || m_isClosed || isReadPaused()) {
         return;
     }
     m_isReading = true;
     // Waiting needs no buffer, so idle connections don't hold one.
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &waitError) {
-        self->m_isReading = false;
-        if (self->m_isClosed) {
-            return;
-        }
-        auto ec = waitError;
-        const std::size_t n = ec ? 0 : self->m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
+        self->onReadable(waitError);
+    });
+}
+
+void ClientSession::onReadable(boost::system::error_code ec)
+{
+    // m_isReading stays set, so that the handlers of the bytes don't wait for more as well.
+    for (unsigned reads = 0; reads < MaxReadsPerEvent && !m_isClosed && !isReadPaused(); reads++) {
+        const std::size_t n = ec ? 0 : m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
         if (ec == boost::asio::error::would_block) {
-            self->read();
-        } else {
-            self->onRead(ec, n);
+            break;
         }
-    });
+        onRead(ec, n);
+        if (ec || n < ReadBufferBytes) {
+            break;
+        }
+    }
+    m_isReading = false;
+    read();
+}
+
+bool ClientSession::isReadPaused() const
+{
+    return (m_isAnswering || m_waitsForDrain) && m_in.size() >= MaxReadAheadBytes;
 }
 
 void ClientSession::onRead(const boost::system::error_code &ec, std::size_t n)
@@ -184,23 +160,6 @@
     m_handler.onRequest(shared_from_this(), std::move(request));
 }
 
-bool ClientSession::reserveBody()
-{
-    const auto size = m_reader.bodySize();
-    if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, size)) {
-        m_handler.makeRoomForBody(size - m_reservedBodyBytes);
-        if (m_isClosing || m_isClosed) {
-            return false;
-        }
-        if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, size)) {
-            refuse({StatusUnavailable, "memory limit for request bodies exceeded", ShortRetryAfter});
-            return false;
-        }
-    }
-    m_reservedBodyBytes = size;
-    return true;
-}
-
 bool ClientSession::write(std::string_view bytes)
 {
     if (m_isClosed) {
@@ -301,32 +260,6 @@
     }
 }
 
-void ClientSession::evict()
-{
-    if (m_isClosing || !m_reader.hasBegun() || unsentBytes() != 0) {
-        close();
-        return;
-    }
-    refuse({StatusUnavailable, "closed to release memory or connections", ShortRetryAfter});
-}
-
-void ClientSession::releaseInput()
-{
-    m_reader = {};
-    std::string().swap(m_in);
-    m_headBytes = 0;
-    m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
-    m_reservedBodyBytes = 0;
-}
-
-void ClientSession::releaseHeldBytes()
-{
-    releaseInput();
-    m_heldConnection.set(0);
-    m_heldHead.set(0);
-    m_heldResponse.set(0);
-}
-
 void ClientSession::closeIfIdle()
 {
     if (!isBusy()) {
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -81,6 +81,9 @@
 
 private:
     void read();
+    void onReadable(boost::system::error_code ec);
+    /** @return True while received bytes stay in the kernel's buffer. */
+    [[nodiscard]] bool isReadPaused() const;
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void readRequest();
     /** Reserves memory for the body received so far. @return False if the request was refused for lack of it. */
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -149,18 +149,25 @@
     m_isReading = true;
     // Waiting needs no buffer, so idle connections don't hold one.
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &waitError) {
-        self->m_isReading = false;
-        if (self->m_isClosed) {
-            return;
-        }
-        auto ec = waitError;
-        const std::size_t n = ec ? 0 : self->m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
+        self->onReadable(waitError);
+    });
+}
+
+void ServerConnection::onReadable(boost::system::error_code ec)
+{
+    // m_isReading stays set, so that the handlers of the bytes don't wait for more as well.
+    for (unsigned reads = 0; reads < MaxReadsPerEvent && !m_isClosed && !m_isPaused; reads++) {
+        const std::size_t n = ec ? 0 : m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
         if (ec == boost::asio::error::would_block) {
-            self->read();
-        } else {
-            self->onRead(ec, n);
+            break;
         }
-    });
+        onRead(ec, n);
+        if (ec || n < ReadBufferBytes) {
+            break;
+        }
+    }
+    m_isReading = false;
+    read();
 }
 
 void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -107,6 +107,7 @@
     void connect();
     void write();
     void read();
+    void onReadable(boost::system::error_code ec);
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void parse();
     bool parseHead();
--- a/tests/proxy/client_account_test.cpp
+++ b/tests/proxy/client_account_test.cpp
@@ -31,7 +31,7 @@
 {
 };
 
-const auto NameOf = [](const auto &it) {
+const auto nameOf = [](const auto &it) {
     return it.param.name;
 };
 
@@ -52,7 +52,7 @@
                     Choice{"at_one_instant", {{1, 500, at(2000), at(2000)}, {2, Mb, at(2000), at(2000)}}, 1, {2}},
                     Choice{"until_enough", {{1, Mb, at(0), at(0)}, {2, Mb, at(1), at(1)}, {3, Mb, at(2), at(2)}}, Mb + 1, {1, 2}},
                     Choice{"little_is_left_alone", {{1, 500, at(0), at(0)}, {2, MinClosedBytes, at(9), at(9)}}, Mb, {2}}),
-    NameOf);
+    nameOf);
 
 // Guards against newcomers that are turned away, or served clients that are closed, while others occupy connections without a request.
 TEST_P(AcceptChoice, ClosesThoseWithLeastProgress)
@@ -67,7 +67,7 @@
                     Choice{"never_served_before_served", {{1, 0, at(0), at(0), false, true}, {2, 0, at(0), at(9)}}, 1, {2}},
                     Choice{"longest_without_progress", {{1, 0, at(0), at(5)}, {2, 0, at(0), at(4)}, {3, 0, at(0), at(6)}}, 2, {2, 1}},
                     Choice{"not_more_than_there_are", {{1, 0, at(0), at(5)}}, 3, {1}}),
-    NameOf);
+    nameOf);
 
 // Guards against sums that drift: whatever an owner held is released with it.
 TEST(ClientAccount, SumsFollowTheOwners)
