--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -243,46 +243,12 @@
         self.assertLess(peak, MEMORY_MB, "memory")
         self.assertLess(proxy.files, MAX_FILES - SPARE_FILES, "descriptors")
 
-    def test_bodies_in_one_piece(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, body_request(MAX_BODY, MAX_BODY - 1), 40))
-
-    def test_bodies_in_small_pieces(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, body_request(MAX_BODY, 300000), 100, piece=3000))
-
-    def test_bodies_in_chunks_of_a_byte(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, chunked_request(1, 100000), 100))
-
-    def test_bodies_in_large_chunks(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, chunked_request(60000, 2200000), 60))
-
     def test_bodies_over_the_limit(self):
         async def load(proxy, crowd):
             await asyncio.gather(crowd.play(proxy.front, body_request(1 << 30, 6000000), 20),
                                  crowd.play(proxy.front, chunked_request(1000, 6000000), 20))
         self.play(load)
 
-    def test_short_fields_in_finished_heads(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, many_fields(True), 200))
-
-    def test_short_fields_in_unfinished_heads(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, many_fields(False), 200))
-
-    def test_unread_answers_without_a_route(self):
-        data = head("/nowhere", method="GET", request_id="r" * 8000) * 1500
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, data, 8))
-
-    def test_unread_answers_of_a_server(self):
-        data = head("/large/x", method="GET") * 60
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, data, 30))
-
-    def test_unread_answers_at_readiness(self):
-        data = b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n" * 30000
-        self.play(lambda proxy, crowd: crowd.play(proxy.ready, data, 8))
-
-    def test_requests_sent_ahead(self):
-        data = head("/large/x", method="GET") + b"".join(body_request(10000, 10000) for _ in range(40))
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, data, 200))
-
     def test_one_request_of_the_largest_size(self):
         """Without other load a request within the limits is served, however its body is sent."""
         async def load(proxy, crowd):  # pylint: disable=unused-argument
@@ -302,12 +268,6 @@
                 await leaving.end()
         self.play(load)
 
-    def test_a_byte_at_a_time(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, body_request(1000, 1000)[:150], 200, piece=1, pause_s=0.01))
-
-    def test_more_connections_than_descriptors(self):
-        self.play(lambda proxy, crowd: crowd.play(proxy.front, head()[:20], 900))
-
     def test_idle_connections(self):
         async def load(proxy, crowd):
             await asyncio.gather(*(crowd.open(proxy.front) for _ in range(900)))
@@ -381,6 +341,24 @@
         self.listener("peer", "/api/rows-tx")
 
 
+# Loads of one kind of client.
+LOADS = {
+    "bodies_in_one_piece": lambda proxy, crowd: crowd.play(proxy.front, body_request(MAX_BODY, MAX_BODY - 1), 40),
+    "bodies_in_small_pieces": lambda proxy, crowd: crowd.play(proxy.front, body_request(MAX_BODY, 300000), 100, piece=3000),
+    "bodies_in_chunks_of_a_byte": lambda proxy, crowd: crowd.play(proxy.front, chunked_request(1, 100000), 100),
+    "bodies_in_large_chunks": lambda proxy, crowd: crowd.play(proxy.front, chunked_request(60000, 2200000), 60),
+    "short_fields_in_finished_heads": lambda proxy, crowd: crowd.play(proxy.front, many_fields(True), 200),
+    "short_fields_in_unfinished_heads": lambda proxy, crowd: crowd.play(proxy.front, many_fields(False), 200),
+    "unread_answers_without_a_route": lambda proxy, crowd: crowd.play(proxy.front, head("/nowhere", request_id="r" * 8000, method="GET") * 1500, 8),
+    "unread_answers_of_a_server": lambda proxy, crowd: crowd.play(proxy.front, head("/large/x", method="GET") * 60, 30),
+    "unread_answers_at_readiness": lambda proxy, crowd: crowd.play(proxy.ready, b"GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n" * 30000, 8),
+    "requests_sent_ahead": lambda proxy, crowd: crowd.play(proxy.front, head("/large/x", method="GET") + body_request(10000, 10000) * 40, 200),
+    "a_byte_at_a_time": lambda proxy, crowd: crowd.play(proxy.front, body_request(1000, 1000)[:150], 200, piece=1, pause_s=0.01),
+    "more_connections_than_descriptors": lambda proxy, crowd: crowd.play(proxy.front, head()[:20], 900),
+}
+for title, play in LOADS.items():
+    setattr(ClientsTest, "test_" + title, lambda self, load=play: self.play(load))
+
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
--- a/tests/proxy/proxy_request_test.cpp
+++ b/tests/proxy/proxy_request_test.cpp
@@ -326,4 +326,27 @@
     EXPECT_EQ(world.proxy->metrics().text().find("turned_away"), std::string::npos);
 }
 
+// Guards against a server that crashes because it holds more requests than its memory allows. A single request is always sent.
+TEST(ProxyLimit, RequestsBeyondTheBytesOfAServerGoElsewhereOrAreRefused)
+{
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{};
+        },
+        [](ProxySettings &settings) {
+            settings.maxServerBytes = 1000;
+        });
+    ASSERT_TRUE(world.start());
+    const std::string body(1500, 'x');
+    TestClient first(world.loop, world.proxy->port());
+    first.send(ProxyWorld::request("POST", "/call/1", "r1", {}, body));
+    TestClient second(world.loop, world.proxy->port());
+    second.send(ProxyWorld::request("POST", "/call/2", "r2", {}, body));
+    ASSERT_TRUE(world.run([&world] {
+        return world.first.requests.size() == 1 && world.second.requests.size() == 1;
+    }));
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/call/3", "r3", {}, body))), 503U);
+    EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), 2U);
+}
+
 } // namespace Vanillahall::Forward
