--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -57,6 +57,7 @@
     ConfigRefused = 1802,      ///< A change of the configuration was refused.
     ConfigUncertain = 1803,    ///< Requests are refused because the configuration may not be the newest one.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
+    ClientsClosed = 1902,      ///< Connections of clients were closed, or their requests refused, to release memory or descriptors.
 };
 
 /** Severity of a log line. */
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -62,6 +62,7 @@
     {EventNumber::ConfigRefused, "config_refused"},
     {EventNumber::ConfigUncertain, "config_uncertain"},
     {EventNumber::ContentQuarantined, "content_quarantined"},
+    {EventNumber::ClientsClosed, "clients_closed"},
 });
 
 } // namespace Vanillahall
--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -2,6 +2,7 @@
 
 #include "http_status.h"
 #include "proxy_clock.h"
+#include "read_buffer_func.h"
 #include "response_text_func.h"
 #include "socket_option_func.h"
 #include "timer_func.h"
@@ -13,9 +14,20 @@
 namespace {
 
 constexpr std::size_t MaxReadAheadBytes
-    = std::size_t{64} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
-constexpr std::size_t MaxUnsentBytes = std::size_t{128} * 1024; ///< Bytes buffered for a slow client before reading from the server pauses.
-constexpr std::chrono::seconds LingerTimeout{1};                ///< Time for the client to close its side after the last response.
+    = std::size_t{8} * 1024; ///< Limit on bytes read ahead while a request is answered; more stay in the kernel's buffer.
+constexpr std::size_t MaxUnsentAheadBytes
+    = std::size_t{16} * 1024; ///< The next pipelined request is read only if at most this many bytes of responses are unsent.
+constexpr std::size_t MaxKeptCapacity = std::size_t{8} * 1024; ///< Larger empty buffers are released.
+constexpr std::size_t SessionBytes
+    = std::size_t{8} * 1024; ///< Memory for a session, its request without head and body, and the connection to a server (estimated).
+constexpr std::chrono::seconds LingerTimeout{1}; ///< Time for the client to close its side after the last response.
+
+void releaseIfLarge(std::string &buf)
+{
+    if (buf.empty() && buf.capacity() > MaxKeptCapacity) {
+        std::string().swap(buf);
+    }
+}
 
 } // namespace
 
@@ -24,6 +36,9 @@
     , m_timer(m_socket.get_executor())
     , m_handler(handler)
     , m_number(number)
+    , m_heldConnection(handler.account(), Holding::Connection)
+    , m_heldHead(handler.account(), Holding::Head)
+    , m_heldResponse(handler.account(), Holding::Response)
 {
 }
 
@@ -34,30 +49,55 @@
 
 bool ClientSession::isBusy() const
 {
-    return m_isAnswering || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
+    return m_isAnswering || m_isClosing || m_reader.hasBegun() || !m_in.empty() || !m_sending.empty();
 }
 
 void ClientSession::start()
 {
     setSocketOptions(m_socket);
+    boost::system::error_code ec;
+    m_socket.non_blocking(true, ec);
+    m_heldConnection.set(SessionBytes);
+    m_heldSince = now();
+    m_progressAt = m_heldSince;
     setTimer();
     read();
 }
 
 void ClientSession::read()
 {
-    if (m_isReading || m_isClosed || (m_isAnswering && m_in.size() >= MaxReadAheadBytes)) {
+    if (m_isReading || m_isClosed || isReadPaused()) {
         return;
     }
     m_isReading = true;
-    m_socket.async_read_some(boost::asio::buffer(m_buf), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
-        self->m_isReading = false;
-        if (!self->m_isClosed) {
-            self->onRead(ec, n);
-        }
+    // Waiting needs no buffer, so idle connections don't hold one.
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &waitError) {
+        self->onReadable(waitError);
     });
 }
 
+void ClientSession::onReadable(boost::system::error_code ec)
+{
+    // m_isReading stays set, so that the handlers of the bytes don't wait for more as well.
+    for (unsigned reads = 0; reads < MaxReadsPerEvent && !m_isClosed && !isReadPaused(); reads++) {
+        const std::size_t n = ec ? 0 : m_socket.read_some(boost::asio::buffer(readBuffer()), ec);
+        if (ec == boost::asio::error::would_block) {
+            break;
+        }
+        onRead(ec, n);
+        if (ec || n < ReadBufferBytes) {
+            break;
+        }
+    }
+    m_isReading = false;
+    read();
+}
+
+bool ClientSession::isReadPaused() const
+{
+    return (m_isAnswering || m_waitsForDrain) && m_in.size() >= MaxReadAheadBytes;
+}
+
 void ClientSession::onRead(const boost::system::error_code &ec, std::size_t n)
 {
     if (ec) {
@@ -69,7 +109,8 @@
         return;
     }
     if (!m_isClosing) {
-        m_in.append(m_buf.data(), n);
+        m_in.append(readBuffer().data(), n);
+        m_progressAt = now();
         readRequest();
     }
     read();
@@ -80,31 +121,43 @@
     if (m_isAnswering || m_isClosing || m_isClosed) {
         return;
     }
+    if (!m_reader.hasBegun() && unsentBytes() > MaxUnsentAheadBytes) {
+        m_waitsForDrain = true;
+        updateHeldBytes();
+        return;
+    }
+    m_waitsForDrain = false;
     const bool hadBegun = m_reader.hasBegun();
-    const auto progress = m_reader.read(m_in, m_handler.limits(), now());
-    if (!m_handler.reserveBodyBytes(m_reservedBodyBytes, m_reader.bodySize())) {
-        refuse({StatusUnavailable, "memory limit for request bodies exceeded", ShortRetryAfter});
+    const auto progress = m_reader.read(m_in, m_handler.limits(), m_progressAt);
+    m_headBytes = m_reader.headBytes();
+    if (!hadBegun && m_reader.hasBegun()) {
+        m_heldSince = m_progressAt;
+    }
+    if (progress == RequestReader::Progress::Invalid) {
+        const auto error = m_reader.error();
+        refuse(error);
         return;
     }
-    m_reservedBodyBytes = m_reader.bodySize();
-    switch (progress) {
-    case RequestReader::Progress::Invalid:
-        refuse(m_reader.error());
+    if (!reserveBody()) {
         return;
-    case RequestReader::Progress::NeedMore:
+    }
+    if (progress == RequestReader::Progress::NeedMore) {
         if (m_reader.takeExpectContinue()) {
             write("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        if (m_reader.hasHead() || (!hadBegun && m_reader.hasBegun())) {
+        if (!hadBegun && m_reader.hasBegun()) {
             setTimer();
         }
+        updateHeldBytes();
         return;
-    case RequestReader::Progress::Complete:
-        break;
     }
     m_isAnswering = true;
+    m_hasBeenServed = true;
     stopTimer(m_timer);
-    m_handler.onRequest(shared_from_this(), m_reader.takeRequest());
+    auto request = m_reader.takeRequest();
+    releaseIfLarge(m_in);
+    updateHeldBytes();
+    m_handler.onRequest(shared_from_this(), std::move(request));
 }
 
 bool ClientSession::write(std::string_view bytes)
@@ -114,7 +167,10 @@
     }
     m_out.append(bytes);
     send();
-    m_isSendBufferFull = m_out.size() + m_sending.size() > MaxUnsentBytes;
+    if (!bytes.empty()) {
+        updateHeldBytes();
+    }
+    m_isSendBufferFull = unsentBytes() > maxUnsentBytes();
     return !m_isSendBufferFull;
 }
 
@@ -127,6 +183,7 @@
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_sending), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             self->m_sending.clear();
+            releaseIfLarge(self->m_sending);
             if (self->m_isClosed) {
                 return;
             }
@@ -134,11 +191,20 @@
                 self->onRead(ec, 0);
                 return;
             }
+            self->m_progressAt = now();
             self->send();
-            if (self->m_isSendBufferFull && self->m_out.size() + self->m_sending.size() <= MaxUnsentBytes) {
+            self->updateHeldBytes();
+            if (self->m_isClosed) {
+                return;
+            }
+            if (self->m_isSendBufferFull && self->unsentBytes() <= self->maxUnsentBytes()) {
                 self->m_isSendBufferFull = false;
                 self->m_handler.onSessionDrained(self);
             }
+            if (self->m_waitsForDrain && self->unsentBytes() <= MaxUnsentAheadBytes) {
+                self->readRequest();
+                self->read();
+            }
             if (self->m_isClosing && self->m_sending.empty()) {
                 self->closeGracefully();
             }
@@ -153,6 +219,9 @@
     m_isAnswering = false;
     m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
     m_reservedBodyBytes = 0;
+    m_headBytes = 0;
+    m_heldSince = now();
+    m_progressAt = m_heldSince;
     // The client may not know that the proxy is stopping, if its response began before that.
     if (!keepsAlive || (m_in.empty() && !m_handler.keepsConnections())) {
         beginClose();
@@ -186,6 +255,8 @@
     m_isClosing = true;
     if (m_sending.empty()) {
         closeGracefully();
+    } else {
+        setTimer(m_handler.limits().idleTimeout);
     }
 }
 
@@ -199,6 +270,8 @@
 void ClientSession::refuse(const RequestError &error)
 {
     m_handler.onRequestError(error);
+    releaseInput();
+    m_isClosing = true;
     write(formatLocalResponse({error.status, {}, error.retryAfter, false}));
     finish(false);
 }
@@ -206,18 +279,29 @@
 void ClientSession::setTimer()
 {
     const auto &limits = m_handler.limits();
-    runAfter(m_timer, m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout, *this, [](ClientSession &self) {
+    setTimer(m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout);
+}
+
+void ClientSession::setTimer(Duration span)
+{
+    runAfter(m_timer, span, *this, [](ClientSession &self) {
         self.onTimeout();
     });
 }
 
 void ClientSession::onTimeout()
 {
-    if (!m_reader.hasBegun()) {
+    // A client that sends a body or reads a response has the whole time again after each progress.
+    const bool isMoving = unsentBytes() != 0 || m_reader.hasHead();
+    const auto &limits = m_handler.limits();
+    const auto left = m_progressAt + (m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout) - now();
+    if (isMoving && left > Duration::zero()) {
+        setTimer(left);
+    } else if (m_isClosing || !m_reader.hasBegun()) {
         close();
-        return;
+    } else {
+        refuse({StatusRequestTimeout, "request not received in time"});
     }
-    refuse({StatusRequestTimeout, "request not received in time"});
 }
 
 void ClientSession::closeGracefully()
@@ -237,8 +321,7 @@
         return;
     }
     m_isClosed = true;
-    m_handler.reserveBodyBytes(m_reservedBodyBytes, 0);
-    m_reservedBodyBytes = 0;
+    releaseHeldBytes();
     stopTimer(m_timer);
     boost::system::error_code ec;
     m_socket.close(ec);
--- a/packages/proxy/src/exchange_customer.cpp
+++ b/packages/proxy/src/exchange_customer.cpp
@@ -85,7 +85,7 @@
     // The configuration has changed while the connection was being opened.
     m_connection.reset();
     m_mayHaveRun--;
-    endAttempt();
+    endAttempt(false);
     selectServer();
     return false;
 }
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -154,6 +154,8 @@
     recordUnresponsiveServer();
     // A request that must not be repeated continues to its end; otherwise its outcome would be unknown.
     if (m_connection && m_connection->wasSent() && m_route.repetition == Repetition::NonIdempotent) {
+        // It isn't sent again, and its memory is no longer reserved.
+        std::string().swap(m_request.body);
         return;
     }
     if (m_connection) {
@@ -200,6 +202,8 @@
     const auto self = shared_from_this();
     stopTimer(m_limitTimer);
     stopTimer(m_waitTimer);
+    removeServerBytes();
+    m_heldBody.set(0);
     settleTokens();
     returnPermit();
     if (m_conversation) {
--- a/packages/proxy/src/exchange_placement.cpp
+++ b/packages/proxy/src/exchange_placement.cpp
@@ -26,6 +26,7 @@
     }
     times.events = m_attemptEvents;
     times.isComplete = isComplete;
+    removeServerBytes();
     m_proxy.servers.recordEnd(m_choice, times, now());
 }
 
