Admission control and order of waiting requests under overload

Cause: while engines are full, work is held until its time runs out, so that programs in progress lose their value together with new ones. Change: core/admission decides, from what one proxy observes, whether a service is saturated, whether a new program may begin, when a refused one is to return, and which waiting request gets the next free server. On if the configuration names customers or with proxy.admission = on; otherwise requests are handled as before.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -29,6 +29,7 @@
     ServerFailed,        ///< The server closed the connection early, or its response can't be passed on.
     ServersFull,         ///< All servers refused the request or are full.
     ServersLimited,      ///< The rate limits of all servers are reached.
+    ServiceOverloaded,   ///< The servers can't take a new program now.
     ServersUnreachable,  ///< No connection to a server could be established.
     Stopping,            ///< The proxy is stopping, and the request can't or didn't end in time.
     StreamOriginUnknown, ///< It isn't known which software version began the stream.
@@ -102,6 +103,10 @@
     {Outcome::ServersLimited,
      "servers_limited",
      "503, not run: every server of the service has named a rate limit, and this proxy's share of them is used up. See events 1505."},
+    {Outcome::ServiceOverloaded,
+     "service_overloaded",
+     "503, not run: the servers can't take more work, and the request begins a program or belongs to one that loops. Programs in progress "
+     "go on. See events 2001 and 2002."},
     {Outcome::ServersUnreachable,
      "servers_unreachable",
      "503, not run: no connection to a server could be established. See event 1103 and check the network."},
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -52,6 +52,9 @@
     ConfigInForce = 1801,      ///< A new version of the configuration is in effect.
     ConfigRefused = 1802,      ///< A change of the configuration was refused.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
+    SaturationChanged = 2001,  ///< The servers of a service can't take more work, or can again.
+    ProgramRefused = 2002,     ///< A program was refused because of overload.
+    ProgramLooping = 2003,     ///< A program makes far more turns than others of its route.
 };
 
 /** Severity of a log line. */
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -128,6 +128,8 @@
     [[nodiscard]] std::string_view listedState(const std::string &id) const;
     /** @return Number of connections to one server that this entry may open. */
     [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
+    /** @return Slots of the usable servers of a service, divided by the number of proxies. */
+    [[nodiscard]] double slotShare(const std::string &service) const;
 
 private:
     /** State of one server. */
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -127,6 +127,15 @@
     return std::max(MinConnections, maxConnections / m_position.proxies);
 }
 
+double ServerRegistry::slotShare(const std::string &service) const
+{
+    double slots = 0;
+    for (const auto *it : usableServers(service)) {
+        slots += it->isUsable() ? it->server.slots : 0;
+    }
+    return slots / std::max(1U, m_position.proxies);
+}
+
 const std::vector<const ServerRegistry::ServerState *> &ServerRegistry::usableServers(const std::string &service) const
 {
     static const std::vector<const ServerState *> none;
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -57,6 +57,7 @@
     proxy.watchWait = settings.proxyWatchWait;
     proxy.stop = toStopSettings(settings);
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
+    proxy.restrictsAdmission = settings.restrictsAdmission;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
     proxy.maxClients = (settings.proxyMaxFiles - std::min(settings.proxyMaxFiles, ReservedFiles)) / FilesPerClient;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -176,6 +176,12 @@
     return value == "model" || value == "service";
 }
 
+bool setSwitch(bool &field, const std::string &value)
+{
+    field = value == "on";
+    return value == "on" || value == "off";
+}
+
 bool setLogLevel(std::string &field, const std::string &value)
 {
     field = value;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -66,6 +66,7 @@
     Endpoint proxyMetricsListen;                                 ///< proxy.metrics_listen
     Endpoint proxyPeerListen;                                    ///< proxy.peer_listen
     std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
+    bool restrictsAdmission = false;                             ///< proxy.admission
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
     Duration proxyPollInterval = std::chrono::milliseconds(500); ///< proxy.poll_interval_ms
     Duration proxyWatchWait = std::chrono::milliseconds(1000);   ///< proxy.watch_ms
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -38,6 +38,7 @@
 bool setEndpoint(Endpoint &field, const std::string &value);
 bool setRole(Role &field, const std::string &value);
 bool setServerKind(std::string &field, const std::string &value);
+bool setSwitch(bool &field, const std::string &value);
 bool setLogLevel(std::string &field, const std::string &value);
 
 #define VH_SETTING(function, field)                                                                                                        \
@@ -50,6 +51,7 @@
 inline constexpr std::string_view MillisecondsForm = "a whole number of milliseconds from 1 to 86400000";
 inline constexpr std::string_view SecondsForm = "a number of seconds, whole or with a fraction, from 0.001 to 86400";
 inline constexpr std::string_view EndpointForm = "an IP number and a port, as 10.0.0.1:8080 or [::1]:8080";
+inline constexpr std::string_view SwitchForm = "on or off";
 inline constexpr std::string_view PathForm = "a path of a file";
 
 inline constexpr std::array SettingsTable = std::to_array<SettingsRow>({
@@ -248,6 +250,12 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalMilliseconds, proxyStopLimit),
      "Longest planned stop of a proxy; without it, a little less than proxy.grace_s, or 7000."},
+    {"proxy",
+     "admission",
+     SwitchForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setSwitch, restrictsAdmission),
+     "Whether new programs are refused while the servers can't take more work. Always on if the configuration names customers."},
     {"proxy",
      "grace_s",
      SecondsForm,
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -37,7 +37,8 @@
     std::size_t maxTurnBytes = std::size_t{8} * 1024 * 1024;      ///< Capacity of the cache for turns of stored conversations.
     std::size_t rowBytes = 65536;                                 ///< Longest value of a row in the store, in base64.
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
-    ChoiceSettings choice;                                        ///< Parameters of the server selection.
+    bool restrictsAdmission = false; ///< True to restrict admission under overload also if the configuration names no customers.
+    ChoiceSettings choice;           ///< Parameters of the server selection.
 };
 
 /** Receives one log line. @param fields "key=value" pairs, separated by spaces. */
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -6,7 +6,6 @@
 #include "response_text_func.h"
 #include "timer_func.h"
 
-#include "vanillahall/core/urgency_func.h"
 #include "vanillahall/platform/wire_header_func.h"
 
 #include <algorithm>
@@ -24,7 +23,6 @@
 constexpr Duration StoreWaitTimeout = std::chrono::milliseconds(1200); ///< Longest wait for the store; a third of a usual deadline.
 constexpr int StoreWaitDivisor
     = 2; ///< A request waits for the store for at most half of its time limit; the client needs the rest for another attempt.
-constexpr unsigned ObjectiveDivisor = 4; ///< A request waits for a server for at most a quarter of its latency objective.
 
 } // namespace
 
@@ -268,7 +266,7 @@
         answerVersionGone();
         return;
     }
-    const auto choice = chooseServer();
+    const auto choice = isBehindOthers() ? std::nullopt : chooseServer();
     if (!choice) {
         waitForServer();
         return;
@@ -319,7 +317,7 @@
 
 void Exchange::waitForServer()
 {
-    const Duration waitLeft = m_request.arrived + m_route.objective / ObjectiveDivisor - now();
+    const Duration waitLeft = m_request.arrived + maxServerWait() - now();
     if (m_mayHaveRun != 0) {
         answer(StatusBadGateway, std::nullopt, Outcome::NoOtherServer);
         return;
@@ -334,6 +332,10 @@
         return;
     }
     m_excludedServers.clear();
+    if (m_proxy.isAdmissionOn()) {
+        joinQueue(waitLeft);
+        return;
+    }
     runAfter(m_waitTimer, ServerRetryInterval, *this, [](Exchange &self) {
         self.selectServer();
     });
@@ -342,14 +344,7 @@
 std::string Exchange::requestText(const Server &server) const
 {
     std::string text = m_request.method + " " + m_request.target + " HTTP/1.1\r\n" + m_request.headers;
-    Platform::ServerRequestHeaders order{timeLeft(), server.id, std::nullopt};
-    if (m_request.attributes.promptTokens != 0) {
-        auto programTimeLeft = m_request.attributes.programTimeLeft;
-        if (programTimeLeft) {
-            *programTimeLeft -= now() - m_request.arrived;
-        }
-        order.priority = enginePriority(programTimeLeft);
-    }
+    const Platform::ServerRequestHeaders order{timeLeft(), server.id, priorityForEngine()};
     Platform::appendServerRequestHeaders(text, order);
     if (m_lastEvent && m_hasBegunAnswer) {
         text += Platform::resumeHeader(*m_lastEvent);
@@ -381,6 +376,7 @@
     }
     m_triedServers += (m_triedServers.empty() ? "" : ",") + choice.server.id;
     m_proxy.servers.recordStart(choice.server.id, choice.uncachedTokens, m_request.attributes, now());
+    recordAttemptStart();
     // A fault that breaks one idle connection often breaks all of them, and a request may be repeated only a few times. On the connection
     // of an earlier refusal, a copy of it couldn't be told from the answer.
     const bool needsNewConnection = m_mayHaveRun > 1 || m_refusedBy.count(choice.server.id) != 0;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -35,6 +35,8 @@
     void onStopLimit();
     /** Called when the client's send buffer has drained. */
     void onClientDrained();
+    /** Tries to get a server, since the request is the first in order of those that wait. */
+    void tryServer();
 
     // Events of the server connection.
 
@@ -111,6 +113,34 @@
     void end(unsigned status, Outcome outcome);
     void settleTokens();
     [[nodiscard]] Duration timeLeft() const;
+    // Overload.
+
+    /** @return Hash of the program and its owner; 0 if there is none. */
+    [[nodiscard]] std::uint64_t programHash() const;
+    /** @return Hash of the customer; 0 if there is none. */
+    [[nodiscard]] std::uint64_t customerHash() const;
+    [[nodiscard]] std::uint32_t customerRank() const;
+    /** @return Time until the deadline of the program. */
+    [[nodiscard]] std::optional<Duration> programTimeLeft() const;
+    /** @return False if anything known here shows that the program is in progress. */
+    [[nodiscard]] bool mayBeginProgram() const;
+    /** @return Longest time from the arrival for which the request may wait for a server. */
+    [[nodiscard]] Duration maxServerWait() const;
+    /** @return True if the request must wait because others wait for the same service. */
+    [[nodiscard]] bool isBehindOthers() const;
+    void joinQueue(Duration maxWait);
+    void leaveQueue();
+    void recordAttemptStart();
+    void recordAttemptEnd();
+    /** Records that the server of the current attempt has refused it because it is full. */
+    void recordServerFull();
+    void recordFirstEvent();
+    /** Records that the current attempt has brought a complete turn. */
+    void recordTurnEnd();
+    /** @return Value of the priority header; nothing for requests without a prompt. */
+    [[nodiscard]] std::optional<std::uint32_t> priorityForEngine() const;
+    /** Refuses the request because its service is overloaded. */
+    void answerOverloaded(Duration retryAfter);
     /** @return Remaining time that the request may wait for the store. */
     [[nodiscard]] Duration storeWaitLeft() const;
 
@@ -168,6 +198,11 @@
     std::size_t m_conversationBytes = 0;               ///< Reserved memory for the conversation.
     std::shared_ptr<Conversation> m_conversation;      ///< The conversation, on a route that stores conversations.
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
+    std::uint64_t m_queueNumber = 0;                   ///< Number among the requests that wait for servers; 0 if it never waited.
+    bool m_isFirstInOrder = false;                     ///< True while the request may select a server although others wait.
+    bool m_isNewProgram = false;                       ///< True if the request begins its program.
+    bool m_isLooping = false;                          ///< True if its program has lost its precedence.
+    bool m_isAttemptCounted = false;                   ///< True while the current attempt counts as work in progress.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
 
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -166,6 +166,7 @@
         m_hadFirstEvent = true;
         m_attemptFirstEventAt = now();
         m_proxy.servers.recordFirstEvent(m_choice.server.id, m_choice.uncachedTokens);
+        recordFirstEvent();
     }
     if (!m_hasBegunAnswer) {
         beginAnswer();
@@ -236,6 +237,7 @@
             m_proxy.servers.recordMisdirection(m_choice.server.id);
         } else {
             m_proxy.servers.recordRefusal(m_choice.server.id, now());
+            recordServerFull();
         }
         onAttemptFailed(AttemptFailure::Refused, "status " + std::to_string(m_refusalStatus));
         return;
@@ -263,6 +265,7 @@
     if (isSuccess(m_head.status) && !m_endsWithConnection) {
         m_proxy.recordContentSuccess(m_contentHash, m_attemptStartedAt);
     }
+    recordTurnEnd();
     endAttempt();
     if (!m_conversation || !isSuccess(m_head.status)) {
         endAnswer(rest);
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -48,6 +48,7 @@
 void Exchange::endAttempt()
 {
     m_proxy.servers.recordEnd(m_choice.server.id, m_choice.uncachedTokens, m_hadFirstEvent);
+    recordAttemptEnd();
 }
 
 void Exchange::onAttemptFailed(AttemptFailure failure, const std::string &message)
@@ -86,6 +87,11 @@
     answer(StatusUnavailable, ShortRetryAfter, outcome);
 }
 
+void Exchange::answerOverloaded(Duration retryAfter)
+{
+    answer(StatusUnavailable, retryAfter, Outcome::ServiceOverloaded);
+}
+
 void Exchange::answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome)
 {
     if (m_isEnded) {
@@ -205,6 +211,7 @@
     const auto self = shared_from_this();
     stopTimer(m_limitTimer);
     stopTimer(m_waitTimer);
+    leaveQueue();
     settleTokens();
     if (m_conversation) {
         m_conversation->end(m_isAnswerComplete);
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -38,6 +38,7 @@
     , ledger(processName(settings), settings.zone)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
+    , overload(ioLoop)
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
     , clientAcceptor(ioLoop)
@@ -284,6 +285,7 @@
     metrics.gauge("vanillahall_turn_cache_bytes", static_cast<double>(turns.bytes()));
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
+    overload.setGauges(*this);
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -4,6 +4,7 @@
 #include "client_session.h"
 #include "exchange.h"
 #include "message_server.h"
+#include "overload_control.h"
 #include "server_connection.h"
 #include "store_router.h"
 #include "table_watcher.h"
@@ -111,6 +112,8 @@
     [[nodiscard]] std::uint64_t storeNowMs() const;
 
     [[nodiscard]] bool isReady() const;
+    /** @return True if admission is restricted and waiting requests are ordered under overload. */
+    [[nodiscard]] bool isAdmissionOn() const;
     /** @return Number of open client connections. */
     [[nodiscard]] std::size_t clientCount() const;
     /** @return Age of the server list. */
@@ -130,6 +133,7 @@
     StreamOrigins streamOrigins;
     Metrics metrics;
     ProxyMembership members;
+    OverloadControl overload;
     PlannedStop plannedStop;
     StoreRouter store;
     boost::asio::ip::tcp::acceptor clientAcceptor;
