--- a/packages/core/include/vanillahall/core/admission/program_admission_base.h
+++ b/packages/core/include/vanillahall/core/admission/program_admission_base.h
@@ -108,7 +108,7 @@
         std::uint32_t turns = 0;                 ///< Turns that went on.
         std::list<std::uint64_t>::iterator used; ///< Position in the order of use.
     };
-    /** Number of turns of the programs of a route or service. */
+    /** Number of turns of the programs of a route. */
     struct TurnCount
     {
         DecayingCount turns;
@@ -133,16 +133,19 @@
     {
         Pool();
 
-        double room = 0;         ///< New programs that may begin now; negative after the admission of programs that had been refused.
-        double rate = 0;         ///< New programs per second that the servers can take.
+        double room = 0;         ///< Turns of new programs that may begin now; negative after the admission of long or returning ones.
+        double rate = 0;         ///< Turns per second that the servers can take.
         TimePoint at{};          ///< When `room` was last updated.
-        DecayingCount returning; ///< Programs that were refused and are expected to return.
-        TurnCount count;         ///< Turns per program of the service.
+        DecayingCount returning; ///< Turns of programs that were refused and are expected to return.
         std::unordered_map<std::uint64_t, Share> customers;
         std::array<Share, MaxRanks> ranks;
     };
 
+    /** @return Time that a new program has beyond what it needs at idle servers. */
+    [[nodiscard]] static Duration slack(const ProgramRequest &request, const Program &state);
     Program &program(std::uint64_t id);
+    /** @return Turns that a new program of the route needs. */
+    double programCost(const ProgramRequest &request, TimePoint now);
     TurnCount &routeCount(const std::string &route);
     Pool &refill(const ProgramRequest &request, const SaturationView &saturation, TimePoint now);
     static Share &customerShare(Pool &pool, std::uint64_t customer, TimePoint now);
--- a/packages/core/include/vanillahall/core/admission/request_order_base.h
+++ b/packages/core/include/vanillahall/core/admission/request_order_base.h
@@ -59,11 +59,13 @@
 /** One request in this many is the one that has waited longest, whatever its rank: nobody gets less than a quarter of the service. */
 inline constexpr std::uint64_t OldestInterval = 4;
 
-/** @return Priority of a turn at its engine, from 0 (first) to 9, where the configuration names customers.
- * Few levels are used, since an engine that preempts a turn has to process its whole prompt again: three ranks with three levels each as
- * without customers (urgent, normal, late), and the last one for programs that loop.
+/**
+ * A rank of the customer is worth as much as the step from normal to urgent. Trials with absolute precedence of the rank starved the lower
+ * one: a burst of the first rank alone can fill the engines. Few levels are used, since an engine that preempts a turn has to process its
+ * whole prompt again.
  * @param customerRank Rank of the customer; ranks from 2 on, and requests without a customer, are equal.
  * @param programTimeLeft Time until the deadline of the program; nothing if the request belongs to no program.
+ * @return Priority of a turn at its engine, from 0 (first) to 9, where the configuration names customers.
  */
 [[nodiscard]] std::uint32_t enginePriority(std::uint32_t customerRank, std::optional<Duration> programTimeLeft, bool isLooping);
 
--- a/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
+++ b/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
@@ -16,15 +16,19 @@
 /** Limits of the detection. Between `enter` and `leave` the state stays as it is. */
 struct SaturationSettings
 {
-    double enterRefusals = 0.1;  ///< Saturated from this share of refused attempts on.
-    double leaveRefusals = 0.03; ///< Not saturated below this share.
+    double enterRefusals = 0.7;  ///< Saturated from this share of refused attempts on: most requests then find no server in three attempts.
+    double leaveRefusals = 0.23; ///< Not saturated below this share.
+    double busyRefusals = 0.03;  ///< Busy from this share of refused attempts on.
     double minRefusals = 2;      ///< Fewer recent refusals show nothing; one server may be full by chance.
-    double enterDelay
-        = 3; ///< Saturated from this quantile of the delay on, in objectives. A trial that restricted admission at lower delays lost value.
-    double leaveDelay = 1.5;                           ///< Not saturated below this quantile, in objectives.
-    double minWork = 0.5;                              ///< Least own work per slot of this proxy's share for which delays count. The
-                                                       ///< shares are equal and the demand isn't, so that a full one may show less than 1.
-    Duration minHold = std::chrono::milliseconds(500); ///< The state is kept for at least this time.
+    double enterDelay = 3;       ///< Saturated from this quantile of the delay on, in objectives. Trials that restricted admission at lower
+                                 ///< delays lost value.
+    double leaveDelay = 1;       ///< Not saturated below this quantile, in objectives.
+    double busyDelay = 1;        ///< Busy from this quantile on, in objectives.
+    double minWork = 0.5;        ///< Least own work per slot of this proxy's share for which delays count. The
+                                 ///< shares are equal and the demand isn't, so that a full one may show less than 1.
+    Duration busyHold = std::chrono::milliseconds(2000); ///< A service stays busy for this time, so that a surge which is held back
+                                                         ///< doesn't come in at the first calm moment.
+    Duration minHold = std::chrono::milliseconds(500);       ///< The state is kept for at least this time.
     Duration maxSampleAge = std::chrono::milliseconds(2000); ///< Older delays are ignored.
 };
 
@@ -32,6 +36,8 @@
 struct SaturationView
 {
     bool isSaturated = false;  ///< True if its servers can't take more work.
+    bool isBusy = false;       ///< True if its servers refuse turns or delay them beyond the objective.
+    bool isRefusing = false;   ///< True if its servers refuse turns of programs that can still end in time.
     double refusalShare = 0;   ///< Share of refused attempts.
     double delayRatio = 0;     ///< Quantile of the delay to the first event, in objectives; 0 if unknown.
     double workRatio = 0;      ///< Own requests in progress per slot of this proxy's share.
@@ -49,11 +55,16 @@
 
     // Commands.
 
-    /** Records that an attempt was sent. */
-    void recordStart(const std::string &service, TimePoint now);
-    /** Records that a server refused an attempt because it is full. */
+    // Only turns of programs that can still end in time tell whether the servers are full: engines serve the others last, and their
+    // queues may be full of them while the rest is served at once. Trials that counted all turns refused programs which would have ended
+    // in time.
+
+    /** Records that an attempt was sent. @param isInTime True if its program can still end in time. */
+    void recordStart(const std::string &service, bool isInTime, TimePoint now);
+    /** Records that a server refused an attempt, of a program in time, because it is full. */
     void recordRefusal(const std::string &service, TimePoint now);
-    /** Records the first event of an attempt. @param delay Time since the attempt was sent. @param objective Objective of its route. */
+    /** Records the first event of an attempt of a program in time. @param delay Time since the attempt was sent. @param objective Objective
+     * of its route. */
     void recordFirstEvent(const std::string &service, Duration delay, Duration objective, TimePoint now);
     /** Records that a turn has ended completely. @param streaming Time since its first event. */
     void recordTurn(const std::string &service, Duration streaming, TimePoint now);
@@ -87,6 +98,7 @@
         std::deque<DelaySample> delays; ///< Newest last.
         double streamingMs = 0;         ///< Moving average of the time between first and last event, in milliseconds.
         std::uint32_t running = 0;      ///< Attempts in progress.
+        TimePoint busyUntil{};          ///< End of the busy state.
         TimePoint changedAt{};          ///< When the state last changed.
         SaturationView view;            ///< Result of the last update().
     };
--- a/packages/core/src/admission/program_admission.cpp
+++ b/packages/core/src/admission/program_admission.cpp
@@ -12,17 +12,18 @@
 constexpr Duration ReturningHalfLife = std::chrono::seconds(1);  ///< Usual retry delay.
 constexpr double UsualTurns = 3;                                 ///< Turns per program until some were seen.
 constexpr double UsualTurnsWeight = 2;                           ///< Programs for which UsualTurns counts.
-constexpr double DrainFactor = 0.85;      ///< Share of the measured rate that new programs get, so that the queues at the servers drain.
-constexpr double MinRate = 0.5;           ///< Programs per second that are admitted even if no turn has ended lately.
+constexpr double DrainFactor
+    = 1.1;                      ///< Share of the measured rate that new programs get. The rate is too low while late programs are deferred.
+constexpr double MinRate = 1.5; ///< Turns per second for which programs are admitted even if no turn has ended lately.
 constexpr double RoomSeconds = 0.5;       ///< Room that can be saved up, in seconds at the rate.
-constexpr double MinRoom = 2;             ///< Least room that can be saved up, in programs.
+constexpr double MinRoom = 6;             ///< Least room that can be saved up, in turns: two short programs.
 constexpr double DebtSeconds = 1;         ///< Room that returning programs may use in advance, in seconds at the rate.
 constexpr double IdleShare = 2.0 / 3;     ///< Part of its time that a program needs at idle servers, if its client plans for some waiting.
 constexpr double FreshAllowance = 1.1;    ///< Limit on the level of a customer, relative to that of its rank.
 constexpr double ReturnedAllowance = 1.4; ///< The same for programs that were refused before; a second refusal costs more.
 constexpr double LowerRankShare = 0.5;    ///< A lower rank gets room while its level is below this part of the better ranks' level. All
-                                       ///< customers must be served at least a quarter as often as the others.
-constexpr double MinDemand = 0.05; ///< Customers with less recent demand may be forgotten.
+                                          ///< customers must be served at least a quarter as often as the others.
+constexpr double MinDemand = 0.05;        ///< Customers with less recent demand may be forgotten.
 
 } // namespace
 
@@ -60,7 +61,6 @@
 
 ProgramAdmission::Pool::Pool()
     : returning(ReturningHalfLife)
-    , count{DecayingCount(TurnCountHalfLife), DecayingCount(TurnCountHalfLife)}
     , ranks{Share{DecayingCount(AdmittedHalfLife), DecayingCount(DemandHalfLife)},
             Share{DecayingCount(AdmittedHalfLife), DecayingCount(DemandHalfLife)},
             Share{DecayingCount(AdmittedHalfLife), DecayingCount(DemandHalfLife)},
@@ -79,6 +79,12 @@
     return admitted.read(now) / std::max(MinDemand, demand.read(now));
 }
 
+Duration ProgramAdmission::slack(const ProgramRequest &request, const Program &state)
+{
+    const auto needed = std::chrono::duration_cast<Duration>(state.time * IdleShare);
+    return request.programTimeLeft.value_or(request.timeLeft) - needed;
+}
+
 ProgramAdmission::Program &ProgramAdmission::program(std::uint64_t id)
 {
     const auto it = m_programs.find(id);
@@ -96,6 +102,11 @@
     return state;
 }
 
+double ProgramAdmission::programCost(const ProgramRequest &request, TimePoint now)
+{
+    return routeCount(request.route).perProgram(now);
+}
+
 ProgramAdmission::TurnCount &ProgramAdmission::routeCount(const std::string &route)
 {
     return m_routes.try_emplace(route, TurnCount{DecayingCount(TurnCountHalfLife), DecayingCount(TurnCountHalfLife)}).first->second;
@@ -132,13 +143,15 @@
         return false;
     }
     const auto &own = customerShare(pool, customer.id, now);
-    return own.admitted.read(now) < 1 || own.level(now) <= allowance * all.level(now);
+    const double expected = all.level(now) * own.demand.read(now);
+    // The square root allows for chance, which matters for customers with few programs.
+    return own.admitted.read(now) <= 1 + allowance * expected + std::sqrt(expected);
 }
 
 ProgramAdmission::Pool &ProgramAdmission::refill(const ProgramRequest &request, const SaturationView &saturation, TimePoint now)
 {
     auto &pool = m_pools[request.service];
-    pool.rate = std::max(MinRate, saturation.turnsPerSecond / pool.count.perProgram(now) * DrainFactor);
+    pool.rate = std::max(MinRate, saturation.turnsPerSecond * DrainFactor);
     const double most = std::max(MinRoom, pool.rate * RoomSeconds);
     const double seconds = std::chrono::duration<double>(now - pool.at).count();
     pool.room = saturation.isSaturated ? std::min(most, pool.room + pool.rate * seconds) : most;
@@ -173,7 +186,7 @@
     auto &pool = refill(request, saturation, now);
     const bool isReturned = state.refusedAt && now - *state.refusedAt <= ProgramMemory;
     if (isReturned) {
-        pool.returning.add(-std::min(1.0, pool.returning.read(now)), now);
+        pool.returning.add(-std::min(programCost(request, now), pool.returning.read(now)), now);
     } else {
         state.turns = 0;
         state.time = std::max(Duration::zero(), request.programTimeLeft.value_or(Duration::zero()));
@@ -181,6 +194,10 @@
         customerShare(pool, request.customer.id, now).demand.add(1, now);
         pool.ranks.at(std::min<std::size_t>(request.customer.rank, MaxRanks - 1)).demand.add(1, now);
     }
+    if (saturation.isBusy && !saturation.isSaturated && !hasShare(pool, request.customer, ReturnedAllowance, now)) {
+        // A surge of one customer is held back before the servers are full, so that it doesn't delay the others.
+        return refuse(request, state, AdmissionRefusal::CustomerShare, now);
+    }
     if (!saturation.isSaturated) {
         return admitNew(request, state, AdmissionBasis::NotSaturated, now);
     }
@@ -188,16 +205,21 @@
     if (state.latest && now + needed > *state.latest) {
         return refuse(request, state, AdmissionRefusal::ChanceGone, now);
     }
+    // One that can't end in time any more has a part of its value left, but must not take the place of one that can.
+    const bool isLate = state.time > Duration::zero() && slack(request, state) < Duration::zero();
     const bool isLastChance = !canReturn(request.timeLeft);
-    const bool hasPrecedence = isReturned || isLastChance;
+    const bool hasPrecedence = !isLate && (isReturned || isLastChance);
     if (!hasShare(pool, request.customer, hasPrecedence ? ReturnedAllowance : FreshAllowance, now)) {
         return refuse(request, state, AdmissionRefusal::CustomerShare, now);
     }
     const double debt = hasPrecedence ? std::max(MinRoom, pool.rate * DebtSeconds) : 0;
-    if (pool.room + debt < 1) {
+    const double reserve = isLate ? std::max(MinRoom, pool.rate * RoomSeconds) / 2 : 0;
+    // A long program takes the place of several short ones, each of which counts as much.
+    const double cost = programCost(request, now);
+    if (pool.room + debt - reserve < std::min(cost, std::max(MinRoom, pool.rate * RoomSeconds))) {
         return refuse(request, state, AdmissionRefusal::Full, now);
     }
-    pool.room--;
+    pool.room -= cost;
     return admitNew(
         request, state, isReturned ? AdmissionBasis::Returned : (isLastChance ? AdmissionBasis::LastChance : AdmissionBasis::Room), now);
 }
@@ -207,7 +229,6 @@
     auto &pool = m_pools[request.service];
     customerShare(pool, request.customer.id, now).admitted.add(1, now);
     pool.ranks.at(std::min<std::size_t>(request.customer.rank, MaxRanks - 1)).admitted.add(1, now);
-    pool.count.programs.add(1, now);
     routeCount(request.route).programs.add(1, now);
     recordTurn(request, state, now);
     return ProgramAdmitted{basis};
@@ -216,14 +237,26 @@
 AdmissionDecision ProgramAdmission::refuse(const ProgramRequest &request, Program &state, AdmissionRefusal reason, TimePoint now)
 {
     auto &pool = m_pools[request.service];
-    const double ahead = std::max(0.0, 1 + pool.returning.read(now) - pool.room);
+    const double cost = programCost(request, now);
+    const double ahead = std::max(0.0, cost + pool.returning.read(now) - pool.room);
     const auto untilRoom = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / std::max(MinRate, pool.rate)));
     const bool isRepeated = state.refusedAt && now - *state.refusedAt <= ProgramMemory;
     state.refusedAt = now;
-    pool.returning.add(1, now);
-    // Where the chance is gone, the servers are far behind; the latest return that the client makes has the best prospects.
-    const auto wait = reason == AdmissionRefusal::ChanceGone ? std::max(untilRoom, request.timeLeft / RetryTimeDivisor) : untilRoom;
-    return ProgramRefused{reason, untilRoom, retryDelay(wait, request.timeLeft, request.program), isRepeated};
+    pool.returning.add(cost, now);
+    const Duration spare = slack(request, state);
+    auto timeLeft = request.timeLeft;
+    auto wait = untilRoom;
+    if (reason == AdmissionRefusal::CustomerShare) {
+        // The share grows again only as the surge ends; early returns would be refused again.
+        wait = std::max(wait, timeLeft / RetryTimeDivisor);
+    } else if (spare > MinRetryDelay) {
+        // The program can still end in time if it returns early enough and doesn't have to wait for much longer then.
+        timeLeft = std::min(timeLeft, spare);
+    } else {
+        // It competes with nobody's time any more; the latest return that the client makes has the best prospects.
+        wait = std::max(wait, timeLeft / RetryTimeDivisor);
+    }
+    return ProgramRefused{reason, untilRoom, retryDelay(wait, timeLeft, request.program), isRepeated};
 }
 
 void ProgramAdmission::recordTurn(const ProgramRequest &request, Program &state, TimePoint now)
@@ -235,7 +268,6 @@
     state.turns++;
     // A loop must not raise what counts as usual.
     if (!isLooping(request.program, request.route)) {
-        m_pools[request.service].count.turns.add(1, now);
         routeCount(request.route).turns.add(1, now);
     }
 }
--- a/packages/core/src/admission/request_order.cpp
+++ b/packages/core/src/admission/request_order.cpp
@@ -13,8 +13,10 @@
 constexpr double MinServed = 0.1;                ///< Customers with less recent service don't count for the average.
 constexpr std::size_t MaxServedCustomers = 2000; ///< Customers whose service is remembered; more than the design size.
 constexpr std::uint32_t MaxRank = 2;             ///< Higher ranks of customers have the same priority at engines.
-constexpr std::uint32_t LevelsPerRank = 3;       ///< Urgent, normal and late.
-constexpr std::uint32_t LoopPriority = 9;        ///< Last.
+constexpr std::uint32_t UrgentPriority = 3;      ///< Of the first rank.
+constexpr std::uint32_t NormalPriority = 4;      ///< Of the first rank.
+constexpr std::uint32_t LatePriority = 8;
+constexpr std::uint32_t LoopPriority = 9; ///< Last.
 
 } // namespace
 
@@ -94,11 +96,11 @@
     if (isLooping) {
         return LoopPriority;
     }
-    std::uint32_t level = 1;
-    if (programTimeLeft) {
-        level = *programTimeLeft <= Duration::zero() ? 2 : (*programTimeLeft < UrgentTimeLeft ? 0 : 1);
+    if (programTimeLeft && *programTimeLeft <= Duration::zero()) {
+        return LatePriority;
     }
-    return std::min(customerRank, MaxRank) * LevelsPerRank + level;
+    const bool isUrgent = programTimeLeft && *programTimeLeft < UrgentTimeLeft;
+    return (isUrgent ? UrgentPriority : NormalPriority) + std::min(customerRank, MaxRank);
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/admission/saturation_monitor.cpp
+++ b/packages/core/src/admission/saturation_monitor.cpp
@@ -26,13 +26,13 @@
         return it->second;
     }
     const DecayingCount empty(RateHalfLife);
-    return m_services.emplace(service, ServiceState{empty, empty, empty, {}, 0, 0, {}, {}}).first->second;
+    return m_services.emplace(service, ServiceState{empty, empty, empty, {}, 0, 0, {}, {}, {}}).first->second;
 }
 
-void SaturationMonitor::recordStart(const std::string &service, TimePoint now)
+void SaturationMonitor::recordStart(const std::string &service, bool isInTime, TimePoint now)
 {
     auto &it = state(service);
-    it.attempts.add(1, now);
+    it.attempts.add(isInTime ? 1 : 0, now);
     it.running++;
 }
 
@@ -108,6 +108,11 @@
     view.workRatio = it.running / std::max(1.0, slots);
     view.turnsPerSecond = it.turns.perSecond(now);
     evaluateDelays(it, now);
+    view.isRefusing = view.refusalShare >= m_settings.busyRefusals;
+    if (view.isRefusing || view.delayRatio >= m_settings.busyDelay) {
+        it.busyUntil = now + m_settings.busyHold;
+    }
+    view.isBusy = now < it.busyUntil;
     if (now - it.changedAt < m_settings.minHold && it.changedAt != TimePoint()) {
         return false;
     }
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -126,7 +126,9 @@
     [[nodiscard]] bool mayBeginProgram() const;
     /** @return Longest time from the arrival for which the request may wait for a server. */
     [[nodiscard]] Duration maxServerWait() const;
-    /** @return True if the request must wait because others wait for the same service. */
+    /** @return True if the deadline of the program has passed. */
+    [[nodiscard]] bool isProgramLate() const;
+    /** @return True if the request must wait because others have precedence at its service. */
     [[nodiscard]] bool isBehindOthers() const;
     void joinQueue(Duration maxWait);
     void leaveQueue();
@@ -200,6 +202,7 @@
     std::optional<CustomerIdentity> m_customer;        ///< Customer of the request; nothing if it has none.
     std::uint64_t m_queueNumber = 0;                   ///< Number among the requests that wait for servers; 0 if it never waited.
     bool m_isFirstInOrder = false;                     ///< True while the request may select a server although others wait.
+    bool m_isWaitOver = false;                         ///< True once the request has waited for as long as it may.
     bool m_isNewProgram = false;                       ///< True if the request begins its program.
     bool m_isLooping = false;                          ///< True if its program has lost its precedence.
     bool m_isAttemptCounted = false;                   ///< True while the current attempt counts as work in progress.
--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -94,10 +94,23 @@
     return std::max(usual, (m_limitAt - m_request.arrived) / TimeLimitDivisor);
 }
 
+bool Exchange::isProgramLate() const
+{
+    return programTimeLeft().value_or(Duration(1)) <= Duration::zero();
+}
+
 bool Exchange::isBehindOthers() const
 {
     // One that may have run can't wait, since it might have to be refused as not run.
-    return m_proxy.isAdmissionOn() && !m_isFirstInOrder && m_mayHaveRun == 0 && m_proxy.overload.queue->size(m_service) != 0;
+    if (!m_proxy.isAdmissionOn() || m_isWaitOver || m_mayHaveRun != 0) {
+        return false;
+    }
+    m_proxy.overload.update(m_proxy, m_service);
+    // Engines serve late programs last, but their turns would fill the queues there while others are refused.
+    if (isProgramLate() && m_proxy.overload.saturation.view(m_service).isRefusing) {
+        return true;
+    }
+    return !m_isFirstInOrder && m_proxy.overload.queue->size(m_service) != 0;
 }
 
 void Exchange::joinQueue(Duration maxWait)
@@ -115,6 +128,7 @@
     const auto startBy = now() + left.value_or(timeLeft()) - needed;
     queue.add(m_service, {m_queueNumber, customerHash(), customerRank(), m_route.rank, m_isLooping, startBy}, shared_from_this());
     runAfter(m_waitTimer, std::max(Duration::zero(), maxWait), *this, [](Exchange &self) {
+        self.m_isWaitOver = true;
         self.tryServer();
     });
 }
@@ -140,7 +154,7 @@
         return;
     }
     m_isAttemptCounted = true;
-    m_proxy.overload.saturation.recordStart(m_service, now());
+    m_proxy.overload.saturation.recordStart(m_service, !isProgramLate(), now());
     m_proxy.overload.queue->recordServed(m_service, customerHash(), now());
 }
 
@@ -155,14 +169,14 @@
 void Exchange::recordServerFull()
 {
     // A server that is limited or leaving refuses with another status.
-    if (m_isAttemptCounted && m_refusalStatus == StatusUnavailable) {
+    if (m_isAttemptCounted && !isProgramLate() && m_refusalStatus == StatusUnavailable) {
         m_proxy.overload.saturation.recordRefusal(m_service, now());
     }
 }
 
 void Exchange::recordFirstEvent()
 {
-    if (m_isAttemptCounted) {
+    if (m_isAttemptCounted && !isProgramLate()) {
         m_proxy.overload.saturation.recordFirstEvent(m_service, now() - m_attemptStartedAt, m_route.objective, now());
     }
 }
--- a/packages/proxy/src/server_queue.cpp
+++ b/packages/proxy/src/server_queue.cpp
@@ -12,7 +12,7 @@
 
 constexpr Duration DispatchInterval
     = std::chrono::milliseconds(15); ///< Servers also become available by time alone, at the end of a back-off.
-constexpr std::size_t MaxTried = 8;  ///< Requests that try in one round; the first ones may exclude the server that is free.
+constexpr std::size_t MaxTried = 32; ///< Requests that try in one round; the first ones may be deferred or exclude the free server.
 
 } // namespace
 
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -49,6 +49,35 @@
     EXPECT_EQ(settings.entryListen.port, 8080);
 }
 
+/** A value of proxy.admission. */
+struct AdmissionValue
+{
+    const char *name;         ///< For the test's name.
+    const char *value;        ///< As written in the settings.
+    std::optional<bool> isOn; ///< Expected setting; nothing if the value is refused.
+};
+
+class AdmissionSetting : public ::testing::TestWithParam<AdmissionValue>
+{
+};
+
+TEST_P(AdmissionSetting, IsOnOrOff)
+{
+    std::vector<SettingsError> errors;
+    const Settings settings = read(ValidEntry, errors, {std::string("proxy.admission=") + GetParam().value});
+    EXPECT_EQ(errors.empty(), GetParam().isOn.has_value());
+    EXPECT_EQ(settings.restrictsAdmission, GetParam().isOn.value_or(false));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         AdmissionSetting,
+                         ::testing::Values(AdmissionValue{"on", "on", true},
+                                           AdmissionValue{"off", "off", false},
+                                           AdmissionValue{"other", "yes", {}}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 /** A value of proxy.grace_s. */
 struct GraceCase
 {
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -152,6 +152,18 @@
     ("any type continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && (isOtherType || (head.length && !attributes.isEventStream))) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
     ("any text continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && events.hasOtherText) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
     ("any rest continues a stream", PROXY + "exchange_answer.cpp", "if (m_continuesAnswer && !rest.empty() && !isNextEvent(rest, m_lastEvent)) {", "if (false) {", "proxy_test", "*ProxyForeignAnswer*"),
+    ("a program in progress is refused", CORE + "admission/program_admission.cpp", "if (request.isTurn && request.mayBeNew && !isSeen) {", "if (request.isTurn && !isSeen) {",
+     "core_test", "*Admission*"),
+    ("a returning program has no credit", CORE + "admission/program_admission.cpp", "const double debt = hasPrecedence ?", "const double debt = false ?", "core_test", "ProgramAdmission.*"),
+    ("a loop keeps its precedence", CORE + "admission/program_admission.cpp", "return it->second.turns > LoopFactor * usual;", "return false;", "core_test", "ProgramAdmission.*"),
+    ("programs without a chance are admitted", CORE + "admission/program_admission.cpp", "if (state.latest && now + needed > *state.latest) {", "if (false) {", "core_test", "*Admission*"),
+    ("a surge takes the room of others", CORE + "admission/program_admission.cpp", "if (saturation.isBusy && !saturation.isSaturated &&", "if (false &&", "core_test", "OverloadReplay.*"),
+    ("retry delays are equal", CORE + "admission/retry_delay.cpp", "fraction(program));", "0.5);", "core_test", "RetryDelay.*"),
+    ("the oldest request waits for ever", CORE + "admission/request_order.cpp", "m_servedCount % OldestInterval == OldestInterval - 1", "false", "core_test", "RequestOrder.*"),
+    ("saturation flickers", CORE + "admission/saturation_monitor.cpp", "view.isSaturated ? !leaves : enters;", "enters;", "core_test", "SaturationMonitor.*"),
+    ("admission is always on", PROXY + "overload_control.cpp", "return settings.restrictsAdmission || customers.hasCustomers();", "return true;", "proxy_test", "ProxyOverload.*"),
+    ("new programs are admitted to full servers", PROXY + "exchange_overload.cpp", "        answerOverloaded(refused->retryAfter);\n        return true;", "        return false;",
+     "proxy_test", "ProxyOverload.*"),
 ]
 
 
