A repeated turn that no server ran counts as no loop; one scheduled dispatch per service

Cause: clients repeat turns that full servers refused, which looked like a loop; each end of an attempt scheduled its own round of the queue. Change: a turn that hasn't run is taken back; a service has at most one scheduled round.

--- a/packages/core/include/vanillahall/core/admission/program_admission_base.h
+++ b/packages/core/include/vanillahall/core/admission/program_admission_base.h
@@ -86,6 +86,9 @@
     /** Decides about a request and records the decision. @param saturation State of its service. */
     AdmissionDecision decide(const ProgramRequest &request, const SaturationView &saturation, TimePoint now);
 
+    /** Takes back that a turn went on, since no server ran it: clients repeat it, which is no loop. */
+    void withdrawTurn(std::uint64_t program);
+
     // Queries.
 
     /** @return True if a program has made far more turns than others of its route. */
--- a/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
+++ b/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
@@ -26,8 +26,8 @@
     double busyDelay = 1;        ///< Busy from this quantile on, in objectives.
     double minWork = 0.5;        ///< Least own work per slot of this proxy's share for which delays count. The
                                  ///< shares are equal and the demand isn't, so that a full one may show less than 1.
-    Duration busyHold = std::chrono::milliseconds(2000); ///< A service stays busy for this time, so that a surge which is held back
-                                                         ///< doesn't come in at the first calm moment.
+    Duration busyHold = std::chrono::milliseconds(2000);     ///< A service stays busy for this time, so that a surge which is held back
+                                                             ///< doesn't come in at the first calm moment.
     Duration minHold = std::chrono::milliseconds(500);       ///< The state is kept for at least this time.
     Duration maxSampleAge = std::chrono::milliseconds(2000); ///< Older delays are ignored.
 };
--- a/packages/core/src/admission/program_admission.cpp
+++ b/packages/core/src/admission/program_admission.cpp
@@ -246,14 +246,12 @@
     const Duration spare = slack(request, state);
     auto timeLeft = request.timeLeft;
     auto wait = untilRoom;
-    if (reason == AdmissionRefusal::CustomerShare) {
-        // The share grows again only as the surge ends; early returns would be refused again.
-        wait = std::max(wait, timeLeft / RetryTimeDivisor);
-    } else if (spare > MinRetryDelay) {
+    if (spare > MinRetryDelay && reason != AdmissionRefusal::CustomerShare) {
         // The program can still end in time if it returns early enough and doesn't have to wait for much longer then.
         timeLeft = std::min(timeLeft, spare);
     } else {
-        // It competes with nobody's time any more; the latest return that the client makes has the best prospects.
+        // A late program competes with nobody's time any more, and a customer's share grows again only as its surge ends: early returns
+        // would be refused again.
         wait = std::max(wait, timeLeft / RetryTimeDivisor);
     }
     return ProgramRefused{reason, untilRoom, retryDelay(wait, timeLeft, request.program), isRepeated};
@@ -272,6 +270,14 @@
     }
 }
 
+void ProgramAdmission::withdrawTurn(std::uint64_t program)
+{
+    const auto it = m_programs.find(program);
+    if (it != m_programs.end() && it->second.turns > 0) {
+        it->second.turns--;
+    }
+}
+
 bool ProgramAdmission::isLooping(std::uint64_t program, const std::string &route) const
 {
     const auto it = m_programs.find(program);
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -137,6 +137,8 @@
     /** Records that the server of the current attempt has refused it because it is full. */
     void recordServerFull();
     void recordFirstEvent();
+    /** Records that the request has ended without having run. */
+    void recordNotRun();
     /** Records that the current attempt has brought a complete turn. */
     void recordTurnEnd();
     /** @return Value of the priority header; nothing for requests without a prompt. */
@@ -205,6 +207,7 @@
     bool m_isWaitOver = false;                         ///< True once the request has waited for as long as it may.
     bool m_isNewProgram = false;                       ///< True if the request begins its program.
     bool m_isLooping = false;                          ///< True if its program has lost its precedence.
+    bool m_isTurnCounted = false;                      ///< True if the request counts as a turn of its program.
     bool m_isAttemptCounted = false;                   ///< True while the current attempt counts as work in progress.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
 };
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -84,6 +84,7 @@
 
 void Exchange::answerNotRun(Outcome outcome)
 {
+    recordNotRun();
     answer(StatusUnavailable, ShortRetryAfter, outcome);
 }
 
--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -76,6 +76,7 @@
         answerOverloaded(refused->retryAfter);
         return true;
     }
+    m_isTurnCounted = isTurn;
     const auto basis = std::get<ProgramAdmitted>(decision).basis;
     m_isNewProgram = basis != AdmissionBasis::InProgress;
     m_proxy.metrics.count("vanillahall_requests_admitted_total", {"basis", std::string(admissionName(basis))});
@@ -166,6 +167,13 @@
     }
 }
 
+void Exchange::recordNotRun()
+{
+    if (std::exchange(m_isTurnCounted, false) && m_mayHaveRun == 0) {
+        m_proxy.overload.programs.withdrawTurn(programHash());
+    }
+}
+
 void Exchange::recordServerFull()
 {
     // A server that is limited or leaving refuses with another status.
--- a/packages/proxy/src/server_queue.cpp
+++ b/packages/proxy/src/server_queue.cpp
@@ -48,12 +48,13 @@
 
 void ServerQueue::dispatchSoon(const std::string &service)
 {
-    if (size(service) == 0) {
+    if (size(service) == 0 || !m_posted.insert(service).second) {
         return;
     }
     // Not at once: the caller may be about to select another server for its own request.
     boost::asio::post(m_loop, [weak = weak_from_this(), service] {
         if (const auto self = weak.lock()) {
+            self->m_posted.erase(service);
             self->dispatch(service);
         }
     });
--- a/packages/proxy/src/server_queue.h
+++ b/packages/proxy/src/server_queue.h
@@ -4,6 +4,7 @@
 #include "vanillahall/core/admission/request_order_base.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -50,6 +51,7 @@
     boost::asio::steady_timer m_timer;                                      ///< Delay before the next dispatchAll().
     std::unordered_map<std::string, RequestOrder> m_orders;                 ///< By service; bounded by those of the configuration.
     std::unordered_map<std::uint64_t, std::weak_ptr<Exchange>> m_exchanges; ///< Waiting requests by id.
+    std::set<std::string> m_posted;                                         ///< Services whose dispatch() is scheduled by dispatchSoon().
     std::uint64_t m_next = 1;
     bool m_isTimerSet = false;
 };
--- a/tests/core/admission_test.cpp
+++ b/tests/core/admission_test.cpp
@@ -165,8 +165,12 @@
     for (std::uint64_t n = 0; n < 50; n++) {
         admission.decide(newTurn(100 + n), {}, Start);
         admission.decide(newTurn(1), {}, Start);
+        // A turn that no server ran is repeated, which is no loop.
+        admission.decide(newTurn(2), {}, Start);
+        admission.withdrawTurn(2);
     }
     EXPECT_TRUE(admission.isLooping(1, "chat"));
+    EXPECT_FALSE(admission.isLooping(2, "chat"));
     EXPECT_FALSE(admission.isLooping(100, "chat"));
     EXPECT_TRUE(std::holds_alternative<ProgramAdmitted>(admission.decide(newTurn(1), {}, Start)));
     fillRoom(admission, Start);
--- a/tests/proxy/proxy_overload_test.cpp
+++ b/tests/proxy/proxy_overload_test.cpp
@@ -97,4 +97,41 @@
     EXPECT_FALSE(it.world.hasLine("outcome=service_overloaded"));
 }
 
+// Requests that waited for a connection polled in arbitrary order, so that one with little time left could be the last.
+TEST(ProxyOverload, AFreeServerGoesToTheRequestWithTheLeastSlack)
+{
+    constexpr std::size_t Connections = 4; // What a proxy may open to one server at least.
+    ProxyWorld world(
+        [](const std::string &) {
+            return Script{};
+        },
+        [](ProxySettings &settings) {
+            settings.restrictsAdmission = true;
+        });
+    world.rows.servers.erase("s2");
+    const std::string connections = "\"maxConns\":100";
+    world.rows.config.replace(world.rows.config.find(connections), connections.size(), "\"maxConns\":1");
+    ASSERT_TRUE(world.start());
+    std::vector<std::unique_ptr<TestClient>> clients;
+    const auto send = [&world, &clients](const std::string &id, const std::string &headers) {
+        clients.push_back(std::make_unique<TestClient>(world.loop, world.proxy->port()));
+        clients.back()->send(ProxyWorld::request("POST", "/call/1", id, headers));
+        const auto until = std::chrono::steady_clock::now() + 30ms;
+        world.run([until] {
+            return std::chrono::steady_clock::now() > until;
+        });
+    };
+    for (std::size_t n = 0; n < Connections; n++) {
+        send("busy" + std::to_string(n), {});
+    }
+    send("relaxed", "Program-Id: p1\r\nProgram-Deadline-Ms: 60000\r\n");
+    send("urgent", "Program-Id: p2\r\nProgram-Deadline-Ms: 5000\r\n");
+    ASSERT_EQ(world.first.requests.size(), Connections);
+    clients.front()->close();
+    ASSERT_TRUE(world.run([&world] {
+        return world.first.requests.size() > Connections;
+    }));
+    EXPECT_NE(world.first.requests.back().find("urgent"), std::string::npos);
+}
+
 } // namespace Vanillahall::Forward
