--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -163,7 +163,10 @@
 {
     if (std::exchange(m_isAttemptCounted, false)) {
         m_proxy.overload.saturation.recordEnd(m_service);
-        m_proxy.overload.queue->dispatchSoon(m_service);
+        // A refusal frees no server; those that wait try again after the queue's interval.
+        if (!m_isRefusal) {
+            m_proxy.overload.queue->dispatchSoon(m_service);
+        }
     }
 }
 
