--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -159,6 +159,8 @@
     [[nodiscard]] PaceSummary paces(TimePoint now) const;
     /** @return Number of connections to one server that this entry may open. */
     [[nodiscard]] std::uint32_t connectionShare(std::uint32_t maxConnections) const;
+    /** @return Slots of the usable servers of a service, divided by the number of proxies. */
+    [[nodiscard]] double slotShare(const std::string &service) const;
 
 private:
     /** State of one server. */
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -111,6 +111,15 @@
     return it == m_byService.end() ? nullptr : &it->second;
 }
 
+double ServerRegistry::slotShare(const std::string &service) const
+{
+    double slots = 0;
+    for (const auto *it : usableServers(service)) {
+        slots += it->isUsable() ? it->server.slots : 0;
+    }
+    return slots / std::max(1U, m_position.proxies);
+}
+
 const std::vector<const ServerRegistry::ServerState *> &ServerRegistry::usableServers(const std::string &service) const
 {
     static const std::vector<const ServerState *> none;
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -81,6 +81,7 @@
     proxy.customers = {settings.proxyFailsClosed, settings.proxyRevocationTime};
     proxy.stop = toStopSettings(settings);
     proxy.maxBufferedBytes = settings.proxyMemoryMb * BytesPerMb / BodyMemoryDivisor;
+    proxy.restrictsAdmission = settings.restrictsAdmission;
     proxy.maxTurnBytes = settings.proxyMemoryMb * BytesPerMb / TurnMemoryDivisor;
     proxy.rowBytes = settings.storeRowBytes;
     proxy.quota.window = settings.proxyQuotaWindow.value_or(proxy.quota.window);
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -202,6 +202,12 @@
     return value == "learned" || value == "fixed";
 }
 
+bool setSwitch(bool &field, const std::string &value)
+{
+    field = value == "on";
+    return value == "on" || value == "off";
+}
+
 bool setLogLevel(std::string &field, const std::string &value)
 {
     field = value;
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -43,7 +43,8 @@
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
     CustomerSettings customers;                                   ///< Validity of API keys while the store is unavailable.
     QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
-    ChoiceSettings choice;                                        ///< Parameters of the server selection.
+    bool restrictsAdmission = false; ///< True to restrict admission under overload also if the configuration names no customers.
+    ChoiceSettings choice;           ///< Parameters of the server selection.
 };
 
 /** Receives one log line. @param fields "key=value" pairs, separated by spaces. */
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -78,9 +78,15 @@
 
 void Exchange::answerNotRun(Outcome outcome)
 {
+    recordNotRun();
     answer(StatusUnavailable, ShortRetryAfter, outcome);
 }
 
+void Exchange::answerOverloaded(Duration retryAfter)
+{
+    answer(StatusUnavailable, retryAfter, Outcome::ServiceOverloaded);
+}
+
 void Exchange::answer(unsigned status, std::optional<Duration> retryAfter, Outcome outcome)
 {
     if (m_isEnded) {
@@ -204,6 +210,7 @@
     stopTimer(m_waitTimer);
     removeServerBytes();
     m_heldBody.set(0);
+    leaveQueue();
     settleTokens();
     returnPermit();
     if (m_conversation) {
--- a/packages/proxy/src/exchange_placement.cpp
+++ b/packages/proxy/src/exchange_placement.cpp
@@ -6,8 +6,7 @@
 
 ChoiceRequest Exchange::choiceRequest() const
 {
-    ChoiceRequest wanted{
-        m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_programKey)};
+    ChoiceRequest wanted{m_service, &m_request.attributes, m_maxConnections, &m_excludedServers, m_proxy.ledger.homeZone(m_programKey)};
     wanted.route = m_route.name;
     if (m_customer) {
         wanted.customer = m_customer->name;
@@ -28,6 +27,7 @@
     times.isComplete = isComplete;
     removeServerBytes();
     m_proxy.servers.recordEnd(m_choice, times, now());
+    recordAttemptEnd();
 }
 
 std::string Exchange::placementFields() const
