--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -25,7 +25,6 @@
     std::string customer;       ///< Customer.
     bool isInProgress = false;  ///< True if the request belongs to a program in progress.
     bool isRepeated = false;    ///< True if this request has called QuotaLedger::request() before.
-    bool isLastTry = false;     ///< True if the request has waited for an exchange of reports and can't wait any longer.
     std::uint64_t spreadHash{}; ///< Hash of the program; spreads the retry delays of requests that are refused together.
     Duration timeLeft{};        ///< Remaining time of the request; clients wait for at most a third of it.
 };
--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -23,8 +23,6 @@
 constexpr double SpareDemandFraction = 0.25;
 /** Permits that a proxy without recent demand may use between two reports while the bucket is more than half full. */
 constexpr double MinPart = 4;
-/** Part of the bucket above which a request that has waited for reports may be sent although this proxy's part is used up. */
-constexpr double LastTryFraction = 0.25;
 constexpr unsigned ReportedRounds = 4; ///< Reports that still name a customer after its last request, since readers may miss some.
 constexpr int UsefulRetryDivisor = 3;  ///< Clients wait for at most a third of the time that they have left.
 constexpr double SecondsPerKs = 1000;  ///< Scale of CustomerUsage::demandPerKs.
@@ -130,19 +128,16 @@
         account.demand.record(now);
         account.quietReports = 0;
     }
-    bool isWithinLimit = false;
     if (isInTouch(now)) {
         const double needed = 1 + (request.isInProgress ? 0.0 : ReserveFraction * std::max(account.limit.burst, 0.0));
         if (account.level < needed) {
             return QuotaRefused{retryDelay(account, needed - account.level, request)};
         }
-        isWithinLimit = account.level >= std::max(needed, LastTryFraction * account.capacity);
     }
-    if (account.part >= 1) {
-        account.part -= 1;
-    } else if (!request.isLastTry || !isWithinLimit) {
+    if (account.part < 1) {
         return QuotaBusy{};
     }
+    account.part -= 1;
     account.level -= 1;
     account.sent++;
     return QuotaGranted{};
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -41,12 +41,10 @@
         return;
     }
     const auto hints = programHints();
-    const auto waitEnd = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor);
     const QuotaRequest wanted{
         m_customer->name,
         m_proxy.programs.contains(hints, now()),
         std::exchange(m_hasRequestedPermit, true),
-        now() >= waitEnd,
         std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
         timeLeft()};
     const auto result = m_proxy.quotas.request(wanted, now());
@@ -62,14 +60,16 @@
         answer(StatusTooManyRequests, refused->retryAfter, Outcome::QuotaSpent);
         return;
     }
-    if (wanted.isLastTry) {
-        answer(StatusUnavailable, StoreRetryAfter, Outcome::QuotaUncertain);
-        return;
-    }
     m_waitsForPermit = true;
     m_proxy.addQuotaWaiter(shared_from_this());
-    runAfter(m_waitTimer, std::clamp<Duration>(waitEnd - now(), Duration::zero(), PermitCheckInterval), *this, [](Exchange &self) {
-        self.requestPermit();
+    const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
+    runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
+        if (waitLeft > PermitCheckInterval) {
+            self.requestPermit();
+        } else {
+            self.m_proxy.metrics.count("vanillahall_quota_requests_total", {"outcome", "uncertain"});
+            self.answer(StatusUnavailable, StoreRetryAfter, Outcome::QuotaUncertain);
+        }
     });
 }
 
