--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -19,6 +19,9 @@
 
 namespace Vanillahall::Forward {
 
+/** Time constant of the recent demand. */
+inline constexpr Duration DemandTime = std::chrono::seconds(2);
+
 /** Request for a permit. */
 struct QuotaRequest
 {
@@ -84,16 +87,16 @@
     /** State of one customer. */
     struct Account
     {
-        CustomerLimit limit;                          ///< Limit.
-        double capacity = 0;                          ///< Capacity of the bucket.
-        double level = 0;                             ///< Permits in the bucket of all proxies, as far as known; may be negative.
-        double part = 0;                              ///< Permits that this proxy may still use.
-        double partRate = 0;                          ///< Rate at which `part` grows.
-        double reservedRate = 0;                      ///< Part of the rate that is left to proxies out of touch.
-        TimePoint advancedAt{};                       ///< Time of `level` and `part`.
-        std::uint64_t sent{};                         ///< Requests sent by this proxy.
-        DecayingRate demand{std::chrono::seconds(2)}; ///< Demand at this proxy.
-        unsigned quietReports{};                      ///< Reports since the last request.
+        CustomerLimit limit;             ///< Limit.
+        double capacity = 0;             ///< Capacity of the bucket.
+        double level = 0;                ///< Permits in the bucket of all proxies, as far as known; may be negative.
+        double part = 0;                 ///< Permits that this proxy may still use.
+        double partRate = 0;             ///< Rate at which `part` grows.
+        double reservedRate = 0;         ///< Part of the rate that is left to proxies out of touch.
+        TimePoint advancedAt{};          ///< Time of `level` and `part`.
+        std::uint64_t sent{};            ///< Requests sent by this proxy.
+        DecayingRate demand{DemandTime}; ///< Demand at this proxy.
+        unsigned quietReports{};         ///< Reports since the last request.
     };
 
     /** Use of one customer's limit by another proxy. */
@@ -109,6 +112,7 @@
         std::string incarnation;                              ///< Incarnation of its process.
         std::uint64_t number{};                               ///< Number of its last report.
         TimePoint changedAt{};                                ///< When its report was last seen to change.
+        bool isFollowedLate = false;                          ///< True if it had sent requests before its first report seen here.
         std::unordered_map<std::uint64_t, RemoteUsage> usage; ///< Its customers.
     };
 
@@ -121,11 +125,12 @@
     std::string m_vm;
     std::string m_incarnation;
     QuotaSettings m_settings;
-    std::uint64_t m_reports = 0;                           ///< Number of reports made.
-    std::unordered_map<std::uint64_t, Account> m_accounts; ///< Customers with a limit, by hash of the name.
-    std::map<std::string, Remote> m_remotes;               ///< Other proxies, by VM.
-    std::optional<TimePoint> m_writtenAt;                  ///< When the last written report was made.
-    std::optional<TimePoint> m_readAt;                     ///< When the last read of the reports was requested.
+    std::uint64_t m_reports = 0;                                   ///< Number of reports made.
+    std::unordered_map<std::uint64_t, Account> m_accounts;         ///< Customers with a limit, by hash of the name.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_formerSent; ///< Counts of customers without a limit now; counts must not fall.
+    std::map<std::string, Remote> m_remotes;                       ///< Other proxies, by VM.
+    std::optional<TimePoint> m_writtenAt;                          ///< When the last written report was made.
+    std::optional<TimePoint> m_readAt;                             ///< When the last read of the reports was requested.
 };
 
 /** @return Hash that identifies a customer in reports. */
--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -75,6 +75,10 @@
         limited.insert(hash);
         const auto [found, isNew] = m_accounts.try_emplace(hash);
         auto &account = found->second;
+        if (const auto former = m_formerSent.find(hash); isNew && former != m_formerSent.end()) {
+            account.sent = former->second;
+            m_formerSent.erase(former);
+        }
         if (!isNew && account.limit == it.limit) {
             continue;
         }
@@ -88,8 +92,12 @@
         account.part = std::min(account.part, std::max(account.level, 0.0));
         account.advancedAt = now;
     }
-    std::erase_if(m_accounts, [&limited](const auto &it) {
-        return limited.count(it.first) == 0;
+    std::erase_if(m_accounts, [this, &limited](const auto &it) {
+        const bool isRemoved = limited.count(it.first) == 0;
+        if (isRemoved && it.second.sent != 0) {
+            m_formerSent[it.first] = it.second.sent;
+        }
+        return isRemoved;
     });
 }
 
@@ -192,13 +200,15 @@
 
 void QuotaLedger::applyReport(const UsageReport &report, bool isBaseline, TimePoint now)
 {
-    auto &remote = m_remotes[report.vm];
+    const auto [found, isNewVm] = m_remotes.try_emplace(report.vm);
+    auto &remote = found->second;
     const bool isSameProcess = remote.incarnation == report.incarnation;
     if (isSameProcess && report.number <= remote.number) {
         return;
     }
     if (!isSameProcess) {
-        remote = {report.incarnation, 0, now, {}};
+        // A row that was removed and written again is that of a process which has sent requests before, too.
+        remote = {report.incarnation, 0, now, isBaseline || (isNewVm && report.number > ReportedRounds), {}};
     }
     remote.number = report.number;
     remote.changedAt = now;
@@ -210,9 +220,13 @@
         if (account == m_accounts.end()) {
             continue;
         }
-        auto &known = remote.usage[it.customer];
+        const auto [entry, isNew] = remote.usage.try_emplace(it.customer);
+        auto &known = entry->second;
         if (!isBaseline && it.sent > known.sent) {
-            account->second.level -= static_cast<double>(it.sent - known.sent);
+            const auto added = static_cast<double>(it.sent - known.sent);
+            // A report omits quiet customers, so the count of one that is named later includes requests of long ago.
+            const double recent = static_cast<double>(it.demandPerKs) / SecondsPerKs * toSeconds(DemandTime);
+            account->second.level -= isNew && remote.isFollowedLate ? std::min(added, std::ceil(recent)) : added;
         }
         known.sent = std::max(known.sent, it.sent);
         known.demand = static_cast<double>(it.demandPerKs) / SecondsPerKs;
--- /dev/null
+++ b/tests/core/quota_replay_test.cpp
@@ -0,0 +1,287 @@
+/** Rate limits of customers, replayed with many proxies in made-up time: the rule holds, and customers within their limit are served. */
+#include "vanillahall/core/customer/quota_ledger_base.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t Proxies = 34;
+constexpr Duration StoreDelay = 15ms;
+constexpr double LostCalls = 0.02; ///< Fraction of writes and of reads that are lost.
+constexpr double UsualLoad = 0.625;
+constexpr int ProgramSize = 10;
+constexpr Duration ProgramGap = 500ms; ///< Mean time between two requests of a program.
+constexpr Duration WarmUp = 10s;       ///< Refusals count from here on.
+constexpr Duration Disturbed = 20s;    ///< The disturbance begins.
+constexpr Duration End = 45s;
+constexpr Duration PermitWait = 900ms;
+constexpr Duration PermitCheck = 50ms;
+constexpr std::array Rates = {5.0, 20.0, 116.0, 1000.0};
+
+/** A disturbance at 20 s. */
+struct ReplayCase
+{
+    const char *name;
+    std::size_t surging = Rates.size(); ///< Customer whose load grows; none if out of range.
+    double surge = 1;                   ///< Factor of its load.
+    std::size_t added = 0;              ///< Proxies that are added.
+    std::size_t restarted = 0;          ///< Proxies that restart.
+    std::size_t frozen = 0;             ///< Proxies that freeze for 5 s.
+    std::size_t cutOff = 0;             ///< Proxies that don't reach the store for 8 s.
+    double limitFactor = 1;             ///< Change of all limits.
+};
+
+void PrintTo(const ReplayCase &param, std::ostream *out)
+{
+    *out << param.name;
+}
+
+class QuotaReplay : public ::testing::TestWithParam<std::tuple<ReplayCase, unsigned>>
+{
+protected:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t number;
+        std::function<void()> run;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+    struct Traffic
+    {
+        std::vector<TimePoint> sent;
+        double ideal = 0; ///< Level of an exact bucket that all requests reach at once.
+        TimePoint idealAt{};
+        std::size_t offered = 0;
+        std::size_t refused = 0; ///< Requests refused that the exact bucket admits.
+    };
+
+    void schedule(TimePoint at, std::function<void()> run)
+    {
+        m_events.push({at, m_number++, std::move(run)});
+    }
+    Duration exponential(double mean)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exponential_distribution<>(1 / mean)(m_random)));
+    }
+    bool chance(double probability)
+    {
+        return std::uniform_real_distribution<>()(m_random) < probability;
+    }
+    std::vector<Customer> customers(double factor) const
+    {
+        std::vector<Customer> all;
+        for (const auto rate : Rates) {
+            all.push_back({"c" + std::to_string(all.size()), {}, 0, {rate * factor, rate * factor}});
+        }
+        return all;
+    }
+    void addProxy(std::size_t at, const std::string &incarnation)
+    {
+        m_ledgers.resize(std::max(m_ledgers.size(), at + 1));
+        m_ledgers[at] = std::make_shared<QuotaLedger>("vm" + std::to_string(at), incarnation);
+        m_ledgers[at]->apply(customers(m_now >= start() + Disturbed ? std::get<0>(GetParam()).limitFactor : 1), m_now);
+        const auto ledger = m_ledgers[at];
+        schedule(m_now + exponential(0.2), [this, at, ledger] {
+            exchange(at, ledger);
+        });
+    }
+    static TimePoint start()
+    {
+        return TimePoint(1000s);
+    }
+    bool isWithin(std::size_t at, std::size_t count, Duration span) const
+    {
+        return at < count && m_now >= start() + Disturbed && m_now < start() + Disturbed + span;
+    }
+    void exchange(std::size_t at, const std::shared_ptr<QuotaLedger> &ledger)
+    {
+        const auto &param = std::get<0>(GetParam());
+        if (ledger != m_ledgers[at]) {
+            return; // The process has ended.
+        }
+        const bool isFrozen = isWithin(at, param.frozen, 5s);
+        schedule(isFrozen ? start() + Disturbed + 5s : m_now + ledger->reportInterval(), [this, at, ledger] {
+            exchange(at, ledger);
+        });
+        if (isFrozen) {
+            return;
+        }
+        const auto madeAt = m_now;
+        const auto report = ledger->report(m_now);
+        if (isWithin(at, param.cutOff, 8s)) {
+            return;
+        }
+        if (!chance(LostCalls)) {
+            schedule(m_now + StoreDelay / 2, [this, report] {
+                m_rows[report.vm] = report;
+            });
+            schedule(m_now + StoreDelay, [ledger, madeAt] {
+                ledger->onReportWritten(madeAt);
+            });
+        }
+        if (!chance(LostCalls)) {
+            schedule(m_now + StoreDelay / 2, [this, ledger, madeAt] {
+                std::vector<UsageReport> rows;
+                for (const auto &[vm, row] : m_rows) {
+                    rows.push_back(row);
+                }
+                schedule(m_now + StoreDelay / 2, [this, ledger, madeAt, rows] {
+                    ledger->onReports(rows, madeAt, m_now);
+                });
+            });
+        }
+    }
+    void beginPrograms(std::size_t customer)
+    {
+        const auto &param = std::get<0>(GetParam());
+        const bool isSurging = customer == param.surging && m_now >= start() + Disturbed;
+        schedule(m_now + exponential(ProgramSize / (Rates[customer] * UsualLoad * (isSurging ? param.surge : 1))), [this, customer] {
+            const auto proxy = std::uniform_int_distribution<std::size_t>(0, m_ledgers.size() - 1)(m_random);
+            sendNext(customer, proxy, 0);
+            beginPrograms(customer);
+        });
+    }
+    void sendNext(std::size_t customer, std::size_t proxy, int position)
+    {
+        auto &traffic = m_traffic[customer];
+        const double seconds = std::chrono::duration<double>(m_now - traffic.idealAt).count();
+        traffic.ideal = std::min(Rates[customer], traffic.ideal + Rates[customer] * seconds);
+        traffic.idealAt = m_now;
+        const bool isWithinLimit = traffic.ideal >= 1;
+        traffic.ideal -= isWithinLimit ? 1 : 0;
+        traffic.offered += m_now >= start() + WarmUp ? 1 : 0;
+        attempt(customer, proxy, position, isWithinLimit, m_now);
+        if (position + 1 < ProgramSize) {
+            schedule(m_now + exponential(std::chrono::duration<double>(ProgramGap).count()), [this, customer, proxy, position] {
+                sendNext(customer, proxy, position + 1);
+            });
+        }
+    }
+    void attempt(std::size_t customer, std::size_t proxy, int position, bool isWithinLimit, TimePoint arrived)
+    {
+        const bool isFrozen = isWithin(proxy, std::get<0>(GetParam()).frozen, 5s);
+        const auto retry = [this, customer, proxy, position, isWithinLimit, arrived] {
+            attempt(customer, proxy, position, isWithinLimit, arrived);
+        };
+        if (isFrozen) {
+            schedule(start() + Disturbed + 5s, retry);
+            return;
+        }
+        auto &traffic = m_traffic[customer];
+        const auto result = m_ledgers[proxy]->request({"c" + std::to_string(customer), position > 0, m_now != arrived, 0, 30s}, m_now);
+        if (std::holds_alternative<QuotaGranted>(result)) {
+            traffic.sent.push_back(m_now);
+        } else if (std::holds_alternative<QuotaBusy>(result) && m_now + PermitCheck < arrived + PermitWait) {
+            schedule(m_now + PermitCheck, retry);
+        } else if (isWithinLimit && arrived >= start() + WarmUp) {
+            traffic.refused++;
+        }
+    }
+    /** @return Most requests in a window of 5 s between two times. */
+    static std::size_t most(const std::vector<TimePoint> &sent, TimePoint from, TimePoint to)
+    {
+        std::deque<TimePoint> window;
+        std::size_t result = 0;
+        for (const auto it : sent) {
+            if (it < from || it >= to) {
+                continue;
+            }
+            window.push_back(it);
+            while (window.front() <= it - 5s) {
+                window.pop_front();
+            }
+            result = std::max(result, window.size());
+        }
+        return result;
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now = start();
+    std::uint64_t m_number = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<std::shared_ptr<QuotaLedger>> m_ledgers;
+    std::map<std::string, UsageReport> m_rows;
+    std::array<Traffic, Rates.size()> m_traffic;
+};
+
+} // namespace
+
+// More requests than a limit allows were sent over all proxies, or customers within their limit were refused.
+TEST_P(QuotaReplay, KeepsLimitsAndServesCustomersWithinThem)
+{
+    const auto &[param, seed] = GetParam();
+    m_random.seed(seed);
+    for (std::size_t at = 0; at < Proxies; at++) {
+        addProxy(at, "i1");
+    }
+    for (std::size_t it = 0; it < Rates.size(); it++) {
+        beginPrograms(it);
+    }
+    schedule(start() + Disturbed, [this, &param = param] {
+        for (std::size_t at = 0; at < param.restarted; at++) {
+            addProxy(at, "i2");
+        }
+        for (std::size_t it = 0; it < param.added; it++) {
+            addProxy(m_ledgers.size(), "i1");
+        }
+        for (const auto &it : m_ledgers) {
+            it->apply(customers(param.limitFactor), m_now);
+        }
+    });
+    while (m_events.top().at < start() + End) {
+        const auto event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+    for (std::size_t it = 0; it < Rates.size(); it++) {
+        const auto bound = [rate = Rates[it]](double factor) {
+            return (rate * 5 + rate) * factor * 1.1 + 20;
+        };
+        const auto &traffic = m_traffic[it];
+        const auto lowered = param.limitFactor < 1 ? start() + Disturbed : start() + End;
+        EXPECT_LE(most(traffic.sent, start(), lowered), bound(1)) << "rate " << Rates[it];
+        EXPECT_LE(most(traffic.sent, lowered + 5s, start() + End), bound(param.limitFactor)) << "rate " << Rates[it];
+        if (it != param.surging && param.limitFactor == 1) {
+            EXPECT_LT(static_cast<double>(traffic.refused), 0.02 * static_cast<double>(traffic.offered))
+                << "rate " << Rates[it] << ", refused " << traffic.refused << " of " << traffic.offered;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         QuotaReplay,
+                         ::testing::Combine(::testing::Values(ReplayCase{"usual"},
+                                                              ReplayCase{"surge5of5", 0, 5},
+                                                              ReplayCase{"surge5of20", 1, 5},
+                                                              ReplayCase{"surge5of1000", 3, 5},
+                                                              ReplayCase{"surge7of5", 0, 7.5},
+                                                              ReplayCase{"surge7of20", 1, 7.5},
+                                                              ReplayCase{"surge7of116", 2, 7.5},
+                                                              ReplayCase{"surge7of1000", 3, 7.5},
+                                                              ReplayCase{"doubled", 1, 7.5, Proxies},
+                                                              ReplayCase{"restarted", 1, 7.5, 0, Proxies / 3},
+                                                              ReplayCase{"frozen", 1, 7.5, 0, 0, 5},
+                                                              ReplayCase{"cutOffOne", 1, 7.5, 0, 0, 0, 1},
+                                                              ReplayCase{"cutOffThird", 1, 7.5, 0, 0, 0, Proxies / 3},
+                                                              ReplayCase{"cutOffAll", 1, 7.5, 0, 0, 0, Proxies},
+                                                              ReplayCase{"lowered", 3, 7.5, 0, 0, 0, 0, 0.1}),
+                                            ::testing::Values(1U, 2U)),
+                         [](const auto &it) {
+                             return std::get<0>(it.param).name + std::string("Seed") + std::to_string(std::get<1>(it.param));
+                         });
+
+} // namespace Vanillahall::Forward
