--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -96,9 +96,8 @@
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
     }
-    const bool isQuotaRead = request.find("GET /api/rows-get?table=customer_quotas") == 0;
     const bool isTokenRead = request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos;
-    if (isQuotaRead || isTokenRead) {
+    if (isTokenRead) {
         tokenReads++;
         Json list = Json::array();
         const auto row = tokens.find(queryValue(request, "from"));
@@ -107,9 +106,16 @@
         }
         return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
-    if (request.find("GET /api/rows-get?table=proxies") == 0) {
+    const bool isUsageRead = request.find("GET /api/rows-get?table=customer_usage") == 0;
+    if (isUsageRead || request.find("\"table\":\"customer_usage\"") != std::string::npos) {
+        usageCalls++;
+        if (holdsUsage) {
+            return {};
+        }
+    }
+    if (isUsageRead || request.find("GET /api/rows-get?table=proxies") == 0) {
         Json list = Json::array();
-        for (const auto &[key, value] : members) {
+        for (const auto &[key, value] : isUsageRead ? usage : members) {
             list.push_back({{"key", key}, {"value", value}, {"ver", version}});
         }
         return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
@@ -126,6 +132,8 @@
             crashRecords[it["key"]] = fromBase64(it["value"]);
         } else if (it["table"] == "proxies") {
             members[it["key"]] = it["value"];
+        } else if (it["table"] == "customer_usage") {
+            usage[it["key"]] = it["value"];
         }
     }
     for (const auto &it : body["remove"]) {
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -23,8 +23,11 @@
 {
     std::string config;                                        ///< Value of the configuration row; empty if there is none.
     std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
-    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token and quota rows: base64 value and version.
+    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
     std::map<std::string, std::string> members;                ///< Values of the proxies' rows in base64.
+    std::map<std::string, std::string> usage;                  ///< Proxies' reports about rate limits, by VM, in base64.
+    std::size_t usageCalls = 0;                                ///< Calls about these reports so far.
+    bool holdsUsage = false;                                   ///< True to leave these calls without a reply.
     std::map<std::string, std::string> crashRecords;           ///< Values of the crash records, by key.
     std::map<std::string, std::pair<std::string, int>>
         turns;                         ///< Rows of stored turns and their expiry records by "table/part/key": base64 and version.
