--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -27,8 +27,6 @@
     AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
     CustomerChanged = 1108,    ///< The API key of a waiting request was moved to another customer, or removed.
     PermitRefused = 1121,      ///< Requests of a customer were refused because of its rate limit.
-    QuotaShareChanged = 1122,  ///< The share of a customer's rate limit that this proxy holds has changed.
-    QuotaRowUnreadable = 1123, ///< The row of a customer's rate limit can't be decoded.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -32,8 +32,6 @@
     {EventNumber::AttemptAbandoned, "attempt_abandoned"},
     {EventNumber::CustomerChanged, "customer_changed"},
     {EventNumber::PermitRefused, "permit_refused"},
-    {EventNumber::QuotaShareChanged, "quota_share_changed"},
-    {EventNumber::QuotaRowUnreadable, "quota_row_unreadable"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
--- a/tests/core/quota_ledger_test.cpp
+++ b/tests/core/quota_ledger_test.cpp
@@ -70,9 +70,10 @@
     double counted;                   ///< Requests that they take from the bucket.
 };
 
-UsageReport remote(std::uint64_t number, std::uint64_t sent, const char *incarnation = "i1", const char *customer = "c")
+UsageReport
+remote(std::uint64_t number, std::uint64_t sent, const char *incarnation = "i1", const char *customer = "c", std::uint64_t demand = 0)
 {
-    return {"other", incarnation, number, {{customerHash(customer), sent, 0}}};
+    return {"other", incarnation, number, {{customerHash(customer), sent, demand * 1000}}};
 }
 
 class QuotaReports : public ::testing::TestWithParam<ReportCase>
@@ -95,7 +96,7 @@
 INSTANTIATE_TEST_SUITE_P(All,
                          QuotaReports,
                          ::testing::Values(ReportCase{"grows", {remote(1, 0), remote(2, 100)}, 100},
-                                           ReportCase{"baseline", {remote(9, 5000), remote(10, 5100)}, 100},
+                                           ReportCase{"baseline", {remote(9, 5000, "i1", "c", 20), remote(10, 5100)}, 100},
                                            ReportCase{"repeated", {remote(1, 0), remote(2, 100), remote(2, 100)}, 100},
                                            ReportCase{"late", {remote(1, 0), remote(3, 100), remote(2, 50), remote(4, 130)}, 130},
                                            ReportCase{"newIncarnation", {remote(9, 5000), remote(1, 100, "i2")}, 100},
@@ -147,7 +148,9 @@
     LedgerWorld it;
     it.setRemote(1, 0, 10);
     it.exchange();
-    it.grants();
+    it.setRemote(2, 500, 10);
+    it.exchange();
+    EXPECT_TRUE(std::holds_alternative<QuotaRefused>(it.ask()));
     it.now += OutOfTouchTime + 1ms;
     EXPECT_FALSE(it.ledger.isInTouch(it.now));
     int granted = 0;
@@ -172,6 +175,32 @@
     EXPECT_EQ(it.grants(), 1);
 }
 
+// The row of a proxy that had ended stayed for good, since it was read again and again.
+TEST(QuotaLedger, AReportThatDoesntChangeExpires)
+{
+    LedgerWorld it;
+    it.setRemote(5, 100);
+    it.exchange();
+    it.now += ReportLifetime + 1s;
+    EXPECT_EQ(it.ledger.expired(it.now), std::vector<std::string>{"other"});
+    it.exchange();
+    EXPECT_EQ(it.ledger.expired(it.now), std::vector<std::string>{"other"});
+    it.setRemote(6, 100);
+    it.exchange();
+    EXPECT_TRUE(it.ledger.expired(it.now).empty());
+}
+
+// Proxies whose next report wasn't due yet took themselves for out of touch.
+TEST(QuotaLedger, StaysInTouchBetweenTwoReportsOfManyProxies)
+{
+    LedgerWorld it;
+    for (int n = 1; n < 420; n++) {
+        it.reports.push_back({"vm" + std::to_string(n), "i", 1, {}});
+    }
+    it.exchange();
+    EXPECT_TRUE(it.ledger.isInTouch(it.now + it.ledger.reportInterval()));
+}
+
 // Readers ignore counts that fall, so requests after a limit was removed for a while weren't counted.
 TEST(QuotaLedger, CountsDontFallWhileALimitIsRemoved)
 {
