--- a/tests/core/quota_replay_test.cpp
+++ b/tests/core/quota_replay_test.cpp
@@ -1,8 +1,10 @@
 /** Rate limits of customers, replayed with many proxies in made-up time: the rule holds, and customers within their limit are served. */
 #include "vanillahall/core/customer/quota_ledger_base.h"
 
+#include <array>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -41,7 +43,7 @@
     double limitFactor = 1;             ///< Change of all limits.
 };
 
-void PrintTo(const ReplayCase &param, std::ostream *out)
+void PrintTo(const ReplayCase &param, std::ostream *out) // NOLINT(readability-identifier-naming): named by GoogleTest
 {
     *out << param.name;
 }
@@ -83,6 +85,7 @@
     std::vector<Customer> customers(double factor) const
     {
         std::vector<Customer> all;
+        all.reserve(Rates.size());
         for (const auto rate : Rates) {
             all.push_back({"c" + std::to_string(all.size()), {}, 0, {rate * factor, rate * factor}});
         }
