--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -22,7 +22,8 @@
 /** Part of the rate by which the demand of all proxies together is taken as larger, so that each gets a part for new clients. */
 constexpr double SpareDemandFraction = 0.25;
 /** Permits that a proxy without recent demand may use between two reports while the bucket is more than half full. */
-constexpr double MinPart = 4;
+constexpr double MinPart = 1;
+constexpr int MissedReports = 3;       ///< A proxy stays in touch if it misses fewer exchanges of reports in a row.
 constexpr unsigned ReportedRounds = 4; ///< Reports that still name a customer after its last request, since readers may miss some.
 constexpr int UsefulRetryDivisor = 3;  ///< Clients wait for at most a third of the time that they have left.
 constexpr double SecondsPerKs = 1000;  ///< Scale of CustomerUsage::demandPerKs.
@@ -236,6 +237,7 @@
 void QuotaLedger::dividePermits(TimePoint now)
 {
     std::unordered_map<std::uint64_t, std::pair<double, double>> demands; ///< Demand of all other proxies, and of those that are silent.
+    const auto silentTime = std::max<Duration>(SilentProxyTime, (MissedReports + 1) * reportInterval());
     double proxies = 1;
     for (const auto &[vm, remote] : m_remotes) {
         const auto silence = now - remote.changedAt;
@@ -243,7 +245,7 @@
             continue;
         }
         proxies += 1;
-        const bool isSilent = silence > SilentProxyTime;
+        const bool isSilent = silence > silentTime;
         for (const auto &[hash, usage] : remote.usage) {
             auto &[all, silent] = demands[hash];
             all += usage.demand;
@@ -288,7 +290,8 @@
 
 bool QuotaLedger::isInTouch(TimePoint now) const
 {
-    return m_writtenAt && m_readAt && now - std::min(*m_writtenAt, *m_readAt) <= OutOfTouchTime;
+    return m_writtenAt && m_readAt
+        && now - std::min(*m_writtenAt, *m_readAt) <= std::max<Duration>(OutOfTouchTime, MissedReports * reportInterval());
 }
 
 } // namespace Vanillahall::Forward
