One hash of a customer's name

Cause: admission hashed names on its own. Change: the hash of the rate limits serves both. Measured: proxy_test's cases of overload, rate limits and customers pass.

--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -27,7 +27,7 @@
 
 std::uint64_t Exchange::customerHash() const
 {
-    return m_customer ? std::hash<std::string>()(m_customer->name) : 0;
+    return m_customer ? Forward::customerHash(m_customer->name) : 0;
 }
 
 std::uint32_t Exchange::customerRank() const
