A request that waits in the queue for servers is sent once (TWICE, ORDER)

Cause: a waiting request is woken by the queue, but also by the store and by reports of rate limits. Change: a request with an attempt in progress selects no server, and sending takes it out of the queue and stops its timer.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -244,6 +244,10 @@
 
 void Exchange::selectServer()
 {
+    // A request in the queue is also woken by the store and by reports of rate limits; only one of them may send it.
+    if (m_isEnded || m_connection) {
+        return;
+    }
     // Earlier attempts, or those at other proxies, may have crashed servers since the request arrived.
     if (!confirmCustomer() || refuseQuarantined()) {
         return;
@@ -353,6 +357,8 @@
 
 void Exchange::send(const Choice &choice)
 {
+    leaveQueue();
+    stopTimer(m_waitTimer);
     m_choice = choice;
     m_attempts++;
     m_mayHaveRun++;
