Proxy: no handler runs after its object, or in place of the one that replaced it

Cause: a search for the class of (use after the end, re-entrant dispatch) found: (1) a timer that had expired and was set again without delay ran the replaced action, and the new one twice; (2) the timer of the longest wait for a server kept running when the queue had taken a request out of the queue for something other than sending; (3) an exchange that was destroyed, for example with its proxy, stayed the listener of its connection; (4) client sessions and idle connections of a destroyed proxy went on with handlers that call it, and so did an accepted connection of a message server; (5) a request that waited for a permit was added to the list of waiting requests every 50 ms, and while no reports could be read, the list was never shortened. Change: a timer's handler compares the expiry time that it was set for; tryServer() stops the wait timer; the destructors of Exchange and ProxyState abandon connections and close sessions; MessageServer's handlers check that it exists; each waiting request is listed once and ended ones are removed as in the list for the store. Timer.TimerThatIsSetAgainWithoutDelayFiresOnce guards (1); (2) to (5) have no test that failed before.

--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -65,6 +65,8 @@
     void abortResponse(bool isCloseDelimited);
     /** Closes the connection if no request is in progress. */
     void closeIfIdle();
+    /** Closes the connection at once. */
+    void close();
     /** Refuses the request that is being received, or closes the connection, and releases what is held for it. */
     void evict();
 
@@ -101,7 +103,6 @@
     void refuse(const RequestError &error);
     void beginClose();
     void closeGracefully();
-    void close();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -37,6 +37,14 @@
 {
 }
 
+Exchange::~Exchange()
+{
+    // The connection is kept by its pending operations and would call this object, for example after the proxy was destroyed.
+    if (m_connection) {
+        m_connection->abandon();
+    }
+}
+
 Duration Exchange::timeLeft() const
 {
     return m_limitAt - now();
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -24,6 +24,9 @@
 {
 public:
     Exchange(ProxyState &proxy, const std::shared_ptr<ClientSession> &session, ClientRequest request);
+    ~Exchange() override;
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
 
     // Commands.
 
--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -138,6 +138,8 @@
 {
     m_isFirstInOrder = true;
     leaveQueue();
+    // The longest wait ends with the wait in the queue; selectServer() may begin a wait for something else.
+    stopTimer(m_waitTimer);
     selectServer();
     m_isFirstInOrder = false;
 }
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -35,7 +35,7 @@
 
 void Exchange::requestPermit()
 {
-    m_waitsForPermit = false;
+    const bool isRegistered = std::exchange(m_waitsForPermit, false);
     if (!hasRateLimit()) {
         continueWithPermit();
         return;
@@ -61,7 +61,9 @@
         return;
     }
     m_waitsForPermit = true;
-    m_proxy.addQuotaWaiter(shared_from_this());
+    if (!isRegistered) {
+        m_proxy.addQuotaWaiter(shared_from_this());
+    }
     const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
@@ -77,6 +79,8 @@
 {
     if (!m_isEnded && m_waitsForPermit) {
         stopTimer(m_waitTimer);
+        // The proxy has removed it from the waiting requests.
+        m_waitsForPermit = false;
         requestPermit();
     }
 }
--- a/packages/proxy/src/message_server.cpp
+++ b/packages/proxy/src/message_server.cpp
@@ -277,8 +277,9 @@
 
 void MessageServer::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted) {
+    // An accepted connection may be waiting for its handler when the server is destroyed.
+    m_acceptor.async_accept([this, alive = std::weak_ptr(m_isAlive)](const boost::system::error_code &ec, tcp::socket socket) {
+        if (alive.expired() || ec == boost::asio::error::operation_aborted) {
             return;
         }
         if (!ec) {
@@ -289,8 +290,8 @@
             return;
         }
         m_acceptTimer.expires_after(AcceptRetryDelay);
-        m_acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
-            if (!waitError) {
+        m_acceptTimer.async_wait([this, alive](const boost::system::error_code &waitError) {
+            if (!alive.expired() && !waitError) {
                 accept();
             }
         });
--- a/packages/proxy/src/message_server.h
+++ b/packages/proxy/src/message_server.h
@@ -86,6 +86,7 @@
     std::list<std::shared_ptr<MessageConnection>> m_connections; ///< Open connections, the oldest first.
     std::size_t m_bodyBytes = 0;                                 ///< Memory reserved for bodies.
     std::size_t m_closedConnections = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< Expires with this object.
 };
 
 /** Binds an acceptor to an address and listens. @return False if the address can't be bound; `reason` is set then. */
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -84,7 +84,7 @@
 
 void ProxyState::addQuotaWaiter(const std::shared_ptr<Exchange> &exchange)
 {
-    m_quotaWaiters.push_back(exchange);
+    addWaiter(m_quotaWaiters, exchange);
 }
 
 void ProxyState::recordQuotaRefusal(const std::string &customer, Duration retryAfter)
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -22,14 +22,19 @@
 }
 
 void ProxyState::addStoreWaiter(const std::shared_ptr<Exchange> &exchange)
+{
+    addWaiter(m_storeWaiters, exchange);
+}
+
+void ProxyState::addWaiter(std::vector<std::weak_ptr<Exchange>> &waiters, const std::shared_ptr<Exchange> &exchange) const
 {
     // Requests that ended meanwhile would take memory as long as the store is unavailable.
-    if (m_storeWaiters.size() > 2 * m_exchanges.size() + MinStoreWaiters) {
-        std::erase_if(m_storeWaiters, [](const auto &it) {
+    if (waiters.size() > 2 * m_exchanges.size() + MinStoreWaiters) {
+        std::erase_if(waiters, [](const auto &it) {
             return it.expired();
         });
     }
-    m_storeWaiters.push_back(exchange);
+    waiters.push_back(exchange);
 }
 
 void ProxyState::writeTokens(const TokenWrite &write)
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -78,6 +78,20 @@
 {
 }
 
+ProxyState::~ProxyState()
+{
+    // Sessions and connections are kept by their pending operations, whose handlers would call this object.
+    m_exchanges.clear();
+    for (const auto &[number, session] : std::exchange(m_sessions, {})) {
+        session->close();
+    }
+    for (const auto &[server, connections] : std::exchange(m_idleConnections, {})) {
+        for (const auto &it : connections) {
+            it->abandon();
+        }
+    }
+}
+
 void ProxyState::log(LogLevel level, EventNumber event, const std::string &fields)
 {
     m_log(level, event, fields);
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -42,6 +42,9 @@
 {
 public:
     ProxyState(boost::asio::io_context &loop, ProxySettings settings, ProxyLog log);
+    ~ProxyState() override;
+    ProxyState(const ProxyState &) = delete;
+    ProxyState &operator=(const ProxyState &) = delete;
 
     // Commands of the owner.
 
@@ -253,6 +256,8 @@
     /** Gives back tokens that are held for programs without turns in progress. */
     void returnTokens();
     void onTokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason);
+    /** Adds an exchange to a list of waiting ones, and removes those that have ended if the list has become long. */
+    void addWaiter(std::vector<std::weak_ptr<Exchange>> &waiters, const std::shared_ptr<Exchange> &exchange) const;
     /** Notifies the exchanges that wait for a program's tokens. */
     void notifyTokenWaiters(const std::string &program, bool hasFailed);
     void onTokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
--- a/packages/proxy/src/timer_func.h
+++ b/packages/proxy/src/timer_func.h
@@ -17,10 +17,11 @@
 void runAfter(boost::asio::steady_timer &timer, Duration span, Owner &owner, Act act)
 {
     timer.expires_after(span);
-    timer.async_wait([&timer, weak = owner.weak_from_this(), act](const boost::system::error_code &ec) {
+    timer.async_wait([&timer, weak = owner.weak_from_this(), act, expiry = timer.expiry()](const boost::system::error_code &ec) {
         const auto self = weak.lock();
-        // If the timer expired before it was stopped or set again, the handler is still called without an error.
-        if (!ec && self && timer.expiry() <= boost::asio::steady_timer::clock_type::now()) {
+        // If the timer expired before it was stopped or set again, the handler is still called without an error. Another expiry time shows
+        // that, also if the timer was set to expire at once.
+        if (!ec && self && timer.expiry() == expiry) {
             act(*self);
         }
     });
--- a/tests/proxy/timer_test.cpp
+++ b/tests/proxy/timer_test.cpp
@@ -54,6 +54,23 @@
     EXPECT_EQ(owner->calls, 10);
 }
 
+// The action that was replaced ran as well, and the new one twice.
+TEST(Timer, TimerThatIsSetAgainWithoutDelayFiresOnce)
+{
+    boost::asio::io_context loop;
+    const auto owner = std::make_shared<Owner>(loop);
+    runAfter(owner->first, 0ms, *owner, [](Owner &it) {
+        runAfter(it.second, 0ms, it, [](Owner &same) {
+            same.calls += 10;
+        });
+    });
+    runAfter(owner->second, 0ms, *owner, [](Owner &it) {
+        it.calls++;
+    });
+    loop.run();
+    EXPECT_EQ(owner->calls, 10);
+}
+
 TEST(Timer, DestroyedOwnerIsNotCalled)
 {
     boost::asio::io_context loop;
