Core: the choice of a server and the decisions of the ledgers can be explained

Cause: operators see where a request went, but can't ask where one would go and why. Change: ServerRegistry::explain() returns every server considered, with the terms of its weight, the ages of its inputs and why it is excluded. choose() and explain() share findBest(), and score() fills the terms that it adds up. QuotaLedger, TokenLedger and ProgramAdmission gain preview(), which runs the deciding call on a copy of the entries that matter, and view(); SaturationMonitor gains preview(). outcomeMeaning() gives operators the text of an outcome.

--- a/packages/core/include/vanillahall/core/admission/program_admission_base.h
+++ b/packages/core/include/vanillahall/core/admission/program_admission_base.h
@@ -91,6 +91,8 @@
 
     // Queries.
 
+    /** @return The answer that decide() would give now; nothing is recorded. */
+    [[nodiscard]] AdmissionDecision preview(const ProgramRequest &request, const SaturationView &saturation, TimePoint now) const;
     /** @return True if a program has made far more turns than others of its route. */
     [[nodiscard]] bool isLooping(std::uint64_t program, const std::string &route) const;
     /** @return Turns that a program is expected to need, the current one included; at least 1. */
--- a/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
+++ b/packages/core/include/vanillahall/core/admission/saturation_monitor_base.h
@@ -77,6 +77,8 @@
 
     /** @return State as of the last update(). */
     [[nodiscard]] SaturationView view(const std::string &service) const;
+    /** @return State that update() would leave now; nothing is changed. */
+    [[nodiscard]] SaturationView preview(const std::string &service, double slots, TimePoint now) const;
     /** @return Number of saturated services. */
     [[nodiscard]] std::size_t saturatedCount() const;
 
--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -47,6 +47,18 @@
 };
 using QuotaAnswer = std::variant<QuotaGranted, QuotaRefused, QuotaBusy>; ///< Result of QuotaLedger::request().
 
+/** What this proxy knows about the rate limit of one customer. */
+struct QuotaView
+{
+    CustomerLimit limit;                     ///< Limit.
+    double level = 0;                        ///< Permits in the bucket of all proxies, as far as known; may be negative.
+    double capacity = 0;                     ///< Capacity of the bucket.
+    double part = 0;                         ///< Permits that this proxy may still use.
+    double demand = 0;                       ///< Recent demand at this proxy, per second.
+    bool isInTouch = false;                  ///< True if reports were exchanged recently.
+    std::optional<Duration> reportsAge = {}; ///< Age of the reports of the other proxies; nothing if none were read.
+};
+
 /** Decides which requests of customers with a rate limit may be sent. Times are of CLOCK_BOOTTIME. */
 class QuotaLedger
 {
@@ -74,6 +86,10 @@
 
     // Queries.
 
+    /** @return The answer that request() would give now; nothing is changed. */
+    [[nodiscard]] QuotaAnswer preview(const QuotaRequest &request, TimePoint now) const;
+    /** @return What is known about a customer's limit; nothing if it has none. */
+    [[nodiscard]] std::optional<QuotaView> view(const std::string &customer, TimePoint now) const;
     /** @return Number of customers with a rate limit. */
     [[nodiscard]] std::size_t size() const;
     /** @return Time between two reports; grows with the number of proxies, so that their writes fit into one part of the table. */
--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -172,4 +172,15 @@
     return "unnamed";
 }
 
+/** @return Meaning of an outcome, for operators. */
+constexpr std::string_view outcomeMeaning(Outcome outcome)
+{
+    for (const auto &it : OutcomeTable) {
+        if (it.outcome == outcome) {
+            return it.meaning;
+        }
+    }
+    return {};
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/placement/server_backlog_base.h
+++ b/packages/core/include/vanillahall/core/placement/server_backlog_base.h
@@ -9,6 +9,8 @@
 #include "vanillahall/core/placement/aged_mean_base.h"
 #include "vanillahall/core/placement/placement_type.h"
 
+#include <optional>
+
 namespace Vanillahall::Forward {
 
 /** What is usual at the servers of one service. */
@@ -91,6 +93,10 @@
     [[nodiscard]] double pace(TimePoint now) const;
     /** @return Expected mean slowdown over a request that takes `work`, from the reported one and its age. */
     [[nodiscard]] double slowdown(Milliseconds work, TimePoint now) const;
+    /** @return Age of the last load report; nothing if there is none. */
+    [[nodiscard]] std::optional<Duration> reportAge(TimePoint now) const;
+    /** @return Age of the learned pace; nothing if none was learned. */
+    [[nodiscard]] std::optional<Duration> paceAge(TimePoint now) const;
     /** @return Expected remaining slot time of this proxy's requests, at the usual pace. */
     [[nodiscard]] Milliseconds ownWork(TimePoint now) const;
 
--- a/packages/core/include/vanillahall/core/server_registry_base.h
+++ b/packages/core/include/vanillahall/core/server_registry_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "vanillahall/core/forward_type.h"
+#include "vanillahall/core/placement/choice_explanation_type.h"
 #include "vanillahall/core/placement/object_directory_base.h"
 #include "vanillahall/core/placement/server_backlog_base.h"
 #include "vanillahall/core/placement/server_index_base.h"
@@ -136,6 +137,8 @@
 
     /** @return Server with the shortest expected time, or nothing if none can take the request. */
     [[nodiscard]] std::optional<Choice> choose(const ChoiceRequest &request, TimePoint now) const;
+    /** @return The decision of choose(), with everything that it compares. */
+    [[nodiscard]] ChoiceExplanation explain(const ChoiceRequest &request, TimePoint now) const;
     /** @return True if a service has a usable server. */
     [[nodiscard]] bool hasServer(const std::string &service) const;
     /** @return True if there is a usable server with a version of the software. */
@@ -238,13 +241,21 @@
         double finishMs = 0;        ///< Expected time to the end, in milliseconds.
         std::uint32_t uncached = 0; ///< Prompt tokens to prefill.
         BacklogView view;           ///< State of the server.
+        ChoiceTerms terms;          ///< Terms of `weight`.
     };
-    /** Best server so far. */
-    struct Best
+    /** Server with its expectation. */
+    struct Scored
     {
         const ServerState *state = nullptr;
         Score score;
     };
+    /** Server that was considered, for an explanation. */
+    struct Considered
+    {
+        Scored scored;
+        std::string_view excludedBy; ///< Why it can't be used; empty if it can.
+    };
+    using ConsideredList = std::vector<Considered>;
 
     void recordPrompt(std::uint64_t runHash, const RequestAttributes &attributes);
     void indexServices();
@@ -264,10 +275,21 @@
     [[nodiscard]] const ServerState *objectHome(const ChoiceRequest &request, std::uint64_t object) const;
     [[nodiscard]] bool isLearning() const;
     void lookUpWork(const ChoiceRequest &request, Lookup &lookup) const;
-    /** @return True if a server may be used for a request. */
-    [[nodiscard]] bool isEligible(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const;
+    /** @return Why a server can't be used for a request; empty if it can. */
+    [[nodiscard]] std::string_view
+    exclusion(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const;
     [[nodiscard]] Score score(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const;
-    void compare(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, Best &best) const;
+    /** @return True if the first server is preferred to the second one. */
+    [[nodiscard]] static bool isBetter(const Scored &first, const Scored &second, const Lookup &lookup);
+    /**
+     * Finds the server with the least weight.
+     * @param considered Receives all servers that are considered, some of them twice; null if that isn't needed.
+     */
+    [[nodiscard]] Scored findBest(
+        const ServiceServers &service, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, ConsideredList *considered) const;
+    /** @return Why a server is chosen, from the servers considered, the best first. */
+    [[nodiscard]] static std::string choiceReason(const std::vector<ServerExplanation> &servers);
+    [[nodiscard]] static ServerExplanation explainServer(const Considered &considered, const Lookup &lookup, TimePoint now);
     /** @return Positions of a few servers of a service that has many. */
     [[nodiscard]] std::vector<std::size_t> candidates(const ServiceServers &service, const Lookup &lookup) const;
     /** @return Penalties for the server's faults, in milliseconds. */
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -98,6 +98,15 @@
                                  TokenNeedsRead,
                                  TokenBusy>; ///< Result of TokenLedger::reserve().
 
+/** What this entry knows about the tokens of one program. */
+struct TokenView
+{
+    TokenRow row;                        ///< Known row; version 0 if it wasn't read or written.
+    std::uint64_t available = 0;         ///< Tokens reserved by this entry and not granted to a turn.
+    bool isWriting = false;              ///< True while the row is read or written.
+    std::optional<Duration> rowAge = {}; ///< Time since the start of the last call that has shown the row; nothing if none has.
+};
+
 /** Token reservations of this entry, by program. */
 class TokenLedger
 {
@@ -149,6 +158,10 @@
 
     // Queries.
 
+    /** @return The answer that reserve() would give now; nothing is changed. */
+    [[nodiscard]] TokenAnswer preview(const TokenRequest &request, TimePoint now) const;
+    /** @return What is known about a program. */
+    [[nodiscard]] TokenView view(const std::string &program, TimePoint now) const;
     /** @return Number of known programs. */
     [[nodiscard]] std::size_t size() const;
     /** @return True if this entry holds tokens that haven't been given back. */
--- a/packages/core/src/placement/server_backlog.cpp
+++ b/packages/core/src/placement/server_backlog.cpp
@@ -171,6 +171,16 @@
     return 1 + (m_slowdown - 1) * std::exp(-age) * (1 - std::exp(-span)) / span;
 }
 
+std::optional<Duration> ServerBacklog::reportAge(TimePoint now) const
+{
+    return m_hasReport ? std::optional<Duration>(now - m_reportedAt) : std::nullopt;
+}
+
+std::optional<Duration> ServerBacklog::paceAge(TimePoint now) const
+{
+    return m_paceWeight > 0 ? std::optional<Duration>(now - m_paceAt) : std::nullopt;
+}
+
 Milliseconds ServerBacklog::ownWork(TimePoint now) const
 {
     const double elapsed = std::max(0.0, m_running * milliseconds(now) - m_sentMsSum);
--- a/packages/core/src/placement/server_choice.cpp
+++ b/packages/core/src/placement/server_choice.cpp
@@ -82,46 +82,77 @@
         view.wait = view.excess * StartingHold / slots;
     }
     const double prefillMs = (static_cast<double>(state.prefillTokens) + score.uncached) / lookup.usual->tokensPerMs();
-    const double startMs = prefillMs * view.slowness + view.load * m_settings.perRequestMs + view.wait.count();
+    auto &terms = score.terms;
+    terms.prefillMs = prefillMs * view.slowness;
+    terms.loadMs = view.load * m_settings.perRequestMs;
+    terms.waitMs = view.wait.count();
+    const double startMs = terms.prefillMs + terms.loadMs + terms.waitMs;
     // The preference for the home was measured against waits for slots that are held for the starting time, and is kept in proportion to
     // them. Faults never count less than there, since their cost doesn't fall with the time of a slot.
     const double confidence = lookup.usual->confidence();
     const double holdRatio = lookup.usual->hold() / StartingHold;
     const double homeScale = 1 + confidence * (HomeShare * holdRatio - 1);
     const double scale = std::max(1.0, holdRatio);
-    const double zoneMs = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
-    score.delayMs = startMs + zoneMs + scale * penaltyMs(state, lookup.usualMsPerEvent, now);
+    terms.zoneMs = state.server.zone == m_zone ? 0 : m_settings.crossZoneMs;
+    terms.penaltyMs = scale * penaltyMs(state, lookup.usualMsPerEvent, now);
+    score.delayMs = startMs + terms.zoneMs + terms.penaltyMs;
     const double runMs = lookup.work.run.count() * view.slowness;
-    double savedMs = 0;
+    terms.runMs = RunShare * runMs;
     const bool knowsObject = lookup.object != 0
         && (&state == lookup.objectHome || std::find(lookup.holders.begin(), lookup.holders.end(), state.runHash) != lookup.holders.end());
     if (knowsObject) {
-        savedMs = m_objects.saving() * lookup.work.hold.count() * view.slowness;
+        terms.savedMs = m_objects.saving() * lookup.work.hold.count() * view.slowness;
     }
-    score.finishMs = startMs + std::max(0.0, runMs - savedMs);
+    score.finishMs = startMs + std::max(0.0, runMs - terms.savedMs);
     // An unused slot expires, while the capacity of the home remains.
     const bool hasBonus = &state == lookup.home || state.rateLimit.rate().has_value();
-    score.weight = score.delayMs + RunShare * runMs - savedMs - (hasBonus ? homeScale * m_settings.homeBonusMs : 0.0);
+    terms.homeMs = hasBonus ? homeScale * m_settings.homeBonusMs : 0.0;
+    score.weight = score.delayMs + terms.runMs - terms.savedMs - terms.homeMs;
     // Homes spread the programs already.
     if (lookup.home == nullptr && confidence > 0 && view.excess > 0) {
         const double spreadMs = SpreadShare * lookup.usual->hold().count() / slots * std::min(1.0, view.excess);
-        score.weight += confidence * spreadMs * fraction(lookup.spreadKey, state.runHash);
+        terms.spreadMs = confidence * spreadMs * fraction(lookup.spreadKey, state.runHash);
+        score.weight += terms.spreadMs;
     }
     return score;
 }
 
-void ServerRegistry::compare(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, Best &best) const
+bool ServerRegistry::isBetter(const Scored &first, const Scored &second, const Lookup &lookup)
 {
-    if (!isEligible(state, request, lookup, now)) {
-        return;
+    if (first.score.weight != second.score.weight) {
+        return first.score.weight < second.score.weight;
     }
-    const auto result = score(state, request, lookup, now);
-    const auto hasHigherRank = [&] {
-        return homeRank(lookup.programKey, state.runHash) > homeRank(lookup.programKey, best.state->runHash);
+    return homeRank(lookup.programKey, first.state->runHash) > homeRank(lookup.programKey, second.state->runHash);
+}
+
+ServerRegistry::Scored ServerRegistry::findBest(
+    const ServiceServers &service, const ChoiceRequest &request, const Lookup &lookup, TimePoint now, ConsideredList *considered) const
+{
+    Scored best;
+    const auto consider = [&](const ServerState &state) {
+        const auto excludedBy = exclusion(state, request, lookup, now);
+        if (!excludedBy.empty() && considered == nullptr) {
+            return;
+        }
+        const Scored scored{&state, score(state, request, lookup, now)};
+        if (excludedBy.empty() && (best.state == nullptr || isBetter(scored, best, lookup))) {
+            best = scored;
+        }
+        if (considered != nullptr) {
+            considered->push_back({scored, excludedBy});
+        }
     };
-    if (best.state == nullptr || result.weight < best.score.weight || (result.weight == best.score.weight && hasHigherRank())) {
-        best = {&state, result};
+    if (isLearning() && !service.index.isSmall()) {
+        for (const auto it : candidates(service, lookup)) {
+            consider(*service.servers[it]);
+        }
     }
+    if (best.state == nullptr) {
+        for (const auto *it : service.servers) {
+            consider(*it);
+        }
+    }
+    return best;
 }
 
 std::vector<std::size_t> ServerRegistry::candidates(const ServiceServers &service, const Lookup &lookup) const
@@ -159,17 +190,7 @@
         return std::nullopt;
     }
     const auto lookup = lookUp(request);
-    Best best;
-    if (isLearning() && !service->index.isSmall()) {
-        for (const auto it : candidates(*service, lookup)) {
-            compare(*service->servers[it], request, lookup, now, best);
-        }
-    }
-    if (best.state == nullptr) {
-        for (const auto *it : service->servers) {
-            compare(*it, request, lookup, now, best);
-        }
-    }
+    const auto best = findBest(*service, request, lookup, now, nullptr);
     if (best.state == nullptr) {
         return std::nullopt;
     }
--- a/packages/core/src/queries/server_registry_query.cpp
+++ b/packages/core/src/queries/server_registry_query.cpp
@@ -162,11 +162,25 @@
     return position ? service->servers[*position] : nullptr;
 }
 
-bool ServerRegistry::isEligible(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const
+std::string_view
+ServerRegistry::exclusion(const ServerState &state, const ChoiceRequest &request, const Lookup &lookup, TimePoint now) const
 {
-    return state.isUsable() && state.running < lookup.share && !request.avoided->contains(state.server.id)
-        && hasSoftware(state.server, request.software) && hasModel(state.server, request.attributes->model)
-        && state.rateLimit.nextSlot(m_position, now) <= now;
+    if (!state.isUsable()) {
+        return state.isLeaving || state.server.isDraining ? "leaving" : "gone";
+    }
+    if (state.running >= lookup.share) {
+        return "connections";
+    }
+    if (request.avoided->contains(state.server.id)) {
+        return "avoided";
+    }
+    if (!hasSoftware(state.server, request.software)) {
+        return "software";
+    }
+    if (!hasModel(state.server, request.attributes->model)) {
+        return "model";
+    }
+    return state.rateLimit.nextSlot(m_position, now) <= now ? std::string_view() : "rate_limit";
 }
 
 std::uint32_t ServerRegistry::uncachedTokens(const ServerState &state, const Lookup &lookup, const RequestAttributes &attributes) const
