`vanillahall where` explains where a proxy would send a request now, and why

Cause: operators could only read in logs where requests went, not ask where one would go. Exchange::explain() runs the steps of a request on an exchange without a client: prepare(), checkContent(), serverRefusal() and the builders of the requests to the ledgers are now shared with the way of real requests, and the ledgers are asked by preview(). Event 1903 tells of requests without permission. Exit code 7 says that the proxy can't know the answer. Roles entry and gate aren't explained. Tests: the harness of tests/clients gives the proxy a fourth listener; its loads and bounds are unchanged. BadSettings gains two lines.

--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -56,6 +56,7 @@
     ConfigUncertain = 1803,    ///< Requests are refused because the configuration may not be the newest one.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
     ClientsClosed = 1902,      ///< Connections of clients were closed, or their requests refused, to release memory or descriptors.
+    OperatorRefused = 1903,    ///< A request to the operators' listener came without permission.
     SaturationChanged = 2001,  ///< The servers of a service can't take more work, or can again.
     ProgramRefused = 2002,     ///< A program was refused because of overload.
     ProgramLooping = 2003,     ///< A program makes far more turns than others of its route.
--- a/packages/ctl/src/command_func.h
+++ b/packages/ctl/src/command_func.h
@@ -33,6 +33,8 @@
 CommandExit showProgram(const CommandContext &context);
 /** explain ID */
 CommandExit explainId(const CommandContext &context);
+/** where METHOD HOST PATH */
+CommandExit explainRequest(const CommandContext &context);
 /** metrics */
 CommandExit showMetrics(const CommandContext &context);
 
--- a/packages/ctl/src/command_type.h
+++ b/packages/ctl/src/command_type.h
@@ -17,17 +17,20 @@
     Conflict = 4,    ///< The configuration was changed concurrently; the current one is printed.
     Unknown = 5,     ///< The change may have been applied; check before retrying.
     TimedOut = 6,    ///< The condition was not met within the time limit.
+    Undecided = 7,   ///< The proxy can't know what would happen to the request.
 };
 
 /** Input of every command. */
 struct CommandContext
 {
-    std::string address;                        ///< IP address of an entry.
+    std::string address;                        ///< IP address of an entry or proxy.
     std::uint16_t port{};                       ///< Its port.
     std::string token;                          ///< The operator's token.
     bool json{};                                ///< True to print JSON.
     std::optional<std::uint64_t> expectVersion; ///< Configuration version that a change is conditional on; nothing means the current one.
     std::uint64_t waitSeconds = 30;             ///< Time limit of `config wait`.
+    std::vector<std::string> headers;           ///< Header fields of the request of `where`, as "Name: value".
+    std::uint64_t bodyBytes = 0;                ///< Size of its body.
     std::vector<std::string> arguments;         ///< Arguments after the command's name.
 };
 
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "log_explanation.h"
 #include "request_func.h"
+#include "where_text.h"
 
 #include "vanillahall/core/error_func.h"
 
@@ -251,6 +252,26 @@
     return explanation.empty() ? CommandExit::Refused : CommandExit::Done;
 }
 
+CommandExit explainRequest(const CommandContext &context)
+{
+    const auto body = describeRequest(context);
+    if (!body) {
+        std::cerr << "where: expected header fields as 'Name: value'\n";
+        return CommandExit::Usage;
+    }
+    CommandExit exit = CommandExit::Done;
+    const auto explanation = requestJson(context, {"POST", "/where", *body, ""}, exit);
+    if (!explanation) {
+        return exit;
+    }
+    std::cout << (context.json ? explanation->dump(2) + "\n" : explanationText(*explanation));
+    if (explanation->contains("error")) {
+        std::cerr << "not known to the proxy: " << (*explanation)["error"].value("message", "") << '\n';
+        return CommandExit::Undecided;
+    }
+    return exit;
+}
+
 CommandExit showMetrics(const CommandContext &context)
 {
     return showJson(context, "/metrics");
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -15,6 +15,7 @@
 
 constexpr const char *Version = VANILLAHALL_VERSION;
 constexpr const char *EntryVariable = "VANILLAHALL_ENTRY";          ///< Default of --entry.
+constexpr const char *ProxyVariable = "VANILLAHALL_PROXY";          ///< Default of --proxy.
 constexpr const char *TokenFileVariable = "VANILLAHALL_TOKEN_FILE"; ///< Default of --token-file.
 
 std::string fromEnvironment(const char *name)
@@ -32,7 +33,7 @@
     }
     std::cout << '\n'
               << options << "\nExit codes: 0 success, 1 rejected, 2 invalid command line, 3 entry unreachable,\n"
-              << "4 concurrent change, 5 outcome unknown, 6 timed out.\n";
+              << "4 concurrent change, 5 outcome unknown, 6 timed out, 7 not known to the proxy.\n";
 }
 
 const CommandRow *findCommand(const std::vector<std::string> &words)
@@ -70,19 +71,56 @@
     return static_cast<int>(CommandExit::Usage);
 }
 
-int runCommand(const std::string &entry, const std::string &tokenFile, CommandContext context, const std::vector<std::string> &words)
+/** Addresses and files that the options name. */
+struct CommandSources
+{
+    std::string entry;      ///< Address of an entry.
+    std::string proxy;      ///< Address of the operators' listener of a proxy.
+    std::string tokenFile;  ///< File with the operator's token.
+    std::string headerFile; ///< File with header fields; "-" for standard input.
+};
+
+/** Reads header fields, one a line. @return False if the file can't be read. */
+bool readHeaders(const std::string &file, CommandContext &context)
+{
+    std::ifstream stream;
+    if (file != "-") {
+        stream.open(file);
+    }
+    std::istream &lines = file == "-" ? std::cin : stream;
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (!line.empty() && line.back() == '\r') {
+            line.pop_back();
+        }
+        if (!line.empty()) {
+            context.headers.push_back(line);
+        }
+    }
+    return lines.eof();
+}
+
+int runCommand(const CommandSources &sources, CommandContext context, const std::vector<std::string> &words)
 {
     const CommandRow *row = findCommand(words);
     if (row == nullptr) {
         return usage("expected a command");
     }
-    const bool needsEntry = row->run != explainId;
-    if (needsEntry && !parseAddress(entry, context)) {
+    const bool needsEntry = row->target == CommandTarget::Entry;
+    const bool needsProxy = row->target == CommandTarget::Proxy;
+    if (needsEntry && !parseAddress(sources.entry, context)) {
         return usage("expected --entry IP:PORT or " + std::string(EntryVariable));
     }
-    if (needsEntry && !readToken(tokenFile, context)) {
+    if (needsProxy && !parseAddress(sources.proxy, context)) {
+        return usage("expected --proxy IP:PORT or " + std::string(ProxyVariable) + ", the address of proxy.operator_listen");
+    }
+    const bool hasToken = readToken(sources.tokenFile, context);
+    if (!hasToken && (needsEntry || (needsProxy && !sources.tokenFile.empty()))) {
         return usage("expected --token-file FILE or " + std::string(TokenFileVariable) + ", with a token in it");
     }
+    if (needsProxy && !sources.headerFile.empty() && !readHeaders(sources.headerFile, context)) {
+        return usage("--header-file can't be read");
+    }
     context.arguments.assign(words.begin() + (row->verb.empty() ? 1 : 2), words.end());
     return static_cast<int>(row->run(context));
 }
@@ -90,13 +128,16 @@
 int run(int argc, char **argv)
 {
     CommandContext context;
-    std::string entry = fromEnvironment(EntryVariable);
-    std::string tokenFile = fromEnvironment(TokenFileVariable);
+    CommandSources sources{fromEnvironment(EntryVariable), fromEnvironment(ProxyVariable), fromEnvironment(TokenFileVariable), {}};
     std::uint64_t expectVersion = 0;
     std::vector<std::string> words;
     Options::options_description visible("Options");
-    visible.add_options()("entry", Options::value(&entry), "IP:PORT of an entry")(
-        "token-file", Options::value(&tokenFile), "file with the operator's token")(
+    visible.add_options()("entry", Options::value(&sources.entry), "IP:PORT of an entry")(
+        "proxy", Options::value(&sources.proxy), "IP:PORT of a proxy's proxy.operator_listen, for where")(
+        "header", Options::value(&context.headers), "header field 'Name: value' of where; other users can read it, so give keys by file")(
+        "header-file", Options::value(&sources.headerFile), "file with header fields of where, one a line; - for standard input")(
+        "body-bytes", Options::value(&context.bodyBytes), "size of the body of where")(
+        "token-file", Options::value(&sources.tokenFile), "file with the operator's token")(
         "json", Options::bool_switch(&context.json), "print JSON")(
         "if-version", Options::value(&expectVersion), "change only if the configuration has this version")(
         "wait-seconds", Options::value(&context.waitSeconds), "time limit of config wait, in seconds")("version", "print the version")(
@@ -123,7 +164,7 @@
     if (values.count("if-version") != 0) {
         context.expectVersion = expectVersion;
     }
-    return runCommand(entry, tokenFile, context, words);
+    return runCommand(sources, context, words);
 }
 
 } // namespace
--- a/packages/ctl/src/request.cpp
+++ b/packages/ctl/src/request.cpp
@@ -31,7 +31,9 @@
     out.path = request.path;
     out.body = request.body;
     out.totalTimeout = TotalTimeLimit;
-    out.headers.push_back({"authorization", "Bearer " + context.token});
+    if (!context.token.empty()) {
+        out.headers.push_back({"authorization", "Bearer " + context.token});
+    }
     if (!request.ifMatch.empty()) {
         out.headers.push_back({"if-match", "\"" + request.ifMatch + "\""});
     }
--- a/packages/ctl/src/table/command_table.h
+++ b/packages/ctl/src/table/command_table.h
@@ -9,6 +9,13 @@
 
 namespace Vanillahall {
 
+/** Process that a command asks. */
+enum class CommandTarget : std::uint8_t {
+    Entry, ///< An entry, with the operator's token.
+    Proxy, ///< The operators' listener of a proxy; needs no token on the same VM.
+    None,  ///< None.
+};
+
 /** One row of the table. */
 struct CommandRow
 {
@@ -18,6 +25,7 @@
     std::size_t argumentCount;                         ///< Number of arguments.
     CommandExit (*run)(const CommandContext &context); ///< Executes the command.
     std::string_view meaning;                          ///< Description for operators.
+    CommandTarget target = CommandTarget::Entry;       ///< Process that it asks.
 };
 
 inline constexpr auto CommandTable = std::to_array<CommandRow>({
@@ -38,7 +46,21 @@
     {"outcome", "settle", "PROGRAM TURN ran|not-run", 3, settleOutcome, "Records whether a call of unknown outcome ran."},
     {"program", "show", "PROGRAM", 1, showProgram, "Shows a program turn by turn."},
     {"report", "burn", "", 0, reportBurn, "Shows missed targets and the burn rate of the error budget."},
-    {"explain", "", "ID", 1, explainId, "Reconstructs what happened to a request or program from log lines on standard input."},
+    {"explain",
+     "",
+     "ID",
+     1,
+     explainId,
+     "Reconstructs what happened to a request or program from log lines on standard input.",
+     CommandTarget::None},
+    {"where",
+     "",
+     "METHOD HOST PATH",
+     3,
+     explainRequest,
+     "Explains where a proxy would send a request now, and why; sends nothing. Role proxy only; header fields come from --header-file, "
+     "--header and --body-bytes.",
+     CommandTarget::Proxy},
     {"state", "", "", 0, showState, "Shows the state of the entry."},
     {"metrics", "", "", 0, showMetrics, "Shows the metrics of the entry."},
 });
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -1,3 +1,4 @@
+#include "access_base.h"
 #include "log_func.h"
 #include "process_func.h"
 #include "settings_func.h"
@@ -75,6 +76,18 @@
     if (!settings.proxyPeerListen.address.empty()) {
         proxy.peerListen = toAddress(settings.proxyPeerListen);
     }
+    if (!settings.proxyOperatorListen.address.empty()) {
+        proxy.operatorListen = toAddress(settings.proxyOperatorListen);
+    }
+    if (!settings.proxyTokensFile.empty()) {
+        proxy.isOperatorToken
+            = [access = std::make_shared<AccessTable>(settings.proxyTokensFile)](const std::string &token, Error &reason) {
+                  // If the file can't be read, the previous tokens stay valid; before the first successful read there are none.
+                  access->refresh(reason);
+                  const auto found = access->find(token);
+                  return found && found->role == AccessRole::Operator;
+              };
+    }
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.watchWait = settings.proxyWatchWait;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -94,6 +94,9 @@
     if (settings.role == Role::Proxy && settings.store.address.empty()) {
         errors.push_back({file, 0, "platform", "store", "expected an IP number and a port, because process.role is proxy"});
     }
+    if (!settings.proxyTokensFile.empty() && settings.proxyOperatorListen.address.empty()) {
+        errors.push_back({file, 0, "proxy", "operator_listen", "expected together with proxy.tokens_file"});
+    }
     if (settings.role == Role::Gate && settings.serverKind == "service" && settings.service.empty()) {
         errors.push_back({file, 0, "gate", "service", "expected a non-empty text, because gate.kind is service"});
     }
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -65,6 +65,8 @@
     Endpoint proxyReadyListen{"127.0.0.1", 0};                   ///< proxy.ready_listen
     Endpoint proxyMetricsListen;                                 ///< proxy.metrics_listen
     Endpoint proxyPeerListen;                                    ///< proxy.peer_listen
+    Endpoint proxyOperatorListen;                                ///< proxy.operator_listen
+    std::string proxyTokensFile;                                 ///< proxy.tokens_file
     std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
     bool restrictsAdmission = false;                             ///< proxy.admission
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -64,6 +64,7 @@
     {EventNumber::ConfigUncertain, "config_uncertain"},
     {EventNumber::ContentQuarantined, "content_quarantined"},
     {EventNumber::ClientsClosed, "clients_closed"},
+    {EventNumber::OperatorRefused, "operator_refused"},
 });
 
 } // namespace Vanillahall
--- a/packages/proxy/include/vanillahall/proxy/proxy_base.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_base.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /** @return Port that serves the readiness check. */
     [[nodiscard]] std::uint16_t readyPort() const;
+    /** @return Port for operators. @pre The settings name an address. */
+    [[nodiscard]] std::uint16_t operatorPort() const;
     /** @return True if the proxy has its configuration and server list and isn't stopping. */
     [[nodiscard]] bool isReady() const;
     /** @return Number of open client connections. */
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -3,6 +3,7 @@
 
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/quota_type.h"
+#include "vanillahall/core/error_type.h"
 #include "vanillahall/core/log_type.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -45,6 +46,10 @@
     QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
     bool restrictsAdmission = false; ///< True to restrict admission under overload also if the configuration names no customers.
     ChoiceSettings choice;           ///< Parameters of the server selection.
+
+    std::optional<ProxyAddress> operatorListen; ///< Address for operators; none if they are not served.
+    /** Checks the token of an operator; `reason` is set if the tokens can't be read. Without it, only loopback addresses are served. */
+    std::function<bool(const std::string &token, Error &reason)> isOperatorToken;
 };
 
 /** Receives one log line. @param fields "key=value" pairs, separated by spaces. */
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -44,40 +44,48 @@
 
 void Exchange::start()
 {
-    if (!m_proxy.routes.isLoaded()) {
-        answer(StatusUnavailable, ShortRetryAfter, Outcome::NoConfiguration);
+    if (const auto refusal = prepare()) {
+        if (refusal->outcome == Outcome::KeyUncertain || refusal->outcome == Outcome::KeyUnconfirmed) {
+            m_proxy.logUncertainConfig();
+        }
+        answer(refusal->status, refusal->retryAfter, refusal->outcome);
         return;
     }
+    runAfter(m_limitTimer, std::max(Duration::zero(), timeLeft() + AnswerGrace), *this, [](Exchange &self) {
+        self.onTimeout();
+    });
+    startForCustomer();
+}
+
+std::optional<Refusal> Exchange::prepare()
+{
+    if (!m_proxy.routes.isLoaded()) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::NoConfiguration};
+    }
     m_configVersion = m_proxy.routes.config().version;
     const std::string_view target = m_request.target;
     const auto *route = m_proxy.routes.find(m_request.host, target.substr(0, target.find('?')));
     if (route == nullptr) {
-        answer(StatusNotFound, std::nullopt, Outcome::NoRoute);
-        return;
+        return Refusal{StatusNotFound, std::nullopt, Outcome::NoRoute};
     }
     m_route = *route;
-    if (!identifyCustomer()) {
-        return;
+    if (auto refusal = identifyCustomer()) {
+        return refusal;
     }
     const auto &attributes = m_request.attributes;
     m_service = pickService(m_route, attributes.program.empty() ? attributes.requestId : attributes.program).value_or("");
     const auto &services = m_proxy.routes.config().services;
     const auto service = services.find(m_service);
     if (service == services.end()) {
-        answer(StatusUnavailable, ShortRetryAfter, Outcome::NoService);
-        return;
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::NoService};
     }
     m_maxConnections = service->second.maxConnections;
     m_tokensPerEvent = service->second.tokensPerEvent;
     m_limitAt = m_request.arrived + std::min(attributes.deadline.value_or(m_route.timeLimit), m_route.timeLimit);
-    runAfter(m_limitTimer, std::max(Duration::zero(), timeLeft() + AnswerGrace), *this, [](Exchange &self) {
-        self.onTimeout();
-    });
     if (!m_proxy.plannedStop.canTake(m_limitAt, now())) {
-        answerNotRun(Outcome::Stopping);
-        return;
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::Stopping};
     }
-    startForCustomer();
+    return std::nullopt;
 }
 
 bool Exchange::isResumed() const
@@ -109,10 +117,14 @@
         m_origin = row->streamVersions.front();
         return true;
     }
-    answerNotRun(Outcome::StreamOriginUnknown);
     return false;
 }
 
+bool Exchange::isVersionGone() const
+{
+    return m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin));
+}
+
 std::optional<SoftwareVersion> Exchange::versionToName() const
 {
     if (!isVersionInRow() || m_origin || isResumed()) {
@@ -148,16 +160,9 @@
     }
 }
 
-void Exchange::requestTokens()
+TokenRequest Exchange::tokenRequest() const
 {
     const auto &attributes = m_request.attributes;
-    if (!findOrigin()) {
-        return;
-    }
-    if (!hasTokenBudget()) {
-        selectServer();
-        return;
-    }
     // Rounded up to a whole number of events, since each may hold tokensPerEvent tokens.
     const std::uint64_t perEvent = m_tokensPerEvent;
     const std::uint64_t maxTokens = (attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
@@ -165,11 +170,24 @@
     const bool shouldReadFirst = m_proxy.store.isBusy() || (!attributes.session.empty() && attributes.session != attributes.program);
     // Another proxy may have named a version since this one last saw the row.
     const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
-    const auto result = m_proxy.ledger.reserve(
-        {m_programKey, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived}, now());
+    return {m_programKey, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived};
+}
+
+void Exchange::requestTokens()
+{
+    if (!findOrigin()) {
+        answerNotRun(Outcome::StreamOriginUnknown);
+        return;
+    }
+    if (!hasTokenBudget()) {
+        selectServer();
+        return;
+    }
+    const auto wanted = tokenRequest();
+    const auto result = m_proxy.ledger.reserve(wanted, now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
-        m_grantedTokens = maxTokens;
+        m_grantedTokens = wanted.maxTokens;
         selectServer();
         return;
     }
@@ -252,7 +270,7 @@
     if (!confirmCustomer() || refuseQuarantined()) {
         return;
     }
-    if (m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin))) {
+    if (isVersionGone()) {
         answerVersionGone();
         return;
     }
@@ -275,26 +293,32 @@
     }
 }
 
-std::optional<Choice> Exchange::chooseServer()
+std::optional<Choice> Exchange::chooseServer(ChoiceExplanation *explanation) const
 {
+    const auto choose = [this, explanation, present = now()](const ChoiceRequest &wanted) {
+        if (explanation != nullptr) {
+            *explanation = m_proxy.servers.explain(wanted, present);
+        }
+        return m_proxy.servers.choose(wanted, present);
+    };
     auto wanted = choiceRequest();
     if (m_origin) {
         const std::vector<SoftwareVersion> origin{*m_origin};
         wanted.software = &origin;
-        return m_proxy.servers.choose(wanted, now());
+        return choose(wanted);
     }
     if (!isVersionInRow()) {
-        return m_proxy.servers.choose(wanted, now());
+        return choose(wanted);
     }
     const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
     wanted.software = &named;
-    auto choice = m_proxy.servers.choose(wanted, now());
+    auto choice = choose(wanted);
     if (choice || m_mayHaveRun != 0) {
         // A request that may have run can't wait for the store: it might have to be refused as not run.
         return choice;
     }
     wanted.software = nullptr;
-    return m_proxy.servers.choose(wanted, now());
+    return choose(wanted);
 }
 
 void Exchange::answerVersionGone()
@@ -313,13 +337,8 @@
         answer(StatusBadGateway, std::nullopt, Outcome::NoOtherServer);
         return;
     }
-    const auto rateLimitDelay = m_proxy.servers.rateLimitDelay(m_service, now());
-    if (rateLimitDelay && *rateLimitDelay > waitLeft) {
-        answerNotRun(Outcome::ServersLimited);
-        return;
-    }
-    if (waitLeft < Duration::zero() || !m_proxy.servers.hasServer(m_service)) {
-        answerNotRun(m_proxy.servers.hasServer(m_service) ? Outcome::ServersFull : Outcome::NoServer);
+    if (const auto refusal = serverRefusal(waitLeft)) {
+        answerNotRun(refusal->outcome);
         return;
     }
     m_excludedServers.clear();
@@ -332,6 +351,18 @@
     });
 }
 
+std::optional<Refusal> Exchange::serverRefusal(Duration waitLeft) const
+{
+    const auto rateLimitDelay = m_proxy.servers.rateLimitDelay(m_service, now());
+    if (rateLimitDelay && *rateLimitDelay > waitLeft) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::ServersLimited};
+    }
+    if (waitLeft < Duration::zero() || !m_proxy.servers.hasServer(m_service)) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, m_proxy.servers.hasServer(m_service) ? Outcome::ServersFull : Outcome::NoServer};
+    }
+    return std::nullopt;
+}
+
 std::string Exchange::requestText(const Server &server) const
 {
     std::string text = m_request.method + " " + m_request.target + " HTTP/1.1\r\n" + m_request.headers;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -4,6 +4,7 @@
 #include "client_session.h"
 #include "conversation.h"
 #include "event_splitter.h"
+#include "request_explanation_type.h"
 #include "server_connection.h"
 
 #include "vanillahall/core/customer/customer_directory_base.h"
@@ -43,6 +44,10 @@
     void tryServer();
     /** Refuses the request to release its memory. @pre canBeRefused() */
     void refuseForMemory();
+    /**
+     * Explains what start() would lead to now, and changes nothing but this exchange. @pre The exchange has no session and wasn't started.
+     */
+    [[nodiscard]] RequestExplanation explain();
 
     // Queries.
 
@@ -58,8 +63,12 @@
     bool onConnected() override;
 
 private:
-    /** Determines the customer of the request. @return False if the request was refused. */
-    bool identifyCustomer();
+    /** Determines route, customer and service of the request. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> prepare();
+    /** Determines the customer of the request. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> identifyCustomer();
+    /** Checks what depends on the customer and can't change by waiting. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> checkContent();
     /** Checks that the customer is still the one that the request was accepted for. @return False if the request was refused. */
     bool confirmCustomer();
     /** @return Customer of the request under the configuration in force. */
@@ -88,12 +97,18 @@
     void returnPermit();
     /** @return True if the customer of the request has a rate limit. */
     [[nodiscard]] bool hasRateLimit() const;
+    /** @return Request for a permit of the customer's rate limit; the request has a customer. */
+    [[nodiscard]] QuotaRequest quotaRequest() const;
+    /** @return Remaining time that the request may wait for a permit. */
+    [[nodiscard]] Duration permitWaitLeft() const;
     /** @return What the request tells about its program; the request has a customer. */
     [[nodiscard]] ProgramHints programHints() const;
     [[nodiscard]] bool isTurnNameValid() const;
     void queryStore();
     void findConversation();
     void onConversationFound(const TurnStep &result);
+    /** @return Request for the tokens of the turn. */
+    [[nodiscard]] TokenRequest tokenRequest() const;
     void requestTokens();
     void waitForStore();
     void setStoreTimer(Duration span);
@@ -101,15 +116,19 @@
     bool refuseQuarantined();
     /**
      * Determines from the program's row which version began the stream that the client resumes.
-     * @return False if the request was refused because the version can't be known.
+     * @return False if the version can't be known, so that the request has to be refused.
      */
     bool findOrigin();
+    /** @return True if no server can continue the stream. */
+    [[nodiscard]] bool isVersionGone() const;
     /** @return Version at which the turn's stream is to begin, if the program's row has to name it before. */
     [[nodiscard]] std::optional<SoftwareVersion> versionToName() const;
-    /** @return Server for the request, among those whose version fits. */
-    [[nodiscard]] std::optional<Choice> chooseServer();
+    /** @return Server for the request, among those whose version fits. @param explanation Receives the explanation; may be null. */
+    [[nodiscard]] std::optional<Choice> chooseServer(ChoiceExplanation *explanation) const;
     /** @return Server for the request, among those that may be sent its bytes; the others are excluded. */
     [[nodiscard]] std::optional<Choice> chooseServerWithRoom();
+    /** The same without counting the others. @param explanation Receives the explanation; may be null. */
+    [[nodiscard]] std::optional<Choice> findServerWithRoom(ChoiceExplanation *explanation);
     /** @return Size of the request as it is sent, without its first line and the headers of the proxy. */
     [[nodiscard]] std::size_t requestBytes() const;
     /** Counts the request among those that its server holds, until removeServerBytes(). */
@@ -125,6 +144,8 @@
     void answerVersionGone();
     void selectServer();
     void waitForServer();
+    /** @return Refusal of a request for which there is no server now; nothing if it may wait. @param waitLeft How long it may wait. */
+    [[nodiscard]] std::optional<Refusal> serverRefusal(Duration waitLeft) const;
     void send(const Choice &choice);
     [[nodiscard]] std::string requestText(const Server &server) const;
     /** Handles the end of an attempt whose server has ended the response early, or sent one that can't be passed on. */
@@ -176,8 +197,16 @@
     [[nodiscard]] Duration maxServerWait() const;
     /** @return True if the deadline of the program has passed. */
     [[nodiscard]] bool isProgramLate() const;
+    /** @return What the decision about admission depends on. */
+    [[nodiscard]] ProgramRequest programRequest() const;
     /** @return True if the request must wait because others have precedence at its service. */
     [[nodiscard]] bool isBehindOthers() const;
+    /** The same for a state of the service. */
+    [[nodiscard]] bool isBehindOthers(const SaturationView &saturation) const;
+    void explainAdmission(RequestExplanation &explanation);
+    void explainPermit(RequestExplanation &explanation) const;
+    void explainStoreSteps(RequestExplanation &explanation);
+    void explainServer(RequestExplanation &explanation);
     void joinQueue(Duration maxWait);
     void leaveQueue();
     void recordAttemptStart();
--- a/packages/proxy/src/exchange_customer.cpp
+++ b/packages/proxy/src/exchange_customer.cpp
@@ -13,31 +13,23 @@
 
 namespace {
 
-/** How a request is refused whose key identifies no customer. */
-struct KeyRefusal
-{
-    Outcome outcome;                    ///< Outcome.
-    unsigned status;                    ///< HTTP status, if the request can't have run.
-    std::optional<Duration> retryAfter; ///< Delay after which a retry may succeed.
-};
-
-/** Selects the refusal; nothing for a request that isn't refused. */
+/** Selects the refusal of a request whose key identifies no customer; nothing for a request that isn't refused. */
 struct KeyRefusalOf
 {
-    std::optional<KeyRefusal> operator()(const UnknownKey &) const
+    std::optional<Refusal> operator()(const UnknownKey &) const
     {
-        return KeyRefusal{Outcome::KeyUnknown, StatusUnauthorized, std::nullopt};
+        return Refusal{StatusUnauthorized, std::nullopt, Outcome::KeyUnknown};
     }
-    std::optional<KeyRefusal> operator()(const UncertainKey &) const
+    std::optional<Refusal> operator()(const UncertainKey &) const
     {
-        return KeyRefusal{Outcome::KeyUncertain, StatusUnavailable, StoreRetryAfter};
+        return Refusal{StatusUnavailable, StoreRetryAfter, Outcome::KeyUncertain};
     }
-    std::optional<KeyRefusal> operator()(const UnconfirmedKey &) const
+    std::optional<Refusal> operator()(const UnconfirmedKey &) const
     {
-        return KeyRefusal{Outcome::KeyUnconfirmed, StatusUnavailable, StoreRetryAfter};
+        return Refusal{StatusUnavailable, StoreRetryAfter, Outcome::KeyUnconfirmed};
     }
     template<typename Other>
-    std::optional<KeyRefusal> operator()(const Other &) const
+    std::optional<Refusal> operator()(const Other &) const
     {
         return std::nullopt;
     }
@@ -66,15 +58,14 @@
     return m_proxy.customers.identify(route != nullptr ? route->needsKey : m_route.needsKey, key, m_proxy.configStanding());
 }
 
-bool Exchange::identifyCustomer()
+std::optional<Refusal> Exchange::identifyCustomer()
 {
     const auto found = currentCustomer();
-    if (std::visit(KeyRefusalOf(), found)) {
-        refuseKey(found);
-        return false;
+    if (auto refusal = std::visit(KeyRefusalOf(), found)) {
+        return refusal;
     }
     setCustomer(customerIn(found));
-    return true;
+    return std::nullopt;
 }
 
 bool Exchange::onConnected()
@@ -158,26 +149,33 @@
 }
 
 void Exchange::startForCustomer()
+{
+    if (const auto refusal = checkContent()) {
+        answer(refusal->status, refusal->retryAfter, refusal->outcome);
+        return;
+    }
+    if (!refuseOverload()) {
+        requestPermit();
+    }
+}
+
+std::optional<Refusal> Exchange::checkContent()
 {
     const auto &attributes = m_request.attributes;
     if (!isTurnNameValid()) {
-        answer(StatusBadRequest, std::nullopt, Outcome::FaultyTurnName);
-        return;
+        return Refusal{StatusBadRequest, std::nullopt, Outcome::FaultyTurnName};
     }
     if (!Platform::isStoreKey(m_programKey)) {
-        answer(StatusBadRequest, std::nullopt, Outcome::ProgramNameTooLong);
-        return;
+        return Refusal{StatusBadRequest, std::nullopt, Outcome::ProgramNameTooLong};
     }
     m_contentHash = contentHash(m_request.method, m_request.target, attributes.program, m_request.body, m_ownerPrefix);
-    if (refuseQuarantined()) {
-        return;
+    if (m_proxy.crashes.isRefused(m_contentHash)) {
+        return Refusal{StatusUnavailable, CrashRecordLifetime, Outcome::ContentQuarantined};
     }
     if (isResumed()) {
         m_origin = m_proxy.streamOrigins.find(keyOf(attributes.resumedRequest));
     }
-    if (!refuseOverload()) {
-        requestPermit();
-    }
+    return std::nullopt;
 }
 
 std::string Exchange::keyOf(const std::string &id) const
--- a/packages/proxy/src/exchange_memory.cpp
+++ b/packages/proxy/src/exchange_memory.cpp
@@ -22,11 +22,20 @@
 
 std::optional<Choice> Exchange::chooseServerWithRoom()
 {
-    while (auto choice = chooseServer()) {
+    const auto excluded = m_excludedServers.size();
+    auto choice = findServerWithRoom(nullptr);
+    if (m_excludedServers.size() != excluded) {
+        m_proxy.metrics.count("vanillahall_servers_passed_over_total", {"reason", "request_bytes"}, m_excludedServers.size() - excluded);
+    }
+    return choice;
+}
+
+std::optional<Choice> Exchange::findServerWithRoom(ChoiceExplanation *explanation)
+{
+    while (auto choice = chooseServer(explanation)) {
         if (m_proxy.serverRequestBytes.fits(choice->server.id, requestBytes())) {
             return choice;
         }
-        m_proxy.metrics.count("vanillahall_servers_passed_over_total", {"reason", "request_bytes"});
         m_excludedServers.insert(choice->server.id);
     }
     return std::nullopt;
--- a/packages/proxy/src/exchange_overload.cpp
+++ b/packages/proxy/src/exchange_overload.cpp
@@ -53,6 +53,18 @@
         && m_proxy.ledger.row(m_programKey).version == 0;
 }
 
+ProgramRequest Exchange::programRequest() const
+{
+    return {programHash(),
+            {customerHash(), customerRank()},
+            m_service,
+            m_route.name,
+            isStream(m_route.repetition),
+            mayBeginProgram(),
+            timeLeft(),
+            programTimeLeft()};
+}
+
 bool Exchange::refuseOverload()
 {
     if (!m_proxy.isAdmissionOn()) {
@@ -61,9 +73,8 @@
     auto &overload = m_proxy.overload;
     overload.update(m_proxy, m_service);
     const auto &attributes = m_request.attributes;
-    const bool isTurn = isStream(m_route.repetition);
-    const ProgramRequest request{
-        programHash(), {customerHash(), customerRank()}, m_service, m_route.name, isTurn, mayBeginProgram(), timeLeft(), programTimeLeft()};
+    const auto request = programRequest();
+    const bool isTurn = request.isTurn;
     const auto fields
         = "request=" + attributes.requestId + " program=" + attributes.program + " route=" + m_route.name + " service=" + m_service;
     m_isLooping = isTurn && overload.programs.isLooping(request.program, m_route.name);
@@ -107,8 +118,13 @@
         return false;
     }
     m_proxy.overload.update(m_proxy, m_service);
+    return isBehindOthers(m_proxy.overload.saturation.view(m_service));
+}
+
+bool Exchange::isBehindOthers(const SaturationView &saturation) const
+{
     // Engines serve late programs last, but their turns would fill the queues there while others are refused.
-    if (isProgramLate() && m_proxy.overload.saturation.view(m_service).isRefusing) {
+    if (isProgramLate() && saturation.isRefusing) {
         return true;
     }
     return !m_isFirstInOrder && m_proxy.overload.queue->size(m_service) != 0;
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -33,6 +33,21 @@
     return {m_customer->name, attributes.program, attributes.session, !attributes.previousTurn.empty(), isModelRoute};
 }
 
+QuotaRequest Exchange::quotaRequest() const
+{
+    const auto hints = programHints();
+    return {m_customer->name,
+            m_proxy.programs.contains(hints, now()),
+            m_hasRequestedPermit,
+            std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
+            timeLeft()};
+}
+
+Duration Exchange::permitWaitLeft() const
+{
+    return m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
+}
+
 void Exchange::requestPermit()
 {
     m_waitsForPermit = false;
@@ -40,18 +55,12 @@
         continueWithPermit();
         return;
     }
-    const auto hints = programHints();
-    const QuotaRequest wanted{
-        m_customer->name,
-        m_proxy.programs.contains(hints, now()),
-        std::exchange(m_hasRequestedPermit, true),
-        std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
-        timeLeft()};
-    const auto result = m_proxy.quotas.request(wanted, now());
+    const auto result = m_proxy.quotas.request(quotaRequest(), now());
+    m_hasRequestedPermit = true;
     if (std::holds_alternative<QuotaGranted>(result)) {
         m_hasPermit = true;
         m_permitCustomer = m_customer->name;
-        m_proxy.programs.record(hints, now());
+        m_proxy.programs.record(programHints(), now());
         continueWithPermit();
         return;
     }
@@ -62,7 +71,7 @@
     }
     m_waitsForPermit = true;
     m_proxy.addQuotaWaiter(shared_from_this());
-    const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
+    const auto waitLeft = permitWaitLeft();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
             self.requestPermit();
--- a/packages/proxy/src/message_server.cpp
+++ b/packages/proxy/src/message_server.cpp
@@ -109,7 +109,13 @@
     {
         m_isServing = true;
         auto &request = m_parser->get();
-        const MessageRequest message{std::string(request.method_string()), std::string(request.target()), std::move(request.body())};
+        boost::system::error_code ec;
+        const auto peer = m_socket.remote_endpoint(ec);
+        const MessageRequest message{std::string(request.method_string()),
+                                     std::string(request.target()),
+                                     std::move(request.body()),
+                                     std::string(request[Http::field::authorization]),
+                                     !ec && peer.address().is_loopback()};
         m_server->handle(message, [self = shared_from_this()](MessageReply reply) {
             if (!self->m_isClosed) {
                 self->answer(std::move(reply));
--- a/packages/proxy/src/message_server.h
+++ b/packages/proxy/src/message_server.h
@@ -20,6 +20,8 @@
     std::string method; ///< HTTP method.
     std::string target; ///< Path and query.
     std::string body;
+    std::string authorization = {}; ///< Value of the field Authorization; empty if there is none. Secret: never logged.
+    bool isFromLoopback = false;    ///< True if the sender has a loopback address.
 };
 
 /** The response to it. */
--- a/packages/proxy/src/overload_control.cpp
+++ b/packages/proxy/src/overload_control.cpp
@@ -66,6 +66,16 @@
                   + " waiting=" + std::to_string(queue->size(service)));
 }
 
+SaturationView OverloadControl::preview(const ProxyState &proxy, const std::string &service) const
+{
+    const auto present = now();
+    const auto found = m_updatedAt.find(service);
+    if (found != m_updatedAt.end() && present - found->second < UpdateInterval) {
+        return saturation.view(service);
+    }
+    return saturation.preview(service, proxy.servers.slotShare(service), present);
+}
+
 void OverloadControl::reportRefusal(ProxyState &proxy,
                                     const ProgramRequest &request,
                                     const ProgramRefused &refused,
--- a/packages/proxy/src/overload_control.h
+++ b/packages/proxy/src/overload_control.h
@@ -27,6 +27,11 @@
     /** Sets the gauges. */
     void setGauges(ProxyState &proxy) const;
 
+    // Queries.
+
+    /** @return State of a service that update() would leave now; nothing is changed. */
+    [[nodiscard]] SaturationView preview(const ProxyState &proxy, const std::string &service) const;
+
     SaturationMonitor saturation;
     ProgramAdmission programs;
     std::shared_ptr<ServerQueue> queue;
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -49,6 +49,11 @@
     return m_state->readinessServer.port();
 }
 
+std::uint16_t Proxy::operatorPort() const
+{
+    return m_state->operatorListener.port();
+}
+
 bool Proxy::isReady() const
 {
     return m_state->isReady();
--- a/packages/proxy/src/proxy_clients.cpp
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -161,7 +161,8 @@
 
 void ProxyState::setClientGauges()
 {
-    const auto closed = readinessServer.closedConnections() + metricsServer.closedConnections() + peerServer.closedConnections();
+    const auto closed = readinessServer.closedConnections() + metricsServer.closedConnections() + peerServer.closedConnections()
+        + operatorListener.closedConnections();
     metrics.gauge("vanillahall_listener_connections_closed", static_cast<double>(closed));
     for (std::size_t n = 0; n < HoldingCount; n++) {
         metrics.gauge("vanillahall_client_" + std::string(HoldingNames.at(n)) + "_bytes_held",
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -67,6 +67,7 @@
               answerPeer(request, answer);
           },
           PeerLimits)
+    , operatorListener(*this)
     , m_processName(processName(settings))
     , m_log(std::move(log))
     , m_periodicTimer(ioLoop)
@@ -94,6 +95,9 @@
     if (settings.peerListen && !peerServer.listen(*settings.peerListen, reason)) {
         return false;
     }
+    if (!operatorListener.listen(reason)) {
+        return false;
+    }
     m_nextTokenPart = std::hash<std::string>()(settings.name);
     m_nextTurnPart = m_nextTokenPart;
     acceptClients();
@@ -382,6 +386,7 @@
     readinessServer.close();
     metricsServer.close();
     peerServer.close();
+    operatorListener.close();
     for (const auto &it : {m_configWatcher, m_serverWatcher}) {
         if (it) {
             it->stop();
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -4,6 +4,7 @@
 #include "client_session.h"
 #include "exchange.h"
 #include "message_server.h"
+#include "operator_listener.h"
 #include "overload_control.h"
 #include "server_connection.h"
 #include "server_request_bytes.h"
@@ -160,6 +161,7 @@
     MessageServer readinessServer;
     MessageServer metricsServer;
     MessageServer peerServer;
+    OperatorListener operatorListener;
 
 private:
     /** State of readAll(). */
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -146,15 +146,16 @@
             await worker.start()
             worker.register()
         ports = []
-        for _ in range(3):
+        for _ in range(4):
             with socket.socket() as sock:
                 sock.bind(("127.0.0.1", 0))
                 ports.append(sock.getsockname()[1])
-        self.ready, self.metrics, self.peer = [("127.0.0.1", it) for it in ports]
+        self.ready, self.metrics, self.peer, self.operator = [("127.0.0.1", it) for it in ports]
         settings = os.path.join(self.folder.name, "proxy.ini")
         with open(settings, "w", encoding="utf-8") as file:
             file.write("[process]\nrole = proxy\nname = a\nzone = z\nregion = r\n[proxy]\nlisten = 127.0.0.1:0\n"
                        f"ready_listen = 127.0.0.1:{ports[0]}\nmetrics_listen = 127.0.0.1:{ports[1]}\npeer_listen = 127.0.0.1:{ports[2]}\n"
+                       f"operator_listen = 127.0.0.1:{ports[3]}\n"
                        f"max_files = {MAX_FILES}\nmemory_mb = {MEMORY_MB}\ngrace_s = 6\n[platform]\nstore = {deployment.store.address}\n")
         self.log = os.path.join(self.folder.name, "log")
 
@@ -340,6 +341,9 @@
     def test_peer_listener(self):
         self.listener("peer", "/api/rows-tx")
 
+    def test_operator_listener(self):
+        self.listener("operator", "/where")
+
 
 # Loads of one kind of client.
 LOADS = {
--- a/tests/core/explanation_test.cpp
+++ b/tests/core/explanation_test.cpp
@@ -55,9 +55,8 @@
     Placement placement;
 };
 
-class ExplainedChoice : public ::testing::TestWithParam<ChoiceCase>
+struct ExplainedChoice : ::testing::TestWithParam<ChoiceCase>
 {
-protected:
     /** Makes the registry learn something random. */
     void step()
     {
@@ -246,9 +245,8 @@
     return decided;
 }
 
-class Previews : public ::testing::TestWithParam<std::uint64_t>
+struct Previews : ::testing::TestWithParam<std::uint64_t>
 {
-protected:
     /** Records a decision, so that the test can check that it has met different ones. */
     void met(const std::string &decision)
     {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -185,6 +185,8 @@
                                            BadLine{"entry.certificate=/tmp/c", "private_key"},
                                            BadLine{"log.level=loud", "level"},
                                            BadLine{"proxy.placement=random", "placement"},
+                                           BadLine{"proxy.operator_listen=here", "operator_listen"},
+                                           BadLine{"proxy.tokens_file=/tmp/tokens", "operator_listen"},
                                            BadLine{"gate.slots=none", "slots"},
                                            BadLine{"process.colour=red", "colour"},
                                            BadLine{"role", "role"}));
