Customers' permits come from one grantor per customer

A proxy asks the customer's grantor, chosen by rendezvous hashing among at most 16 live proxies, with its total of sent requests. If there is no answer within 100 ms, the reports decide as before. The peer listener accepts 512 connections instead of 64, since all proxies connect to the grantors.

--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -65,6 +65,10 @@
     QuotaAnswer request(const QuotaRequest &request, TimePoint now);
     /** Takes back a permit whose request never reached a server. */
     void takeBack(const std::string &customer);
+    /** Counts a request that has arrived as demand. */
+    void recordDemand(std::uint64_t customer, TimePoint now);
+    /** Counts a request that is sent with a permit of the customer's grantor. */
+    void recordSent(std::uint64_t customer, TimePoint now);
     /** @return Report to write to the store now. */
     UsageReport report(TimePoint now);
     /** Handles the success of the write of a report. */
@@ -74,6 +78,12 @@
 
     // Queries.
 
+    /** @return True if a customer, named by its hash, has a limit. */
+    [[nodiscard]] bool hasLimit(std::uint64_t customer) const;
+    /** @return Report with the usage of one customer only, for its grantor. */
+    [[nodiscard]] UsageReport usageOf(std::uint64_t customer, TimePoint now) const;
+    /** @return Recent demand of a customer at this proxy, per second. */
+    [[nodiscard]] double demandOf(std::uint64_t customer, TimePoint now) const;
     /** @return Number of customers with a rate limit. */
     [[nodiscard]] std::size_t size() const;
     /** @return Time between two reports; grows with the number of proxies, so that their writes fit into one part of the table. */
@@ -133,6 +143,9 @@
     std::optional<TimePoint> m_readAt;                             ///< When the last read of the reports was requested.
 };
 
+/** @return Retry delay of a refused request, spread over twice `delay` and useful for the client. */
+[[nodiscard]] Duration spreadRetryDelay(Duration delay, const QuotaRequest &request);
+
 /** @return Hash that identifies a customer in reports. */
 [[nodiscard]] std::uint64_t customerHash(const std::string &name);
 
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -27,6 +27,8 @@
     AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
     CustomerChanged = 1108,    ///< The API key of a waiting request was moved to another customer, or removed.
     PermitRefused = 1121,      ///< Requests of a customer were refused because of its rate limit.
+    GrantorUnanswered = 1122,  ///< The grantor of a customer's permits didn't answer.
+    PermitAskInvalid = 1123,   ///< Another proxy has asked for permits with a message that can't be read.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -23,10 +23,11 @@
 constexpr double SpareDemandFraction = 0.25;
 /** Permits that a proxy without recent demand may use between two reports while the bucket is more than half full. */
 constexpr double MinPart = 1;
-constexpr int MissedReports = 3;       ///< A proxy stays in touch if it misses fewer exchanges of reports in a row.
-constexpr unsigned ReportedRounds = 4; ///< Reports that still name a customer after its last request, since readers may miss some.
-constexpr int UsefulRetryDivisor = 3;  ///< Clients wait for at most a third of the time that they have left.
-constexpr double SecondsPerKs = 1000;  ///< Scale of CustomerUsage::demandPerKs.
+constexpr int MissedReports = 3;            ///< A proxy stays in touch if it misses fewer exchanges of reports in a row.
+constexpr unsigned ReportedRounds = 4;      ///< Reports that still name a customer after its last request, since readers may miss some.
+constexpr int UsefulRetryDivisor = 3;       ///< Clients wait for at most a third of the time that they have left.
+constexpr std::uint64_t SpreadSteps = 1024; ///< Steps over which retry delays are spread.
+constexpr double SecondsPerKs = 1000;       ///< Scale of CustomerUsage::demandPerKs.
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(250); ///< The reports bring news of the bucket about this often.
 constexpr Duration MaxRetryDelay = std::chrono::seconds(60);
 
@@ -37,6 +38,13 @@
 
 } // namespace
 
+Duration spreadRetryDelay(Duration delay, const QuotaRequest &request)
+{
+    const auto least = std::clamp(delay, MinRetryDelay, MaxRetryDelay);
+    const auto spread = least * static_cast<int>(request.spreadHash % SpreadSteps) / static_cast<int>(SpreadSteps);
+    return std::min(least + spread, std::max(least, request.timeLeft / UsefulRetryDivisor));
+}
+
 std::uint64_t customerHash(const std::string &name)
 {
     return XXH3_64bits(name.data(), name.size());
@@ -117,12 +125,9 @@
 
 Duration QuotaLedger::retryDelay(const Account &account, double missing, const QuotaRequest &request) const
 {
-    constexpr std::uint64_t Steps = 1024;
-    const double rate = std::max(account.limit.perSecond - account.reservedRate, account.limit.perSecond / Steps);
-    const auto refill = std::chrono::duration_cast<Duration>(Seconds(std::min(std::max(missing, 0.0) / rate, toSeconds(MaxRetryDelay))));
-    const auto delay = std::max(refill, MinRetryDelay);
-    const auto spread = delay * static_cast<int>(request.spreadHash % Steps) / static_cast<int>(Steps);
-    return std::min(delay + spread, std::max(delay, request.timeLeft / UsefulRetryDivisor));
+    const double rate = std::max(account.limit.perSecond - account.reservedRate, account.limit.perSecond / SpreadSteps);
+    return spreadRetryDelay(
+        std::chrono::duration_cast<Duration>(Seconds(std::min(std::max(missing, 0.0) / rate, toSeconds(MaxRetryDelay)))), request);
 }
 
 QuotaAnswer QuotaLedger::request(const QuotaRequest &request, TimePoint now)
@@ -134,8 +139,7 @@
     auto &account = found->second;
     advance(account, now);
     if (!request.isRepeated) {
-        account.demand.record(now);
-        account.quietReports = 0;
+        recordDemand(found->first, now);
     }
     if (isInTouch(now)) {
         const double needed = 1 + (request.isInProgress ? 0.0 : ReserveFraction * std::max(account.limit.burst, 0.0));
@@ -161,6 +165,43 @@
     }
 }
 
+void QuotaLedger::recordDemand(std::uint64_t customer, TimePoint now)
+{
+    if (const auto found = m_accounts.find(customer); found != m_accounts.end()) {
+        found->second.demand.record(now);
+        found->second.quietReports = 0;
+    }
+}
+
+void QuotaLedger::recordSent(std::uint64_t customer, TimePoint now)
+{
+    if (const auto found = m_accounts.find(customer); found != m_accounts.end()) {
+        advance(found->second, now);
+        found->second.level -= 1;
+        found->second.sent++;
+    }
+}
+
+bool QuotaLedger::hasLimit(std::uint64_t customer) const
+{
+    return m_accounts.count(customer) != 0;
+}
+
+double QuotaLedger::demandOf(std::uint64_t customer, TimePoint now) const
+{
+    const auto found = m_accounts.find(customer);
+    return found != m_accounts.end() ? found->second.demand.perSecond(now) : 0;
+}
+
+UsageReport QuotaLedger::usageOf(std::uint64_t customer, TimePoint now) const
+{
+    UsageReport report{m_vm, m_incarnation, m_reports, {}};
+    if (const auto found = m_accounts.find(customer); found != m_accounts.end()) {
+        report.usage.push_back({customer, found->second.sent, static_cast<std::uint64_t>(demandOf(customer, now) * SecondsPerKs)});
+    }
+    return report;
+}
+
 UsageReport QuotaLedger::report(TimePoint now)
 {
     UsageReport report{m_vm, m_incarnation, ++m_reports, {}};
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -47,7 +47,7 @@
         std::exchange(m_hasRequestedPermit, true),
         std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
         timeLeft()};
-    const auto result = m_proxy.quotas.request(wanted, now());
+    const auto result = m_proxy.requestPermit(wanted);
     if (std::holds_alternative<QuotaGranted>(result)) {
         m_hasPermit = true;
         m_permitCustomer = m_customer->name;
@@ -61,7 +61,7 @@
         return;
     }
     m_waitsForPermit = true;
-    m_proxy.addQuotaWaiter(shared_from_this());
+    m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
     const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void ProxyState::applyMembers(const std::optional<Platform::StoreRows> &rows)
+void ProxyState::applyMembers(const std::optional<Platform::StoreRows> &rows, TimePoint readAt)
 {
     if (!rows) {
         return;
@@ -142,6 +142,7 @@
         }
     }
     members.update(list, now());
+    grantor.onMembers(members.alive(now()), readAt, now());
     servers.setProxies(members.count(now()), members.rank(now()));
     auto expired = members.expired(now());
     if (!expired.empty() && claimCleaningRound()) {
@@ -164,8 +165,8 @@
             return Platform::readMembersCall(region, after);
         },
         false,
-        [this](const auto &rows) {
-            applyMembers(rows);
+        [this, present](const auto &rows) {
+            applyMembers(rows, present);
         });
 }
 
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -26,6 +26,7 @@
 void ProxyState::applyLimits()
 {
     quotas.apply(routes.config().customers, now());
+    grantor.apply(routes.config().customers, now());
     if (quotas.size() != 0 && !std::exchange(m_isExchangingUsage, true)) {
         exchangeUsage();
     }
@@ -75,16 +76,20 @@
         }
     }
     quotas.onReports(reports, readAt, now());
-    for (const auto &it : std::exchange(m_quotaWaiters, {})) {
-        if (const auto exchange = it.lock()) {
-            exchange->onPermitUpdate();
+    grantor.onReports(reports, now());
+    permits.removeIdle(now());
+    for (const auto &[customer, waiters] : std::exchange(m_permitWaiters, {})) {
+        for (const auto &it : waiters) {
+            if (const auto exchange = it.lock()) {
+                exchange->onPermitUpdate();
+            }
         }
     }
 }
 
-void ProxyState::addQuotaWaiter(const std::shared_ptr<Exchange> &exchange)
+void ProxyState::addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange)
 {
-    m_quotaWaiters.push_back(exchange);
+    m_permitWaiters[customer].push_back(exchange);
 }
 
 void ProxyState::recordQuotaRefusal(const std::string &customer, Duration retryAfter)
@@ -111,6 +116,7 @@
 void ProxyState::setQuotaGauges()
 {
     metrics.gauge("vanillahall_quota_customers", static_cast<double>(quotas.size()));
+    metrics.gauge("vanillahall_permit_customers", static_cast<double>(grantor.activeCount(now())));
     metrics.gauge("vanillahall_quota_in_touch", quotas.isInTouch(now()) ? 1 : 0);
     metrics.gauge("vanillahall_programs_in_progress", static_cast<double>(programs.size()));
 }
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -6,6 +6,7 @@
 #include "timer_func.h"
 
 #include "vanillahall/platform/wire_header_func.h"
+#include "vanillahall/platform/wire_permit_func.h"
 
 #include <algorithm>
 
@@ -24,7 +25,7 @@
 
 constexpr MessageLimits StatusLimits{16, 1024, 4096}; ///< Readiness checks and metrics have no body.
 constexpr MessageLimits PeerLimits{
-    64, std::size_t{2} * 1024 * 1024, std::size_t{4} * 1024 * 1024}; ///< Calls of other proxies; the store accepts calls of at most 1 MB.
+    512, std::size_t{2} * 1024 * 1024, std::size_t{4} * 1024 * 1024}; ///< Calls of other proxies; the store accepts calls of at most 1 MB.
 
 /** @return Name of this incarnation of the process; identifies its rows in the store. */
 std::string processName(const ProxySettings &settings)
@@ -43,6 +44,8 @@
     , servers(settings.zone, settings.choice)
     , ledger(processName(settings), settings.zone)
     , quotas(settings.name, settings.incarnation, settings.quota)
+    , grantor(settings.name, settings.quota)
+    , permits(settings.name, quotas, grantor)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
     , overload(ioLoop)
@@ -300,6 +303,10 @@
         answerTokenReturn(request.body, answer, MaxReturnAttempts);
         return;
     }
+    if (request.method == "POST" && request.target == Platform::PermitPath) {
+        answerPermitAsk(request.body, answer);
+        return;
+    }
     const Platform::StoreRequest wanted{request.method, request.target, request.body};
     if (!Platform::isRelayableCall(wanted)) {
         answer({StatusNotFound, {}, {}});
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -13,8 +13,8 @@
 #include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/crash_tracker_base.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
+#include "vanillahall/core/customer/customer_permits_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
-#include "vanillahall/core/customer/quota_ledger_base.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -81,8 +81,10 @@
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
     void addStoreWaiter(const std::shared_ptr<Exchange> &exchange);
-    /** Registers an exchange to be notified after the next exchange of reports about rate limits. */
-    void addQuotaWaiter(const std::shared_ptr<Exchange> &exchange);
+    /** Requests a permit for a request of a customer with a rate limit, and asks its grantor if needed. */
+    QuotaAnswer requestPermit(const QuotaRequest &request);
+    /** Registers an exchange to be notified after the next exchange of reports about rate limits, or answer of the customer's grantor. */
+    void addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange);
     /** Counts and logs a request that was refused because of its customer's rate limit. */
     void recordQuotaRefusal(const std::string &customer, Duration retryAfter);
     /** Records an attempt with this content that broke the connection, and shares the record with the other proxies. */
@@ -146,6 +148,8 @@
     ServerRegistry servers;
     TokenLedger ledger;
     QuotaLedger quotas;
+    PermitGrantor grantor;
+    CustomerPermits permits;
     ProgramsInProgress programs;
     TurnCache turns;
     CrashTracker crashes;
@@ -177,7 +181,8 @@
     /** Called whenever the configuration table is known to be up to date. */
     void onConfigConfirmed();
     void applyServerRows(const TableReplica &table);
-    void applyMembers(const std::optional<Platform::StoreRows> &rows);
+    /** @param readAt When the read was requested. */
+    void applyMembers(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
     void readCrashes();
     void acceptClients();
     /** @return An idle connection to a server, or null. */
@@ -261,6 +266,13 @@
     /** Writes this proxy's report about the rate limits of customers and reads those of the others, again and again. */
     void exchangeUsage();
     void onUsageRead(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
+    /** Asks the grantor of a customer for permits. */
+    void askGrantor(const std::string &customer, const PermitCall &call);
+    /** Handles the grantor's answer, and notifies the exchanges that wait for it. @param why Reason if there is none. */
+    void
+    onPermitReply(const std::string &customer, const PermitCall &call, const std::optional<PermitAnswer> &answer, const std::string &why);
+    /** Answers another proxy that asks for permits. */
+    void answerPermitAsk(const std::string &body, const MessageServer::Reply &answer);
     /** Logs an event about a customer's rate limit; at most one line of each kind per customer in some time. */
     void logQuota(LogLevel level, EventNumber event, const std::string &customer, const std::string &fields);
     void setQuotaGauges();
@@ -337,7 +349,8 @@
         std::uint64_t omitted{};           ///< Events since then.
     };
 
-    std::vector<std::weak_ptr<Exchange>> m_quotaWaiters;                     ///< Exchanges to notify after an exchange of reports.
+    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
+        m_permitWaiters;                                                     ///< Exchanges that wait for a permit, by customer.
     boost::asio::steady_timer m_usageTimer;                                  ///< Delay before the next exchangeUsage().
     bool m_isExchangingUsage = false;                                        ///< True once exchangeUsage() was started.
     std::map<std::pair<EventNumber, std::string>, QuotaLogEntry> m_quotaLog; ///< Last log lines about rate limits.
--- a/tests/core/quota_replay_test.cpp
+++ b/tests/core/quota_replay_test.cpp
@@ -1,5 +1,7 @@
 /** Rate limits of customers, replayed with many proxies in made-up time: the rule holds, and customers within their limit are served. */
-#include "vanillahall/core/customer/quota_ledger_base.h"
+#include "vanillahall/core/customer/customer_permits_base.h"
+
+#include "vanillahall/core/proxy_membership_base.h"
 
 #include <array>
 #include <deque>
@@ -19,7 +21,8 @@
 
 constexpr std::size_t Proxies = 34;
 constexpr Duration StoreDelay = 15ms;
-constexpr double LostCalls = 0.02; ///< Fraction of writes and of reads that are lost.
+constexpr double LostCalls = 0.02;  ///< Fraction of writes, of reads, and of calls between proxies that are lost.
+constexpr Duration PeerDelay = 3ms; ///< Time of a call between proxies.
 constexpr double UsualLoad = 0.625;
 constexpr int ProgramSize = 10;
 constexpr Duration ProgramGap = 500ms; ///< Mean time between two requests of a program.
@@ -61,6 +64,25 @@
             return std::tie(other.at, other.number) < std::tie(at, number);
         }
     };
+    struct Process
+    {
+        Process(const std::string &name, const std::string &incarnation)
+            : vm(name)
+            , ledger(name, incarnation)
+            , grantor(name)
+            , permits(name, ledger, grantor)
+        {
+        }
+        void apply(const std::vector<Customer> &customers, TimePoint now)
+        {
+            ledger.apply(customers, now);
+            grantor.apply(customers, now);
+        }
+        std::string vm;
+        QuotaLedger ledger;
+        PermitGrantor grantor;
+        CustomerPermits permits;
+    };
     struct Traffic
     {
         std::vector<TimePoint> sent;
@@ -93,12 +115,56 @@
     }
     void addProxy(std::size_t at, const std::string &incarnation)
     {
-        m_ledgers.resize(std::max(m_ledgers.size(), at + 1));
-        m_ledgers[at] = std::make_shared<QuotaLedger>("vm" + std::to_string(at), incarnation);
-        m_ledgers[at]->apply(customers(m_now >= start() + Disturbed ? std::get<0>(GetParam()).limitFactor : 1), m_now);
-        const auto ledger = m_ledgers[at];
-        schedule(m_now + exponential(0.2), [this, at, ledger] {
-            exchange(at, ledger);
+        m_processes.resize(std::max(m_processes.size(), at + 1));
+        m_processes[at] = std::make_shared<Process>("vm" + std::to_string(at), incarnation);
+        m_processes[at]->apply(customers(m_now >= start() + Disturbed ? std::get<0>(GetParam()).limitFactor : 1), m_now);
+        const auto process = m_processes[at];
+        schedule(m_now + exponential(0.2), [this, at, process] {
+            exchange(at, process);
+        });
+        schedule(m_now + exponential(0.2), [this, at, process] {
+            readMembers(at, process);
+        });
+    }
+    /** Reads the proxies that are alive. */
+    void readMembers(std::size_t at, const std::shared_ptr<Process> &process)
+    {
+        if (process != m_processes[at]) {
+            return;
+        }
+        schedule(m_now + MemberHeartbeatInterval, [this, at, process] {
+            readMembers(at, process);
+        });
+        if (isWithin(at, std::get<0>(GetParam()).frozen, 5s) || isWithin(at, std::get<0>(GetParam()).cutOff, 8s)) {
+            return;
+        }
+        std::vector<std::string> alive;
+        for (const auto &it : m_processes) {
+            alive.push_back(it->vm);
+        }
+        process->grantor.onMembers(alive, m_now, m_now);
+    }
+    /** Calls another proxy. */
+    void callGrantor(const std::shared_ptr<Process> &process, const PermitCall &call)
+    {
+        schedule(m_now + PermitAskTimeout, [this, process, ask = call.ask] {
+            process->permits.onAnswer(ask, std::nullopt, m_now);
+        });
+        if (chance(LostCalls)) {
+            return;
+        }
+        schedule(m_now + PeerDelay / 2, [this, process, call] {
+            const auto at = static_cast<std::size_t>(std::stoul(call.grantor.substr(2)));
+            if (isWithin(at, std::get<0>(GetParam()).frozen, 5s)) {
+                return;
+            }
+            const auto answer = m_processes[at]->grantor.grant(call.ask, m_now);
+            if (chance(LostCalls)) {
+                return;
+            }
+            schedule(m_now + PeerDelay / 2, [this, process, ask = call.ask, answer] {
+                process->permits.onAnswer(ask, answer, m_now);
+            });
         });
     }
     static TimePoint start()
@@ -109,21 +175,21 @@
     {
         return at < count && m_now >= start() + Disturbed && m_now < start() + Disturbed + span;
     }
-    void exchange(std::size_t at, const std::shared_ptr<QuotaLedger> &ledger)
+    void exchange(std::size_t at, const std::shared_ptr<Process> &process)
     {
         const auto &param = std::get<0>(GetParam());
-        if (ledger != m_ledgers[at]) {
+        if (process != m_processes[at]) {
             return; // The process has ended.
         }
         const bool isFrozen = isWithin(at, param.frozen, 5s);
-        schedule(isFrozen ? start() + Disturbed + 5s : m_now + ledger->reportInterval(), [this, at, ledger] {
-            exchange(at, ledger);
+        schedule(isFrozen ? start() + Disturbed + 5s : m_now + process->ledger.reportInterval(), [this, at, process] {
+            exchange(at, process);
         });
         if (isFrozen) {
             return;
         }
         const auto madeAt = m_now;
-        const auto report = ledger->report(m_now);
+        const auto report = process->ledger.report(m_now);
         if (isWithin(at, param.cutOff, 8s)) {
             return;
         }
@@ -131,18 +197,19 @@
             schedule(m_now + StoreDelay / 2, [this, report] {
                 m_rows[report.vm] = report;
             });
-            schedule(m_now + StoreDelay, [ledger, madeAt] {
-                ledger->onReportWritten(madeAt);
+            schedule(m_now + StoreDelay, [process, madeAt] {
+                process->ledger.onReportWritten(madeAt);
             });
         }
         if (!chance(LostCalls)) {
-            schedule(m_now + StoreDelay / 2, [this, ledger, madeAt] {
+            schedule(m_now + StoreDelay / 2, [this, process, madeAt] {
                 std::vector<UsageReport> rows;
                 for (const auto &[vm, row] : m_rows) {
                     rows.push_back(row);
                 }
-                schedule(m_now + StoreDelay / 2, [this, ledger, madeAt, rows] {
-                    ledger->onReports(rows, madeAt, m_now);
+                schedule(m_now + StoreDelay / 2, [this, process, madeAt, rows] {
+                    process->ledger.onReports(rows, madeAt, m_now);
+                    process->grantor.onReports(rows, m_now);
                 });
             });
         }
@@ -152,7 +219,7 @@
         const auto &param = std::get<0>(GetParam());
         const bool isSurging = customer == param.surging && m_now >= start() + Disturbed;
         schedule(m_now + exponential(ProgramSize / (Rates[customer] * UsualLoad * (isSurging ? param.surge : 1))), [this, customer] {
-            const auto proxy = std::uniform_int_distribution<std::size_t>(0, m_ledgers.size() - 1)(m_random);
+            const auto proxy = std::uniform_int_distribution<std::size_t>(0, m_processes.size() - 1)(m_random);
             sendNext(customer, proxy, 0);
             beginPrograms(customer);
         });
@@ -184,7 +251,12 @@
             return;
         }
         auto &traffic = m_traffic[customer];
-        const auto result = m_ledgers[proxy]->request({"c" + std::to_string(customer), position > 0, m_now != arrived, 0, 30s}, m_now);
+        const auto decision
+            = m_processes[proxy]->permits.request({"c" + std::to_string(customer), position > 0, m_now != arrived, 0, 30s}, m_now);
+        if (decision.call) {
+            callGrantor(m_processes[proxy], *decision.call);
+        }
+        const auto &result = decision.answer;
         if (std::holds_alternative<QuotaGranted>(result)) {
             traffic.sent.push_back(m_now);
         } else if (std::holds_alternative<QuotaBusy>(result) && m_now + PermitCheck < arrived + PermitWait) {
@@ -218,7 +290,7 @@
     TimePoint m_now = start();
     std::uint64_t m_number = 0;
     std::priority_queue<Event> m_events;
-    std::vector<std::shared_ptr<QuotaLedger>> m_ledgers;
+    std::vector<std::shared_ptr<Process>> m_processes;
     std::map<std::string, UsageReport> m_rows;
     std::array<Traffic, Rates.size()> m_traffic;
 };
@@ -238,9 +310,9 @@
             addProxy(at, "i2");
         }
         for (std::size_t it = 0; it < param.added; it++) {
-            addProxy(m_ledgers.size(), "i1");
+            addProxy(m_processes.size(), "i1");
         }
-        for (const auto &it : m_ledgers) {
+        for (const auto &it : m_processes) {
             it->apply(customers(param.limitFactor), m_now);
         }
     });
