--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -55,7 +55,7 @@
         continueWithPermit();
         return;
     }
-    const auto result = m_proxy.quotas.request(quotaRequest(), now());
+    const auto result = m_proxy.requestPermit(quotaRequest());
     m_hasRequestedPermit = true;
     if (std::holds_alternative<QuotaGranted>(result)) {
         m_hasPermit = true;
@@ -71,7 +71,7 @@
     }
     m_waitsForPermit = true;
     if (!isRegistered) {
-        m_proxy.addQuotaWaiter(shared_from_this());
+        m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
     }
     const auto waitLeft = permitWaitLeft();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
