Second shares of token budgets: owners, leases, grants and closing (core)

Cause: programs that begin in a total outage of the store earn nothing, since tokens can only be reserved in their rows.

Change: BudgetOwners claims, renews and gives up partitions of the programs, OutageShare grants and closes second shares, and TokenLedger keeps the row within the first share until the second one is closed.

--- a/packages/core/include/vanillahall/core/budget/outage_share_base.h
+++ b/packages/core/include/vanillahall/core/budget/outage_share_base.h
@@ -1,43 +1,39 @@
 /**
  * The part of each program's token budget that its owner may grant while the platform's store is away.
  * Load pattern: dozens of programs begin each second while the store doesn't answer for seconds, and their turns arrive at many proxies.
- * A row per partition of the programs names the owner before the outage. Grants are bounded by a lease, so that after any loss no other
- * proxy grants from the same share.
+ * The owner decides alone, from its memory; see BudgetOwners for how there is never more than one.
  */
 #pragma once
 
+#include "vanillahall/core/forward_type.h"
 #include "vanillahall/core/time_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
 namespace Vanillahall::Forward {
 
-/** Number of partitions of the programs; a proxy that is lost affects only the programs of its own. */
-inline constexpr std::uint32_t BudgetPartitions = 64;
-
-/** Row of one partition in the store. */
-struct BudgetOwnerRow
+/** Request for tokens while the store is away. */
+struct OutageGrantRequest
 {
-    std::uint32_t partition{};    ///< Partition, below BudgetPartitions.
-    std::string owner;            ///< Name of the owner's VM; empty if the last owner gave it up.
-    std::string incarnation;      ///< Incarnation of the owner's process.
-    std::uint64_t term{};         ///< Grows with each change of the owner.
-    std::uint64_t renewals{};     ///< Grows with each renewal.
-    bool isClean = false;         ///< True if the last owner gave it up and had granted nothing for OutageShareQuarantine.
-    std::uint32_t sharePercent{}; ///< Share of the budgets that the owner may grant, in percent.
-    std::uint64_t version{};      ///< Version of the row in the store; 0 if there is none.
+    std::string program;                               ///< Key of the program, with the prefix of its customer.
+    std::string turn;                                  ///< Unique name of this attempt of a turn; a repeated request gets the same reply.
+    std::uint64_t budget{};                            ///< Token budget of the program.
+    std::uint64_t maxTokens{};                         ///< Maximum number of tokens that the turn generates.
+    Duration timeLeft{};                               ///< Time after which the turn has ended for certain.
+    std::optional<SoftwareVersion> streamVersion = {}; ///< Version at which the turn's stream begins, if it can be resumed.
 };
 
-/** Request for tokens while the store is away. */
-struct OutageGrantRequest
+/** Report of a turn that has ended, or whose grant isn't used. */
+struct OutageReport
 {
-    std::string program;       ///< Key of the program, with the prefix of its customer.
-    std::string turn;          ///< Unique name of this attempt of a turn; a repeated request gets the same reply.
-    std::uint64_t budget{};    ///< Token budget of the program.
-    std::uint64_t maxTokens{}; ///< Maximum number of tokens that the turn generates.
+    std::string program;  ///< Key of the program.
+    std::string turn;     ///< Name of the turn.
+    std::uint64_t used{}; ///< Tokens delivered.
 };
 
 /** The tokens are granted. */
@@ -54,17 +50,92 @@
 };
 using OutageAnswer = std::variant<OutageGranted, OutageShareSpent, OutageNotOwner>; ///< Result of a request for tokens.
 
-/** An owner's grants end this long after the start of its last successful renewal, by CLOCK_BOOTTIME. */
-inline constexpr Duration BudgetLease = std::chrono::seconds(60);
-/** A row whose renewal counter hasn't changed for this long may be claimed by another proxy; the margin covers clocks of unequal rates. */
-inline constexpr Duration BudgetTakeoverTime = std::chrono::seconds(65);
-/** After an owner was lost, its successor treats the second shares as spent for this long; programs that may have used them have ended by
- * then. */
-inline constexpr Duration OutageShareQuarantine = std::chrono::seconds(150);
-/** Programs with grants that an owner remembers at most. */
+/** The second share is closed for good. */
+struct OutageClosed
+{
+    std::uint64_t tokens{}; ///< Tokens granted from it; unused ones of turns whose end wasn't reported are included.
+};
+/** It isn't known yet how many tokens are granted from the second share: turns are in progress, or a former owner may have granted some. */
+struct OutageUnsettled
+{
+};
+using OutageCloseAnswer = std::variant<OutageClosed, OutageUnsettled, OutageNotOwner>; ///< Result of a request to close a share.
+
+/** What a proxy may do for the programs of a partition. */
+enum class OwnerRight : std::uint8_t {
+    None,        ///< It isn't the owner, or its lease has ended.
+    Quarantined, ///< It is the owner, but a former owner may have granted tokens to programs in progress.
+    Full,        ///< It knows all grants of the partition.
+};
+
+/** Programs with grants that an owner remembers at most; about 6 MB. */
 inline constexpr std::size_t MaxOutagePrograms = 20000;
+/** Turns of one program that an owner remembers at most. */
+inline constexpr std::size_t MaxOutageTurns = 64;
+/** A program without a request for this long is forgotten; far longer than programs last, as a forgotten one could be granted its share
+ * again. */
+inline constexpr Duration OutageProgramLifetime = std::chrono::hours(1);
+/** If the table is full, programs without a request for this long are forgotten: they have ended. */
+inline constexpr Duration OutageProgramMinLifetime = std::chrono::seconds(150);
+/** The report of a turn may arrive this long after the turn has ended. */
+inline constexpr Duration OutageReportGrace = std::chrono::seconds(2);
+
+/** @return Tokens of a budget that belong to the second share; the first share is the rest. */
+[[nodiscard]] std::uint64_t secondShare(std::uint64_t budget, std::uint32_t percent);
+
+/** Grants of this proxy from the second shares of the programs that it owns. */
+class OutageShare
+{
+public:
+    /** @param percent Size of the second share, in percent of the budget. */
+    explicit OutageShare(std::uint32_t percent);
+
+    // Commands.
+
+    /** Decides about the tokens of a turn. @param right Right of this proxy for the partition of the program, now. */
+    OutageAnswer grant(const OutageGrantRequest &request, OwnerRight right, TimePoint now);
+    /** Handles the end of a turn, or that its grant isn't used. Repeated reports, and reports before the request, change nothing else. */
+    void report(const OutageReport &report, TimePoint now);
+    /** Ends the grants to a program. */
+    OutageCloseAnswer close(const std::string &program, OwnerRight right, TimePoint now);
+    /** Forgets programs that have ended. */
+    void removeIdle(TimePoint now);
 
-/** @return Partition of a program. @param program Key of the program. */
-[[nodiscard]] std::uint32_t budgetPartition(const std::string &program);
+    // Queries.
+
+    /**
+     * @return Versions at which streams of the program began with granted tokens; nothing if they aren't known for certain.
+     * @param right Right of this proxy for the partition of the program, now.
+     */
+    [[nodiscard]] std::optional<std::vector<SoftwareVersion>> streamVersions(const std::string &program, OwnerRight right) const;
+    /** @return Number of remembered programs. */
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    /** One turn. */
+    struct Turn
+    {
+        std::uint64_t tokens{}; ///< Tokens granted; those delivered once it is reported.
+        TimePoint endsBy{};     ///< The turn has ended at this time, also without a report.
+        bool isGranted = false; ///< False if it was reported before it was requested.
+        bool isReported = false;
+    };
+    /** One program. */
+    struct Program
+    {
+        std::uint64_t budget = UINT64_MAX;           ///< Smallest budget seen.
+        std::unordered_map<std::string, Turn> turns; ///< Turns by name.
+        std::vector<SoftwareVersion> versions;       ///< Versions at which streams began.
+        bool isClosed = false;                       ///< True once nothing more is granted.
+        TimePoint lastUse{};                         ///< Last request or report.
+    };
+
+    /** @return Program, added if there is room; else null. */
+    Program *findOrAdd(const std::string &program, TimePoint now);
+    static std::uint64_t tokens(const Program &program);
+
+    std::uint32_t m_percent;
+    std::unordered_map<std::string, Program> m_programs;
+};
 
 } // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -43,6 +43,8 @@
     std::vector<SoftwareVersion> streamVersions = {};
     std::uint64_t returned{}; ///< Tokens that entries have given back so far, of those in `reserved`. Neither number ever decreases.
     std::vector<std::string> holders = {}; ///< Names of entries, other than that of `writer`, that may hold tokens.
+    /** Tokens granted from the second share, once that is closed; see OutageShare. */
+    std::optional<std::uint64_t> outageTokens = {};
 
     /** @return Tokens that entries hold or have granted. */
     [[nodiscard]] std::uint64_t outstanding() const;
@@ -86,6 +88,10 @@
 struct TokenNeedsRead
 {
 };
+/** The second share of the budget must be closed by its owner first; call reserve() again after onShareClosed(). */
+struct TokenNeedsClosing
+{
+};
 /** A read or write of the row is under way; call reserve() again when it has ended. */
 struct TokenBusy
 {
@@ -96,6 +102,7 @@
                                  TokenNeedsReturns,
                                  TokenNeedsWrite,
                                  TokenNeedsRead,
+                                 TokenNeedsClosing,
                                  TokenBusy>; ///< Result of TokenLedger::reserve().
 
 /** Token reservations of this entry, by program. */
@@ -105,8 +112,9 @@
     /**
      * @param writer Name of this process and of its incarnation; identifies its writes.
      * @param zone Availability zone of this entry, recorded as the home of programs that start here.
+     * @param secondSharePercent Part of each budget that isn't reserved in the row until it is closed; see OutageShare.
      */
-    explicit TokenLedger(std::string writer, std::string zone = {});
+    explicit TokenLedger(std::string writer, std::string zone = {}, std::uint32_t secondSharePercent = 0);
 
     // Commands.
 
@@ -144,6 +152,11 @@
      * @param hasReturned True if one of them has given tokens back.
      */
     void onReturnsRequested(const std::string &program, bool haveAllReplied, bool hasReturned);
+    /**
+     * Handles the reply of the owner that TokenNeedsClosing asks for.
+     * @param tokens Tokens granted from the second share, of which no more are granted; nothing if they aren't known.
+     */
+    void onShareClosed(const std::string &program, std::optional<std::uint64_t> tokens, TimePoint now);
     /** Removes programs that were last used before a time. @return Rows last written by this entry that may be removed from the store. */
     std::vector<TokenWrite> removeIdle(TimePoint since);
 
@@ -166,27 +179,41 @@
     /** State of one program. */
     struct Account
     {
-        TokenRow row;                        ///< Last known row.
-        std::uint64_t available{};           ///< Tokens reserved by this entry and not granted to a turn.
-        std::uint64_t pendingTokens{};       ///< Tokens that the open or unconfirmed write reserves; 0 if there is none.
-        std::uint64_t pendingReturn{};       ///< Tokens that the open or unconfirmed write gives back; 0 if there is none.
-        std::uint64_t ownTokens{};           ///< Tokens reserved and not given back by this entry, as far as the row shows.
-        std::uint32_t openTurns{};           ///< Turns granted and not settled.
-        std::optional<TokenWrite> openWrite; ///< Write that is under way or whose outcome is unknown.
-        std::uint64_t waitingTokens{};       ///< Tokens requested by turns while a write was under way.
-        TimePoint writeRequestedAt{};        ///< When the last read or write was requested.
-        TimePoint writtenAt{};               ///< When the row was last written by this entry.
-        TimePoint confirmedAt{};             ///< When the last call that has shown the row's content was requested.
-        bool hasReadFailed = false;          ///< True if the last read of the row failed.
-        bool isWriting = false;              ///< True while the open write, or a read of the row, is under way.
-        bool wasRead = false;                ///< True once a read of the row was requested.
-        TimePoint askedAt{};                 ///< When other entries were last asked to give tokens back.
-        bool haveAllReplied = false;         ///< True if all of them have replied.
-        bool isReturnUncertain = false;      ///< True if the write that gives tokens back may have been executed without a reply.
-        TimePoint lastUse{};                 ///< Time of the last request or end of a turn.
-        TimePoint changedAt{};               ///< When a version of the row that another entry wrote became known.
+        TokenRow row;                              ///< Last known row.
+        std::uint64_t available{};                 ///< Tokens reserved by this entry and not granted to a turn.
+        std::uint64_t pendingTokens{};             ///< Tokens that the open or unconfirmed write reserves; 0 if there is none.
+        std::uint64_t pendingReturn{};             ///< Tokens that the open or unconfirmed write gives back; 0 if there is none.
+        std::uint64_t ownTokens{};                 ///< Tokens reserved and not given back by this entry, as far as the row shows.
+        std::uint32_t openTurns{};                 ///< Turns granted and not settled.
+        std::optional<TokenWrite> openWrite;       ///< Write that is under way or whose outcome is unknown.
+        std::uint64_t waitingTokens{};             ///< Tokens requested by turns while a write was under way.
+        TimePoint writeRequestedAt{};              ///< When the last read or write was requested.
+        TimePoint writtenAt{};                     ///< When the row was last written by this entry.
+        TimePoint confirmedAt{};                   ///< When the last call that has shown the row's content was requested.
+        bool hasReadFailed = false;                ///< True if the last read of the row failed.
+        bool isWriting = false;                    ///< True while the open write, or a read of the row, is under way.
+        bool wasRead = false;                      ///< True once a read of the row was requested.
+        TimePoint askedAt{};                       ///< When other entries were last asked to give tokens back.
+        bool haveAllReplied = false;               ///< True if all of them have replied.
+        bool isReturnUncertain = false;            ///< True if the write that gives tokens back may have been executed without a reply.
+        TimePoint lastUse{};                       ///< Time of the last request or end of a turn.
+        TimePoint changedAt{};                     ///< When a version of the row that another entry wrote became known.
+        std::optional<std::uint64_t> closedTokens; ///< Tokens granted from the second share, as its owner said when it closed it.
+        TimePoint closedAt{};                      ///< When it said so.
     };
 
+    /** How much of a budget may be reserved in the row. */
+    struct Limit
+    {
+        std::uint64_t tokens{};                    ///< Tokens that may be reserved.
+        std::uint64_t beyond{};                    ///< Tokens beyond them that may be reserved for one turn.
+        bool needsClosing = false;                 ///< True if the second share has to be closed before more is reserved.
+        std::optional<std::uint64_t> outageTokens; ///< Tokens granted from the second share, if it is closed.
+    };
+
+    /** @return Limit of the row of a program. */
+    [[nodiscard]] Limit limit(const Account &account, const TokenRequest &request, TimePoint now) const;
+
     /** @return Name for the next write of this entry. */
     std::string nextWriter();
     /** Starts a read of the row. */
@@ -208,6 +235,7 @@
 
     std::string m_writer;
     std::string m_zone;
+    std::uint32_t m_secondSharePercent;
     std::uint64_t m_writes = 0;
     std::unordered_map<std::string, Account> m_accounts;
 };
@@ -220,6 +248,8 @@
 
 /** Entries that a row names at most as holders of tokens. */
 inline constexpr std::size_t MaxTokenHolders = 8;
+/** The owner's word that a second share is closed is used for this long; an owner that follows it answers differently only much later. */
+inline constexpr Duration ShareClosingLifetime = std::chrono::seconds(5);
 /** Interval between attempts to give back the same tokens. */
 inline constexpr Duration TokenReturnInterval = std::chrono::milliseconds(500);
 /** Limit on writes that start in one call of TokenLedger::beginReturns(). */
--- /dev/null
+++ b/packages/core/src/budget/budget_owners.cpp
@@ -0,0 +1,292 @@
+#include "vanillahall/core/budget/budget_owners_base.h"
+
+#include "../placement/key_hash_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Vanillahall::Forward {
+
+namespace {
+
+/** @return Proxy preferred as the owner of a partition: the one with the highest hash of name and partition. */
+std::string preferredOwner(std::uint32_t partition, const std::vector<std::string> &live)
+{
+    std::string best;
+    std::uint64_t bestHash = 0;
+    for (const auto &it : live) {
+        const auto hash = keyHash(it + "/" + std::to_string(partition));
+        if (best.empty() || hash > bestHash) {
+            best = it;
+            bestHash = hash;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::uint32_t budgetPartition(const std::string &program)
+{
+    return static_cast<std::uint32_t>(keyHash(program) % BudgetPartitions);
+}
+
+BudgetOwners::BudgetOwners(std::string self, std::string incarnation, std::uint32_t sharePercent)
+    : m_self(std::move(self))
+    , m_incarnation(std::move(incarnation))
+    , m_sharePercent(sharePercent)
+{
+    for (std::uint32_t n = 0; n < BudgetPartitions; n++) {
+        m_partitions[n].row.partition = n;
+    }
+}
+
+bool BudgetOwners::isOwnRow(const BudgetOwnerRow &row) const
+{
+    return row.owner == m_self && row.incarnation == m_incarnation;
+}
+
+void BudgetOwners::onRowsRead(const std::vector<BudgetOwnerRow> &rows, TimePoint endedAt)
+{
+    m_wasRead = true;
+    for (const auto &it : rows) {
+        if (it.partition < BudgetPartitions) {
+            applyRow(m_partitions[it.partition], it, endedAt);
+        }
+    }
+}
+
+void BudgetOwners::applyRow(Partition &partition, const BudgetOwnerRow &row, TimePoint shownAt)
+{
+    // A read that started before the last write may end after it.
+    if (row.version <= partition.row.version) {
+        return;
+    }
+    const auto &pending = partition.pending;
+    if (pending && row.incarnation == m_incarnation && row.owner == pending->row.owner && row.term == pending->row.term
+        && row.renewals == pending->row.renewals) {
+        partition.row.version = row.version;
+        applyPending(partition, shownAt);
+        return;
+    }
+    partition.row = row;
+    partition.shownAt = shownAt;
+    partition.wasSeen = true;
+    partition.isOwned = isOwnRow(row);
+    // The condition of the pending write doesn't hold any more.
+    partition.pending.reset();
+    partition.isGivingUp = false;
+}
+
+void BudgetOwners::applyPending(Partition &partition, TimePoint shownAt)
+{
+    const auto pending = std::exchange(partition.pending, std::nullopt);
+    if (!pending) {
+        return;
+    }
+    const auto version = partition.row.version;
+    partition.row = pending->row;
+    partition.row.version = version;
+    partition.shownAt = shownAt;
+    partition.wasSeen = true;
+    partition.isOwned = isOwnRow(pending->row);
+    partition.isGivingUp = false;
+    partition.leaseStart = pending->startedAt;
+    if (pending->isClaim) {
+        partition.quarantineEnd = pending->isQuarantined ? shownAt + OutageShareQuarantine : TimePoint();
+    }
+}
+
+bool BudgetOwners::isClean(const Partition &partition, TimePoint now)
+{
+    return now >= partition.quarantineEnd && (!partition.lastUse || now - *partition.lastUse >= OutageShareQuarantine);
+}
+
+bool BudgetOwners::canClaim(const Partition &partition, TimePoint now) const
+{
+    if (!m_wasRead || m_isStopping || partition.isOwned) {
+        return false;
+    }
+    const auto &row = partition.row;
+    if (row.version == 0) {
+        return true;
+    }
+    if (row.sharePercent != m_sharePercent) {
+        // Its owner may still grant another share; by then, the programs that got tokens have ended, too.
+        return now - partition.shownAt >= BudgetTakeoverTime + OutageShareQuarantine;
+    }
+    return row.owner.empty() || now - partition.shownAt >= BudgetTakeoverTime;
+}
+
+void BudgetOwners::beginRenewal(Partition &partition, TimePoint now) const
+{
+    if (!partition.pending) {
+        auto row = partition.row;
+        row.renewals++;
+        partition.pending = PendingWrite{std::move(row), now, false, false};
+    }
+    partition.renewedAt = now;
+}
+
+void BudgetOwners::beginClaim(Partition &partition, TimePoint now) const
+{
+    if (!partition.pending) {
+        auto row = partition.row;
+        const bool isFirst = row.version == 0 && !partition.wasSeen;
+        const bool isHandedOver = row.owner.empty() && row.isClean && row.sharePercent == m_sharePercent;
+        row.owner = m_self;
+        row.incarnation = m_incarnation;
+        row.term++;
+        row.renewals++;
+        row.isClean = false;
+        row.sharePercent = m_sharePercent;
+        partition.pending = PendingWrite{std::move(row), now, true, !isFirst && !isHandedOver};
+    }
+}
+
+void BudgetOwners::beginGiveUp(Partition &partition, TimePoint now) const
+{
+    // A renewal whose outcome is unknown is resolved first.
+    if (!partition.pending) {
+        auto row = partition.row;
+        row.owner.clear();
+        row.renewals++;
+        row.isClean = isClean(partition, now);
+        partition.pending = PendingWrite{std::move(row), now, false, false};
+    }
+    partition.isGivingUp = true;
+}
+
+void BudgetOwners::updatePreference(Partition &partition, const std::string &preferred, TimePoint now) const
+{
+    if (preferred == m_self) {
+        partition.otherPreferredAt.reset();
+    } else {
+        partition.otherPreferredAt = partition.otherPreferredAt.value_or(now);
+    }
+}
+
+std::vector<BudgetOwnerRow> BudgetOwners::beginWrite(const std::vector<std::string> &live, TimePoint now)
+{
+    if (m_isWriting) {
+        return {};
+    }
+    m_written.clear();
+    for (std::uint32_t n = 0; n < BudgetPartitions && m_written.size() < MaxOwnerRowsPerWrite; n++) {
+        auto &partition = m_partitions[n];
+        if (!partition.isOwned) {
+            continue;
+        }
+        updatePreference(partition, preferredOwner(n, live), now);
+        const auto &since = partition.otherPreferredAt;
+        const bool isHandedOver = since && now - *since >= BudgetHandOverDelay && isClean(partition, now);
+        if (m_isStopping || partition.isGivingUp || isHandedOver) {
+            beginGiveUp(partition, now);
+            m_written.push_back(n);
+        } else if (now - partition.renewedAt >= BudgetRenewInterval) {
+            beginRenewal(partition, now);
+            m_written.push_back(n);
+        }
+    }
+    // Claims are refused more often, so they don't share a transaction with renewals.
+    for (std::uint32_t n = 0; m_written.empty() && n < BudgetPartitions; n++) {
+        auto &partition = m_partitions[n];
+        if (canClaim(partition, now) && preferredOwner(n, live) == m_self) {
+            beginClaim(partition, now);
+        }
+    }
+    for (std::uint32_t n = 0; n < BudgetPartitions && m_written.size() < MaxOwnerRowsPerWrite; n++) {
+        const auto &pending = m_partitions[n].pending;
+        if (pending && pending->isClaim) {
+            m_written.push_back(n);
+        }
+    }
+    std::vector<BudgetOwnerRow> rows;
+    rows.reserve(m_written.size());
+    for (const auto n : m_written) {
+        rows.push_back(m_partitions[n].pending->row);
+    }
+    m_isWriting = !rows.empty();
+    return rows;
+}
+
+void BudgetOwners::onWritten(std::uint64_t version, TimePoint now)
+{
+    m_isWriting = false;
+    for (const auto n : m_written) {
+        auto &partition = m_partitions[n];
+        // A read may have shown a newer row meanwhile.
+        if (partition.pending && version > partition.row.version) {
+            partition.row.version = version;
+            applyPending(partition, now);
+        }
+    }
+}
+
+void BudgetOwners::onConflict(const std::vector<BudgetOwnerRow> &rows, TimePoint now)
+{
+    m_isWriting = false;
+    for (const auto n : m_written) {
+        auto &partition = m_partitions[n];
+        const auto row = std::find_if(rows.begin(), rows.end(), [n](const auto &it) {
+            return it.partition == n;
+        });
+        if (row != rows.end()) {
+            applyRow(partition, *row, now);
+        } else if (partition.row.version != 0) {
+            // The row was removed. Its owner isn't known any more, so its successor isn't the first one.
+            partition.row = {};
+            partition.row.partition = n;
+            partition.isOwned = false;
+            partition.pending.reset();
+            partition.isGivingUp = false;
+        }
+    }
+}
+
+void BudgetOwners::onWriteFailed()
+{
+    m_isWriting = false;
+}
+
+void BudgetOwners::recordUse(std::uint32_t partition, TimePoint now)
+{
+    m_partitions.at(partition).lastUse = now;
+}
+
+void BudgetOwners::giveUpAll()
+{
+    m_isStopping = true;
+}
+
+OwnerRight BudgetOwners::right(std::uint32_t partition, TimePoint now) const
+{
+    const auto &state = m_partitions.at(partition);
+    const bool isValid = state.leaseStart && now >= *state.leaseStart && now - *state.leaseStart < BudgetLease;
+    if (!state.isOwned || state.isGivingUp || m_isStopping || !isValid) {
+        return OwnerRight::None;
+    }
+    return now < state.quarantineEnd ? OwnerRight::Quarantined : OwnerRight::Full;
+}
+
+std::string BudgetOwners::owner(std::uint32_t partition) const
+{
+    const auto &row = m_partitions.at(partition).row;
+    return row.sharePercent == m_sharePercent ? row.owner : std::string();
+}
+
+std::size_t BudgetOwners::ownedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_partitions.begin(), m_partitions.end(), [](const auto &it) {
+        return it.isOwned;
+    }));
+}
+
+std::size_t BudgetOwners::ownerlessCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_partitions.begin(), m_partitions.end(), [this](const auto &it) {
+        return it.row.owner.empty() || it.row.sharePercent != m_sharePercent;
+    }));
+}
+
+} // namespace Vanillahall::Forward
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -1,5 +1,7 @@
 #include "vanillahall/core/token_ledger_base.h"
 
+#include "vanillahall/core/budget/outage_share_base.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,9 +12,10 @@
     return reserved - std::min(reserved, returned);
 }
 
-TokenLedger::TokenLedger(std::string writer, std::string zone)
+TokenLedger::TokenLedger(std::string writer, std::string zone, std::uint32_t secondSharePercent)
     : m_writer(std::move(writer))
     , m_zone(std::move(zone))
+    , m_secondSharePercent(secondSharePercent)
 {
 }
 
@@ -73,20 +76,27 @@
     }
     const std::uint64_t outstanding = account.row.outstanding();
     const std::uint64_t missing = request.maxTokens - std::min(request.maxTokens, account.available);
-    // Allows one turn beyond the budget, to make up for tokens that are lost with an entry.
-    if (outstanding + missing > request.budget + request.maxTokens) {
+    const auto most = limit(account, request, now);
+    if (outstanding + missing > most.tokens + most.beyond) {
+        // Closing the second share helps only if it holds enough.
+        if (most.needsClosing && outstanding + missing <= request.budget + request.maxTokens) {
+            account.writeRequestedAt = now;
+            account.isWriting = true;
+            return TokenNeedsClosing{};
+        }
         return refuse(account, request, now);
     }
     // Reserves for all waiting turns in one write, as sub-agents start together.
     const std::uint64_t waiting = std::exchange(account.waitingTokens, 0);
     std::uint64_t amount = missing == 0 ? 0 : missing + std::max(waiting, (TurnsReservedAhead - 1) * request.maxTokens);
-    if (outstanding + amount > request.budget / 2) {
+    if (outstanding + amount > most.tokens / 2) {
         amount = missing + waiting;
     }
-    if (outstanding + amount > request.budget) {
+    if (outstanding + amount > most.tokens) {
         amount = missing;
     }
     TokenWrite write{request.program, account.row};
+    write.row.outageTokens = most.outageTokens;
     write.row.reserved += amount;
     write.row.holders = otherHolders(account.row);
     write.row.writer = nextWriter();
@@ -103,6 +113,32 @@
     return TokenNeedsWrite{std::move(write)};
 }
 
+TokenLedger::Limit TokenLedger::limit(const Account &account, const TokenRequest &request, TimePoint now) const
+{
+    auto closed = account.row.outageTokens;
+    if (!closed && account.closedTokens && now - account.closedAt < ShareClosingLifetime) {
+        closed = account.closedTokens;
+    }
+    // One turn beyond the budget makes up for tokens that are lost with an entry.
+    if (closed || m_secondSharePercent == 0) {
+        return {request.budget - std::min(request.budget, closed.value_or(0)), request.maxTokens, false, closed};
+    }
+    return {request.budget - secondShare(request.budget, m_secondSharePercent), 0, true, std::nullopt};
+}
+
+void TokenLedger::onShareClosed(const std::string &program, std::optional<std::uint64_t> tokens, TimePoint now)
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end()) {
+        return;
+    }
+    it->second.isWriting = false;
+    if (tokens) {
+        it->second.closedTokens = tokens;
+        it->second.closedAt = now;
+    }
+}
+
 std::string TokenLedger::nextWriter()
 {
     return m_writer + "/" + std::to_string(++m_writes);
