Programs begin and go on in outages of the store (proxy.outage_budget_percent)

Cause: a turn whose tokens aren't reserved waits for the store and gets 503.

Change: OutageControl claims and renews partitions in table budget_owners, asks owners for tokens when a call about a program's row fails, reports used tokens until that is confirmed, and closes second shares. Streams granted by an owner begin at the version that the owner has recorded; a proxy that resumes a stream it hasn't forwarded asks row and owner. Off by default: no calls, no rows.

--- a/packages/core/include/vanillahall/core/proxy_membership_base.h
+++ b/packages/core/include/vanillahall/core/proxy_membership_base.h
@@ -50,6 +50,8 @@
     [[nodiscard]] std::uint32_t count(TimePoint now) const;
     /** @return Number of other proxies that are alive and come before this one in the order of names. */
     [[nodiscard]] std::uint32_t rank(TimePoint now) const;
+    /** @return Names of the other proxies that are alive. */
+    [[nodiscard]] std::vector<std::string> alive(TimePoint now) const;
     /** @return Proxies whose rows may be removed. */
     [[nodiscard]] std::vector<ProxyMember> expired(TimePoint now) const;
     /** @return A proxy by its name, or null if it isn't known. */
--- a/packages/core/src/queries/proxy_membership_query.cpp
+++ b/packages/core/src/queries/proxy_membership_query.cpp
@@ -26,6 +26,17 @@
     return n;
 }
 
+std::vector<std::string> ProxyMembership::alive(TimePoint now) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, state] : m_members) {
+        if (name != m_self && now < state.countedUntil) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 std::vector<ProxyMember> ProxyMembership::expired(TimePoint now) const
 {
     std::vector<ProxyMember> list;
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -87,6 +87,7 @@
     proxy.quota.window = settings.proxyQuotaWindow.value_or(proxy.quota.window);
     proxy.quota.overrun = settings.proxyQuotaOverrun.value_or(proxy.quota.overrun);
     proxy.quota.slack = settings.proxyQuotaSlack.value_or(proxy.quota.slack);
+    proxy.outageBudgetPercent = settings.proxyOutageBudgetPercent;
     proxy.choice.placement = toPlacement(settings);
     proxy.maxClientBytes = settings.proxyMemoryMb * BytesPerMb / ClientMemoryDivisor;
     proxy.maxServerBytes = settings.proxyServerRequestMb * BytesPerMb;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -94,6 +94,10 @@
     if (settings.role == Role::Proxy && settings.store.address.empty()) {
         errors.push_back({file, 0, "platform", "store", "expected an IP number and a port, because process.role is proxy"});
     }
+    if (settings.role == Role::Proxy && settings.proxyOutageBudgetPercent != 0 && settings.proxyPeerListen.address.empty()) {
+        errors.push_back(
+            {file, 0, "proxy", "peer_listen", "expected an IP number and a port, because proxy.outage_budget_percent isn't 0"});
+    }
     if (settings.role == Role::Gate && settings.serverKind == "service" && settings.service.empty()) {
         errors.push_back({file, 0, "gate", "service", "expected a non-empty text, because gate.kind is service"});
     }
@@ -112,6 +116,17 @@
     return parseNumber(value, field) && field >= 1 && field <= MaxNumber;
 }
 
+bool setSharePercent(std::uint32_t &field, const std::string &value)
+{
+    constexpr std::uint64_t MaxShare = 50; // The first share is at least as large as the second.
+    std::uint64_t number = 0;
+    if (!parseNumber(value, number) || number > MaxShare) {
+        return false;
+    }
+    field = static_cast<std::uint32_t>(number);
+    return true;
+}
+
 bool setMilliseconds(Duration &field, const std::string &value)
 {
     std::uint64_t number = 0;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -78,6 +78,7 @@
     std::optional<Duration> proxyQuotaWindow;                    ///< proxy.quota_window_s
     std::optional<double> proxyQuotaOverrun;                     ///< proxy.quota_overrun
     std::optional<double> proxyQuotaSlack;                       ///< proxy.quota_slack
+    std::uint32_t proxyOutageBudgetPercent = 0;                  ///< proxy.outage_budget_percent
     std::string proxyPlacement = "learned";                      ///< proxy.placement
     std::string logLevel = "info";                               ///< log.level
 };
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -32,6 +32,7 @@
 
 bool setText(std::string &field, const std::string &value);
 bool setNumber(std::uint64_t &field, const std::string &value);
+bool setSharePercent(std::uint32_t &field, const std::string &value);
 bool setMilliseconds(Duration &field, const std::string &value);
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value);
 bool setOptionalSeconds(std::optional<Duration> &field, const std::string &value);
@@ -304,6 +305,14 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalAmount, proxyQuotaSlack),
      "Tolerated excess over a rate limit in a window, in requests; 20 by default."},
+    {"proxy",
+     "outage_budget_percent",
+     "a whole number from 0 to 50",
+     RequiredBy::Nobody,
+     VH_SETTING(setSharePercent, proxyOutageBudgetPercent),
+     "Part of each token budget that may be granted while the store is unavailable; 0 (the default) for none. Must be the same at all "
+     "proxies, "
+     "and changes only while no programs are in progress."},
     {"proxy",
      "placement",
      "learned or fixed",
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -105,8 +105,19 @@
     if (!row) {
         return true;
     }
-    if (row->streamVersions.size() == 1 && !row->streamVersions.front().isUnknown()) {
-        m_origin = row->streamVersions.front();
+    auto versions = row->streamVersions;
+    if (m_proxy.outage.isOn() && hasTokenBudget()) {
+        // The row doesn't name the versions of streams that began with tokens of the program's owner.
+        if (!m_outageVersions) {
+            findOutageVersions();
+            return false;
+        }
+        std::copy_if(m_outageVersions->begin(), m_outageVersions->end(), std::back_inserter(versions), [&versions](const auto &it) {
+            return std::find(versions.begin(), versions.end(), it) == versions.end();
+        });
+    }
+    if (versions.size() == 1 && !versions.front().isUnknown()) {
+        m_origin = versions.front();
         return true;
     }
     answerNotRun(Outcome::StreamOriginUnknown);
@@ -148,6 +159,13 @@
     }
 }
 
+std::uint64_t Exchange::maxTokens() const
+{
+    // Rounded up to a whole number of events, since each may hold tokensPerEvent tokens.
+    const std::uint64_t perEvent = m_tokensPerEvent;
+    return (m_request.attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
+}
+
 void Exchange::requestTokens()
 {
     const auto &attributes = m_request.attributes;
@@ -158,18 +176,15 @@
         selectServer();
         return;
     }
-    // Rounded up to a whole number of events, since each may hold tokensPerEvent tokens.
-    const std::uint64_t perEvent = m_tokensPerEvent;
-    const std::uint64_t maxTokens = (attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
     // A turn of a sub-agent isn't the first one of its program, so the row exists.
     const bool shouldReadFirst = m_proxy.store.isBusy() || (!attributes.session.empty() && attributes.session != attributes.program);
     // Another proxy may have named a version since this one last saw the row.
     const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
     const auto result = m_proxy.ledger.reserve(
-        {m_programKey, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived}, now());
+        {m_programKey, *attributes.tokenBudget, maxTokens(), shouldReadFirst, versionToName(), confirmedSince, m_request.arrived}, now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
-        m_grantedTokens = maxTokens;
+        m_grantedTokens = maxTokens();
         selectServer();
         return;
     }
@@ -185,6 +200,7 @@
     const auto *needed = std::get_if<TokenNeedsWrite>(&result);
     const auto *returns = std::get_if<TokenNeedsReturns>(&result);
     const bool needsRead = std::holds_alternative<TokenNeedsRead>(result);
+    m_needsClosing = std::holds_alternative<TokenNeedsClosing>(result);
     if (m_proxy.isStoreReachable()) {
         m_proxy.addTokenWaiter(m_programKey, shared_from_this());
         setStoreTimer(storeWaitLeft());
@@ -194,13 +210,17 @@
             m_proxy.requestReturns(m_programKey, returns->holders);
         } else if (needsRead) {
             m_proxy.readTokens(m_programKey);
+        } else if (m_needsClosing) {
+            m_proxy.closeShare(m_programKey);
         }
         return;
     }
-    if (needed != nullptr || returns != nullptr || needsRead) {
+    if (needed != nullptr || returns != nullptr || needsRead || m_needsClosing) {
         m_proxy.ledger.onWriteFailed(m_programKey);
     }
-    waitForStore();
+    if (!requestOutageTokens()) {
+        waitForStore();
+    }
 }
 
 void Exchange::waitForStore()
@@ -230,7 +250,8 @@
 
 void Exchange::onStoreUpdate(bool hasFailed)
 {
-    if (m_isEnded || !m_waitsForStore) {
+    // An owner that was asked for tokens answers soon, and a turn gets its tokens from one place only.
+    if (m_isEnded || !m_waitsForStore || !m_askedTurn.empty() || m_isAskingVersions) {
         return;
     }
     stopTimer(m_waitTimer);
@@ -238,8 +259,14 @@
         queryStore();
         return;
     }
-    const auto wait = std::min(MaxStoreRetryDelay, StoreRetryDelay * (1U << std::min(m_storeFailures++, MaxStoreRetryDoublings)));
-    setStoreTimer(std::min(wait, storeWaitLeft()));
+    if (m_needsClosing || !requestOutageTokens()) {
+        setStoreTimer(std::min(nextStoreRetryDelay(), storeWaitLeft()));
+    }
+}
+
+Duration Exchange::nextStoreRetryDelay()
+{
+    return std::min(MaxStoreRetryDelay, StoreRetryDelay * (1U << std::min(m_storeFailures++, MaxStoreRetryDoublings)));
 }
 
 void Exchange::selectServer()
@@ -263,7 +290,7 @@
     }
     const auto software = choice->server.software();
     const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
-    if (isVersionInRow() && !m_origin && std::find(named.begin(), named.end(), software) == named.end()) {
+    if (isVersionInRow() && !m_origin && !m_outageTurn && std::find(named.begin(), named.end(), software) == named.end()) {
         // The row names the version before the stream begins. The tokens are reserved anew together with it.
         m_newVersion = software;
         m_proxy.ledger.settle(m_programKey, std::exchange(m_grantedTokens, 0), 0, now());
@@ -286,11 +313,15 @@
     if (!isVersionInRow()) {
         return m_proxy.servers.choose(wanted, now());
     }
-    const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
+    auto named = m_proxy.ledger.row(m_programKey).streamVersions;
+    if (m_outageTurn && m_outageTurn->request.streamVersion) {
+        named = {*m_outageTurn->request.streamVersion};
+    }
     wanted.software = &named;
     auto choice = m_proxy.servers.choose(wanted, now());
-    if (choice || m_mayHaveRun != 0) {
-        // A request that may have run can't wait for the store: it might have to be refused as not run.
+    if (choice || m_mayHaveRun != 0 || m_outageTurn) {
+        // The owner of the program has recorded the version. A request that may have run can't wait for the store: it might have to be
+        // refused as not run.
         return choice;
     }
     wanted.software = nullptr;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -6,6 +6,7 @@
 #include "event_splitter.h"
 #include "server_connection.h"
 
+#include "vanillahall/core/budget/outage_share_base.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
@@ -95,6 +96,19 @@
     void findConversation();
     void onConversationFound(const TurnStep &result);
     void requestTokens();
+    /** @return Tokens that the turn generates at most. */
+    [[nodiscard]] std::uint64_t maxTokens() const;
+    /**
+     * Asks the owner of the program for the tokens, since the store doesn't answer.
+     * @return False if that isn't possible; the request has to wait for the store then.
+     */
+    bool requestOutageTokens();
+    /** @param answer Answer of the owner; nothing if there was none. */
+    void onOutageAnswer(const OutageGrantRequest &request, const std::string &owner, const std::optional<OutageAnswer> &answer);
+    /** Asks the owner of the program at which versions streams began with its tokens; queryStore() follows. */
+    void findOutageVersions();
+    /** @return Delay before the next attempt; grows with each one. */
+    Duration nextStoreRetryDelay();
     void waitForStore();
     void setStoreTimer(Duration span);
     /** Refuses the request if its content has crashed too many servers. @return True if it was refused. */
@@ -196,26 +210,39 @@
     /** @return Remaining time that the request may wait for the store. */
     [[nodiscard]] Duration storeWaitLeft() const;
 
-    ProxyState &m_proxy;                               ///< The proxy; outlives the exchange.
-    std::shared_ptr<ClientSession> m_session;          ///< Connection of the client.
-    ClientRequest m_request;                           ///< The request.
-    Route m_route;                                     ///< Route as configured when the request arrived.
-    std::string m_service;                             ///< Service selected by the route's weights.
-    std::uint32_t m_maxConnections = 0;                ///< Connections that a server of the service accepts.
-    std::uint32_t m_tokensPerEvent = 1;                ///< Generated tokens in one event.
-    boost::asio::steady_timer m_limitTimer;            ///< Ends the request at m_limitAt.
-    boost::asio::steady_timer m_waitTimer;             ///< Delay before the next attempt to get tokens or a server.
-    TimePoint m_limitAt{};                             ///< Deadline of the client or time limit of the route, whichever is earlier.
-    std::optional<TimePoint> m_serverChosenAt;         ///< When a server was first selected.
-    std::optional<TimePoint> m_firstByteAt;            ///< When the response started.
-    std::uint64_t m_configVersion = 0;                 ///< Version of the configuration when the request arrived.
-    std::uint64_t m_contentHash = 0;                   ///< Hash of path and body.
-    std::uint64_t m_grantedTokens = 0;                 ///< Tokens that were granted and aren't settled yet.
-    std::uint64_t m_forwardedEvents = 0;               ///< Events forwarded to the client.
-    std::uint32_t m_attemptEvents = 0;                 ///< Events received in the current attempt.
-    TimePoint m_attemptStartedAt{};                    ///< When the current attempt started.
-    TimePoint m_attemptFirstEventAt{};                 ///< When its first event was received.
-    std::optional<std::uint64_t> m_lastEvent;          ///< Id of the last event forwarded to the client.
+    /** Turn whose tokens the owner of the program has granted. */
+    struct OutageTurn
+    {
+        std::string owner;          ///< Proxy that has granted them.
+        OutageGrantRequest request; ///< The request for them.
+    };
+
+    ProxyState &m_proxy;                       ///< The proxy; outlives the exchange.
+    std::shared_ptr<ClientSession> m_session;  ///< Connection of the client.
+    ClientRequest m_request;                   ///< The request.
+    Route m_route;                             ///< Route as configured when the request arrived.
+    std::string m_service;                     ///< Service selected by the route's weights.
+    std::uint32_t m_maxConnections = 0;        ///< Connections that a server of the service accepts.
+    std::uint32_t m_tokensPerEvent = 1;        ///< Generated tokens in one event.
+    boost::asio::steady_timer m_limitTimer;    ///< Ends the request at m_limitAt.
+    boost::asio::steady_timer m_waitTimer;     ///< Delay before the next attempt to get tokens or a server.
+    TimePoint m_limitAt{};                     ///< Deadline of the client or time limit of the route, whichever is earlier.
+    std::optional<TimePoint> m_serverChosenAt; ///< When a server was first selected.
+    std::optional<TimePoint> m_firstByteAt;    ///< When the response started.
+    std::uint64_t m_configVersion = 0;         ///< Version of the configuration when the request arrived.
+    std::uint64_t m_contentHash = 0;           ///< Hash of path and body.
+    std::uint64_t m_grantedTokens = 0;         ///< Tokens that were granted and aren't settled yet.
+    std::optional<OutageTurn> m_outageTurn;    ///< Turn granted by the owner of the program, not settled yet.
+    std::string m_askedTurn;                   ///< Name of the turn for which the owner was asked; empty if it wasn't.
+    bool m_isOutageShareSpent = false;         ///< True if the owner grants no more to the program.
+    bool m_needsClosing = false;               ///< True while waiting for the second share of the budget to be closed.
+    bool m_isAskingVersions = false;           ///< True while the owner is asked for versions.
+    std::optional<std::vector<SoftwareVersion>> m_outageVersions; ///< Versions at which streams began with tokens of the owner.
+    std::uint64_t m_forwardedEvents = 0;                          ///< Events forwarded to the client.
+    std::uint32_t m_attemptEvents = 0;                            ///< Events received in the current attempt.
+    TimePoint m_attemptStartedAt{};                               ///< When the current attempt started.
+    TimePoint m_attemptFirstEventAt{};                            ///< When its first event was received.
+    std::optional<std::uint64_t> m_lastEvent;                     ///< Id of the last event forwarded to the client.
     std::optional<SoftwareVersion> m_origin;           ///< Version that began the stream; nothing if it hasn't begun or isn't known.
     std::optional<SoftwareVersion> m_newVersion;       ///< Version to begin at although the program's row doesn't name it yet.
     std::shared_ptr<ServerConnection> m_connection;    ///< Connection of the current attempt.
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -191,14 +191,6 @@
     m_proxy.metrics.count("vanillahall_attempts_abandoned_total", {"why", std::string(why)});
 }
 
-void Exchange::settleTokens()
-{
-    if (m_grantedTokens != 0) {
-        m_proxy.ledger.settle(m_programKey, m_grantedTokens, m_forwardedEvents * m_tokensPerEvent, now());
-        m_grantedTokens = 0;
-    }
-}
-
 void Exchange::end(unsigned status, Outcome outcome)
 {
     if (m_isEnded) {
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -83,7 +83,7 @@
 
 void Exchange::continueWithPermit()
 {
-    if (m_grantedTokens != 0) {
+    if (m_grantedTokens != 0 || m_outageTurn) {
         selectServer();
     } else {
         queryStore();
--- /dev/null
+++ b/packages/proxy/src/outage_control.h
@@ -0,0 +1,104 @@
+/**
+ * Second shares of token budgets: this proxy as an owner, and as one that asks the owners.
+ * Load pattern: the store stops answering, and from then on every turn without reserved tokens asks the owner of its program, over the
+ * connections between proxies.
+ */
+#pragma once
+
+#include "message_server.h"
+#include "store_caller.h"
+
+#include "vanillahall/core/budget/budget_owners_base.h"
+#include "vanillahall/core/budget/outage_share_base.h"
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace Vanillahall::Forward {
+
+class ProxyState;
+
+inline constexpr std::string_view OutageGrantPath = "/budget/grant";   ///< Path at which an owner grants tokens.
+inline constexpr std::string_view OutageReportPath = "/budget/report"; ///< Path at which an owner is told that a turn has ended.
+inline constexpr std::string_view ShareClosePath = "/budget/close";    ///< Path at which an owner closes the share of a program.
+inline constexpr std::string_view ShareVersionsPath
+    = "/budget/versions"; ///< Path at which an owner tells the versions at which streams of a program began.
+
+/** Makes the calls for the second shares of token budgets. */
+class OutageControl
+{
+public:
+    /** Called with the owner's answer; nothing if there was none, and the tokens may be granted. */
+    using GrantHandler = std::function<void(const std::string &owner, const std::optional<OutageAnswer> &answer)>;
+    /** Called with the number of granted tokens; nothing if the share isn't closed, or the number isn't known. */
+    using CloseHandler = std::function<void(std::optional<std::uint64_t> tokens)>;
+    /** Called with the versions at which streams began; nothing if they aren't known. */
+    using VersionsHandler = std::function<void(const std::optional<std::vector<SoftwareVersion>> &versions)>;
+
+    explicit OutageControl(ProxyState &proxy);
+
+    // Commands.
+
+    /** Reads, claims and renews rows of owners, and repeats reports, as far as due. */
+    void runPeriodicTasks();
+    /** Gives up all partitions, because the process stops. */
+    void giveUpAll();
+    /** Asks the owner of a program for tokens. @return False if none is known; the handler isn't called then. */
+    bool requestGrant(const OutageGrantRequest &request, GrantHandler handler);
+    /** Reports the end of a granted turn to the proxy that granted it, repeatedly if it doesn't answer. */
+    void report(const std::string &owner, const OutageReport &report);
+    /** Asks the owner of a program to close its second share. */
+    void close(const std::string &program, CloseHandler handler);
+    /** Asks the owner of a program at which versions streams began with tokens that it granted. */
+    void findVersions(const std::string &program, const VersionsHandler &handler);
+    /** Answers a call of another proxy. @return False if the call isn't about second shares. */
+    bool answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
+    void setGauges();
+
+    // Queries.
+
+    /** @return True if budgets have a second share. */
+    [[nodiscard]] bool isOn() const;
+    /** @return True if this proxy has given up its partitions, or can't, and no report waits for its reply. */
+    [[nodiscard]] bool isStopped() const;
+    /** @return New name for an attempt of a turn. */
+    [[nodiscard]] std::string nextTurn();
+
+private:
+    /** Report that wasn't confirmed yet. */
+    struct PendingReport
+    {
+        std::string owner;
+        OutageReport report;
+        TimePoint madeAt{};
+        TimePoint sentAt{};
+    };
+
+    void readOwners();
+    void writeOwners();
+    void onOwnersWritten(const std::vector<BudgetOwnerRow> &rows, const std::optional<StoreReply> &reply, const Error &reason);
+    /** Calls an owner. @return False if its address isn't known. */
+    bool callOwner(const std::string &owner, std::string_view path, std::string body, const StoreCaller::Handler &handler);
+    void sendReport(PendingReport &pending);
+    void repeatReports();
+    OutageAnswer grant(const OutageGrantRequest &request);
+    OutageCloseAnswer closeOwn(const std::string &program);
+    [[nodiscard]] std::optional<std::vector<SoftwareVersion>> ownVersions(const std::string &program);
+    [[nodiscard]] OwnerRight right(const std::string &program) const;
+    void logOwned();
+
+    ProxyState &m_proxy; ///< The proxy; owns this object.
+    BudgetOwners m_owners;
+    OutageShare m_share;
+    std::unordered_map<std::string, PendingReport> m_reports; ///< Reports by turn.
+    std::optional<TimePoint> m_startedAt;                     ///< Time of the first runPeriodicTasks().
+    TimePoint m_nextReadAt{};
+    TimePoint m_nextCleanAt{};
+    std::size_t m_loggedOwned = 0; ///< Number of own partitions that was logged last.
+    std::uint64_t m_turns = 0;     ///< Number of calls of nextTurn().
+    bool m_isReading = false;
+    bool m_isStopping = false;
+};
+
+} // namespace Vanillahall::Forward
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -109,6 +109,7 @@
     }
     removeExpiredRows();
     sweepTurns();
+    outage.runPeriodicTasks();
     runAfter(m_periodicTimer, settings.pollInterval, *this, [](ProxyState &self) {
         self.runPeriodicTasks();
     });
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -146,6 +146,16 @@
     }
 }
 
+void ProxyState::closeShare(const std::string &program)
+{
+    outage.close(program, [weak = weak_from_this(), program](std::optional<std::uint64_t> tokens) {
+        if (const auto self = weak.lock()) {
+            self->ledger.onShareClosed(program, tokens, now());
+            self->notifyTokenWaiters(program, !tokens);
+        }
+    });
+}
+
 void ProxyState::notifyTokenWaiters(const std::string &program, bool hasFailed)
 {
     const auto waiters = std::move(m_tokenWaiters[program]);
@@ -189,8 +199,8 @@
         "program=" + clientId(program) + " reserved=" + std::to_string(row ? row->reserved : 0)
             + " returned=" + std::to_string(row ? row->returned : 0) + " expected_version=" + std::to_string(row ? row->version : 0)
             + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
-    // Waiting requests continue at once even if the read failed; they try a write then.
-    notifyTokenWaiters(program, false);
+    // Waiting requests continue at once even if the read failed; they ask the owner of the program, or try a write then.
+    notifyTokenWaiters(program, !row && outage.isOn());
 }
 
 ProxyState::TokenOutcome ProxyState::applyTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer)
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -41,13 +41,14 @@
     , serverRequestBytes(settings.maxServerBytes)
     , customers(settings.customers)
     , servers(settings.zone, settings.choice)
-    , ledger(processName(settings), settings.zone)
+    , ledger(processName(settings), settings.zone, settings.outageBudgetPercent)
     , quotas(settings.name, settings.incarnation, settings.quota)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
     , overload(ioLoop)
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
+    , outage(*this)
     , clientAcceptor(ioLoop)
     , readinessServer(
           ioLoop,
@@ -277,6 +278,7 @@
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     overload.setGauges(*this);
+    outage.setGauges();
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     setQuotaGauges();
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
@@ -300,6 +302,9 @@
         answerTokenReturn(request.body, answer, MaxReturnAttempts);
         return;
     }
+    if (outage.answerPeer(request, answer)) {
+        return;
+    }
     const Platform::StoreRequest wanted{request.method, request.target, request.body};
     if (!Platform::isRelayableCall(wanted)) {
         answer({StatusNotFound, {}, {}});
@@ -347,8 +352,9 @@
         return it.second->isBusy();
     });
     returnTokens();
+    outage.giveUpAll();
     // Records that the store doesn't have yet, and tokens that aren't given back, would be lost with the process.
-    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens());
+    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens()) && outage.isStopped();
     const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && isStored;
     if (isDone || plannedStop.isOverdue(now())) {
         shutDown();
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -4,6 +4,7 @@
 #include "client_session.h"
 #include "exchange.h"
 #include "message_server.h"
+#include "outage_control.h"
 #include "overload_control.h"
 #include "server_connection.h"
 #include "server_request_bytes.h"
@@ -77,6 +78,8 @@
     void readTokens(const std::string &program);
     /** Asks other proxies to give back the tokens of a program, and notifies the exchanges that wait for it. */
     void requestReturns(const std::string &program, const std::vector<std::string> &holders);
+    /** Asks the owner of a program to close its second share, and notifies the exchanges that wait for the program. */
+    void closeShare(const std::string &program);
     /** Registers an exchange to be notified after the next store call about a program's tokens. */
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
@@ -124,6 +127,8 @@
     void onStoreFailure(const std::string &message);
     /** Makes a call whose reply is ignored, except that failures are logged. @param name Name of the call for the log. */
     void callStore(const Platform::StoreRequest &request, const char *name);
+    /** Logs a row that can't be decoded, once per version of it. */
+    void reportInvalidRow(const Error &reason, std::uint64_t version);
     /** @return Estimated clock of the store, in milliseconds. */
     [[nodiscard]] std::uint64_t storeNowMs() const;
 
@@ -156,6 +161,7 @@
     OverloadControl overload;
     PlannedStop plannedStop;
     StoreRouter store;
+    OutageControl outage;
     boost::asio::ip::tcp::acceptor clientAcceptor;
     MessageServer readinessServer;
     MessageServer metricsServer;
@@ -225,7 +231,6 @@
     /** Applies the server list to the registry. @param wasUnavailable True if the list couldn't be read for a while before. */
     void updateServers(bool wasUnavailable);
     void onStoreReachable();
-    void reportInvalidRow(const Error &reason, std::uint64_t version);
     /** Proxies that were asked to give back the tokens of a program. */
     struct ReturnRound
     {
--- a/tests/core/outage_share_test.cpp
+++ b/tests/core/outage_share_test.cpp
@@ -473,8 +473,7 @@
     EXPECT_EQ(first.right(7, Start + BudgetLease), OwnerRight::None);
     first.recordUse(7, Start);
     const auto end = Start + param.sinceUse;
-    while (write(first, "a", end)) {
-    }
+    while (write(first, "a", end)) { }
     EXPECT_EQ(first.right(7, end), OwnerRight::Full);
     if (param.isGivenUp) {
         first.giveUpAll();
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -230,6 +230,29 @@
     }
 }
 
+/** A share over half of the budget, or one that no other proxy can be asked for, would refuse programs that go on without it. */
+TEST(SettingsTest, OutageShareIsAtMostHalfAndNeedsOtherProxies)
+{
+    const std::string proxy = "process.role=proxy";
+    for (const auto &[value, peers, isValid] : {std::tuple("0", "", true),
+                                                std::tuple("50", "proxy.peer_listen=127.0.0.1:9000", true),
+                                                std::tuple("51", "proxy.peer_listen=127.0.0.1:9000", false),
+                                                std::tuple("-1", "proxy.peer_listen=127.0.0.1:9000", false),
+                                                std::tuple("50", "", false)}) {
+        std::vector<SettingsError> errors;
+        std::vector<std::string> changes{proxy,
+                                         "proxy.listen=127.0.0.1:9001",
+                                         "proxy.ready_listen=127.0.0.1:9002",
+                                         "platform.store=127.0.0.1:9003",
+                                         std::string("proxy.outage_budget_percent=") + value};
+        if (*peers != '\0') {
+            changes.emplace_back(peers);
+        }
+        read(ValidEntry, errors, changes);
+        EXPECT_EQ(errors.empty(), isValid) << value << ' ' << peers;
+    }
+}
+
 TEST(SettingsTest, OperationsPageContainsTheSettingsReference)
 {
     std::ifstream stream(std::string(VANILLAHALL_SOURCE_DIR) + "/docs/OPERATIONS.md");
--- /dev/null
+++ b/tests/proxy/proxy_outage_test.cpp
@@ -0,0 +1,209 @@
+/** Programs with token budgets while the store is unavailable. */
+#include "proxy_world.h"
+
+#include <gtest/gtest.h>
+
+namespace Vanillahall::Forward {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t Half = 50;
+
+/** Two proxies on one store, the first of which owns all partitions of the programs. Each turn delivers 20 tokens. */
+struct OutageWorld
+{
+    explicit OutageWorld(std::uint32_t percent = Half)
+        : world(
+            [this](const std::string &request) {
+                if (breaksStreams && request.find("\r\nLast-Event-Id: ") == std::string::npos) {
+                    return Script{streamHead() + eventChunk(1), true};
+                }
+                return Script{streamHead() + eventChunk(1) + eventChunk(2) + "0\r\n\r\n"};
+            },
+            [percent](ProxySettings &settings) {
+                settings.peerListen = ProxyAddress{"127.0.0.1", 0};
+                settings.outageBudgetPercent = percent;
+                settings.budgetClaimDelay = {};
+            })
+    {
+    }
+
+    bool start()
+    {
+        const bool isStarted = world.start() && world.run([this] {
+            return world.hasLine("1132 owned=64");
+        });
+        beside = isStarted ? world.addProxy("beside") : nullptr;
+        return beside != nullptr && world.run([this] {
+            // The second proxy knows the owner once a turn that needs the second share was served through it.
+            return statusOf(ask(*beside, "warm", 20)) == 200U;
+        });
+    }
+
+    std::string
+    ask(const Proxy &at, const std::string &program, int budget, const std::string &path = "/stream/1", const std::string &more = {})
+    {
+        const auto headers = "Program-Id: " + program + "\r\nToken-Usage: 50,20\r\nToken-Budget: " + std::to_string(budget) + "\r\n" + more;
+        return world.ask(at, ProxyWorld::request("POST", path, "r" + std::to_string(++requests), headers));
+    }
+
+    /** Sets the software version of a server, and waits until both proxies know. */
+    void setVersion(const std::string &server, const std::string &version)
+    {
+        auto &row = world.rows.servers[server];
+        const std::string field = "\"version\":\"";
+        const auto at = row.find(field) + field.size();
+        row.replace(at, row.find('"', at) - at, version);
+        EXPECT_TRUE(world.run([this, &version] {
+            return world.lineCount("version=" + version) >= 2;
+        }));
+    }
+
+    bool breaksStreams = false; ///< True if streams break off after their first event, unless they are resumed.
+    ProxyWorld world;
+    std::unique_ptr<Proxy> beside;
+    int requests = 0;
+};
+
+} // namespace
+
+// Programs that began in an outage of the store got 503 for all their turns.
+TEST(ProxyOutage, ProgramsBeginGoOnAndEndAtSeveralProxies)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    it.world.rows.refusesAll = true;
+    for (const char *program : {"p", "q", "r"}) {
+        EXPECT_EQ(statusOf(it.ask(*it.beside, program, 100)), 200U);
+        EXPECT_EQ(statusOf(it.ask(*it.world.proxy, program, 100)), 200U);
+    }
+    // Half of the budget is used up; whether the rest is, isn't known.
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 100)), 503U);
+    EXPECT_EQ(it.world.rows.tokens.count("p"), 0U);
+    it.world.rows.refusesAll = false;
+    // Two turns were served, and budget and one turn hold four more.
+    std::vector<unsigned> statuses;
+    statuses.reserve(5);
+    for (int n = 0; n < 5; n++) {
+        statuses.push_back(statusOf(it.ask(n % 2 == 0 ? *it.beside : *it.world.proxy, "p", 100)));
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 200, 200, 402}));
+}
+
+// The row held the whole budget, so that both shares together exceeded it.
+TEST(ProxyOutage, AProgramThatNeedsMoreThanHalfClosesTheSecondShare)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    std::vector<unsigned> statuses;
+    statuses.reserve(7);
+    for (int n = 0; n < 7; n++) {
+        statuses.push_back(statusOf(it.ask(n % 2 == 0 ? *it.beside : *it.world.proxy, "p", 100)));
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 200, 200, 200, 200, 402}));
+    EXPECT_TRUE(it.world.hasLine("program=p owner=proxy outcome=closed tokens=0"));
+    it.world.rows.refusesAll = true;
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 100)), 503U);
+}
+
+// Without the owner, nobody knows what it has granted.
+TEST(ProxyOutage, WithoutTheOwnerProgramsWaitAndAreNotRefusedForGood)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 200)), 200U);
+    it.world.rows.refusesAll = true;
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "q", 100)), 200U);
+    it.world.proxy.reset();
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "r", 100)), 503U);
+    it.world.rows.refusesAll = false;
+    ASSERT_TRUE(it.world.run([&it] {
+        return statusOf(it.ask(*it.beside, "q", 100)) == 200U;
+    }));
+    // The first share holds two turns; after them the owner would have to be asked.
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "q", 100)), 200U);
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "q", 100)), 503U);
+}
+
+// After a power failure, new incarnations granted the second share again.
+TEST(ProxyOutage, AllProxiesKilledInTheOutageGrantNothingAfterIt)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    it.world.rows.refusesAll = true;
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 100)), 200U);
+    EXPECT_EQ(statusOf(it.ask(*it.world.proxy, "p", 100)), 200U);
+    it.beside.reset();
+    it.world.proxy.reset();
+    it.world.rows.refusesAll = false;
+    const auto first = it.world.addProxy("proxy", "2");
+    const auto second = it.world.addProxy("beside", "2");
+    ASSERT_TRUE(first && second);
+    std::vector<unsigned> statuses;
+    statuses.reserve(4);
+    for (int n = 0; n < 4; n++) {
+        statuses.push_back(statusOf(it.ask(n % 2 == 0 ? *first : *second, "p", 100)));
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 200, 503, 503}));
+    it.world.rows.refusesAll = true;
+    EXPECT_EQ(statusOf(it.ask(*first, "new", 100)), 503U);
+}
+
+// The row of a program didn't name the version of a stream that the owner had granted, so that another version continued it.
+TEST(ProxyOutage, AStreamOfTheOwnerIsResumedOnlyAtItsVersion)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    it.setVersion("s1", "v1");
+    it.world.rows.servers.erase("s2");
+    ASSERT_TRUE(it.world.run([&it] {
+        return it.world.lineCount("server=s2 state=gone") == 2;
+    }));
+    it.world.rows.refusesAll = true;
+    it.breaksStreams = true;
+    EXPECT_NE(it.ask(*it.world.proxy, "p", 400).find("id: 1"), std::string::npos);
+    EXPECT_NE(it.ask(*it.world.proxy, "q", 400).find("id: 1"), std::string::npos);
+    const auto begun = it.requests - 1;
+    it.breaksStreams = false;
+    it.world.rows.refusesAll = false;
+    // The software is replaced, and a turn of one program names the new version in its row.
+    it.setVersion("s1", "v2");
+    ASSERT_TRUE(it.world.run([&it] {
+        return statusOf(it.ask(*it.beside, "p", 400)) == 200U;
+    }));
+    const auto sent = it.world.first.requests.size();
+    for (const auto &[program, request] : {std::pair("p", begun), std::pair("q", begun + 1)}) {
+        const auto answer
+            = it.ask(*it.beside, program, 400, "/stream/1", "Last-Event-Id: 1\r\nResumes: r" + std::to_string(request) + "\r\n");
+        EXPECT_EQ(statusOf(answer), 503U) << program;
+    }
+    EXPECT_EQ(it.world.first.requests.size(), sent);
+    EXPECT_TRUE(it.world.hasLine("outcome=stream_origin_unknown"));
+    EXPECT_TRUE(it.world.hasLine("outcome=no_server_of_version"));
+}
+
+// Conversations need the store to keep their turns.
+TEST(ProxyOutage, StoredConversationsWait)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    it.world.rows.refusesAll = true;
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 100, "/kept/1")), 503U);
+}
+
+TEST(ProxyOutage, WithoutTheSettingNothingIsCalled)
+{
+    OutageWorld it(0);
+    ASSERT_TRUE(it.world.start());
+    for (int n = 0; n < 7; n++) {
+        EXPECT_EQ(statusOf(it.ask(*it.world.proxy, "p", 100)), n < 6 ? 200U : 402U);
+    }
+    for (const auto &request : it.world.store.requests) {
+        EXPECT_EQ(request.find("budget_owners"), std::string::npos);
+        EXPECT_EQ(request.find("outage"), std::string::npos);
+    }
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -297,9 +297,10 @@
            });
 }
 
-std::unique_ptr<Proxy> ProxyWorld::addProxy(const std::string &name)
+std::unique_ptr<Proxy> ProxyWorld::addProxy(const std::string &name, const std::string &incarnation)
 {
     auto settings = m_settings;
+    settings.incarnation = incarnation;
     settings.name = name;
     auto other = std::make_unique<Proxy>(loop, settings, [this, name](LogLevel, EventNumber event, const std::string &fields) {
         lines.push_back(name + " " + std::to_string(static_cast<int>(event)) + " " + fields);
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -95,7 +95,7 @@
     /** Like ask(), at another proxy. */
     std::string ask(const Proxy &at, const std::string &request);
     /** @return Another proxy on the same store, started and ready; null if it isn't ready within 20 s. */
-    std::unique_ptr<Proxy> addProxy(const std::string &name);
+    std::unique_ptr<Proxy> addProxy(const std::string &name, const std::string &incarnation = "1");
     /** @return Number of log lines that contain a text. */
     [[nodiscard]] std::size_t lineCount(const std::string &text) const;
     /** @return True if a log line contains a text. */
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -96,6 +96,9 @@
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
     }
+    if (auto ownersAnswer = answerBudgetOwners(request)) {
+        return *ownersAnswer;
+    }
     const bool isTokenRead = request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos;
     if (isTokenRead) {
         tokenReads++;
@@ -153,6 +156,48 @@
     return answer;
 }
 
+std::optional<Script> StoreModel::answerBudgetOwners(const std::string &request)
+{
+    const auto rowsOf = [this](const auto &wanted) {
+        Json list = Json::array();
+        for (const auto &[key, row] : budgetOwners) {
+            if (wanted(key)) {
+                list.push_back({{"key", key}, {"value", row.first}, {"ver", row.second}});
+            }
+        }
+        return list;
+    };
+    if (request.find("GET /api/rows-get?table=budget_owners") == 0) {
+        const auto all = rowsOf([](const auto &) {
+            return true;
+        });
+        return Script{json({{"rows", all}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+    }
+    if (request.find("\"table\":\"budget_owners\"") == std::string::npos) {
+        return std::nullopt;
+    }
+    if (refusesWrites) {
+        return Script{json(Json::object(), refusalStatus)};
+    }
+    const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    for (const auto &it : body["expect"]) {
+        const auto row = budgetOwners.find(it["key"]);
+        if ((row == budgetOwners.end() ? 0 : row->second.second) != it["ver"]) {
+            const auto current = rowsOf([&body](const auto &key) {
+                return std::any_of(body["expect"].begin(), body["expect"].end(), [&key](const auto &expected) {
+                    return expected["key"] == key;
+                });
+            });
+            return Script{json({{"rows", current}}, 412)};
+        }
+    }
+    version++;
+    for (const auto &it : body["writes"]) {
+        budgetOwners[it["key"]] = {it["value"], version};
+    }
+    return Script{json({{"ver", version}, {"nowMs", nowMs}})};
+}
+
 std::optional<Script> StoreModel::answerTurns(const std::string &request)
 {
     const bool isRead = request.find("GET /api/rows-get?table=turn") == 0;
