Owners of token budgets: rows that can't be read, wire tests, a 7 s outage

Cause: a row of table budget_owners that can't be decoded counted as absent, and its claim blocked all others of the same transaction.

ProxyOutage covers an outage of 7 s and the tokens of a turn that didn't run; WireOutage covers rows and messages. FixedRows names the new field of token rows and checks that it is absent in old ones. Own grants are logged like others.

--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -147,6 +147,23 @@
     writeOwners();
 }
 
+std::vector<BudgetOwnerRow> OutageControl::decodeOwners(const std::vector<Platform::StoreRow> &rows)
+{
+    std::vector<BudgetOwnerRow> list;
+    for (const auto &it : rows) {
+        Error ec;
+        auto row = Platform::decodeBudgetOwner(it, ec);
+        if (!row) {
+            m_proxy.reportInvalidRow(ec, it.version);
+            row = Platform::unreadableBudgetOwner(it);
+        }
+        if (row) {
+            list.push_back(std::move(*row));
+        }
+    }
+    return list;
+}
+
 void OutageControl::readOwners()
 {
     m_isReading = true;
@@ -158,16 +175,7 @@
         if (!rows) {
             return;
         }
-        std::vector<BudgetOwnerRow> list;
-        for (const auto &it : rows->rows) {
-            Error ec;
-            if (auto row = Platform::decodeBudgetOwner(it, ec)) {
-                list.push_back(std::move(*row));
-            } else {
-                m_proxy.reportInvalidRow(ec, it.version);
-            }
-        }
-        m_owners.onRowsRead(list, now());
+        m_owners.onRowsRead(decodeOwners(rows->rows), now());
     });
 }
 
@@ -209,15 +217,7 @@
         m_owners.onWritten(done->version, now());
     } else {
         outcome = "changed_by_another";
-        std::vector<BudgetOwnerRow> list;
-        for (const auto &it : std::get<Platform::TransactionRefused>(*answer).rows) {
-            if (auto row = Platform::decodeBudgetOwner(it, ec)) {
-                list.push_back(std::move(*row));
-            } else {
-                m_proxy.reportInvalidRow(ec, it.version);
-            }
-        }
-        m_owners.onConflict(list, now());
+        m_owners.onConflict(decodeOwners(std::get<Platform::TransactionRefused>(*answer).rows), now());
     }
     m_proxy.metrics.count("vanillahall_budget_owner_writes_total", {"outcome", outcome});
     if (!answer) {
@@ -273,25 +273,25 @@
     if (owner.empty()) {
         return false;
     }
-    if (owner == m_proxy.settings.name) {
-        handler(owner, grant(request));
-        return true;
-    }
-    const auto answered = [weak = m_proxy.weak_from_this(), owner, request, askedAt = now(), handler = std::move(handler)](
-                              const auto &reply, const Error &reason) {
-        const auto proxy = weak.lock();
-        if (!proxy) {
-            return;
-        }
-        // A reply that is handled late, after this process was frozen, may be older than the lease of its owner.
-        const auto answer = now() - askedAt < OwnerCallTimeout * 2 ? toAnswer(reply) : std::nullopt;
+    const auto done = [proxy = &m_proxy, owner, request, handler = std::move(handler)](const std::optional<OutageAnswer> &answer,
+                                                                                       const std::string &why) {
         proxy->log(LogLevel::Info,
                    EventNumber::OutageTokens,
                    "program=" + proxy->clientId(request.program) + " turn=" + request.turn + " owner=" + owner
                        + " most=" + std::to_string(request.maxTokens)
-                       + " outcome=" + (answer ? std::visit(AnswerName(), *answer) : "unanswered why=\"" + reason.message + '"'));
+                       + " outcome=" + (answer ? std::visit(AnswerName(), *answer) : "unanswered why=\"" + why + '"'));
         handler(owner, answer);
     };
+    if (owner == m_proxy.settings.name) {
+        done(grant(request), {});
+        return true;
+    }
+    const auto answered = [weak = m_proxy.weak_from_this(), askedAt = now(), done](const auto &reply, const Error &reason) {
+        if (const auto proxy = weak.lock()) {
+            // A reply that is handled late, after this process was frozen, may be older than the lease of its owner.
+            done(now() - askedAt < 2 * OwnerCallTimeout ? toAnswer(reply) : std::nullopt, reason.message);
+        }
+    };
     return callOwner(owner, OutageGrantPath, Platform::encodeOutageGrant(request, m_proxy.settings.outageBudgetPercent), answered);
 }
 
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -75,6 +75,8 @@
         TimePoint sentAt{};
     };
 
+    /** @return Rows; one that can't be decoded counts as that of an unknown owner, which may still grant. */
+    std::vector<BudgetOwnerRow> decodeOwners(const std::vector<Platform::StoreRow> &rows);
     void readOwners();
     void writeOwners();
     void onOwnersWritten(const std::vector<BudgetOwnerRow> &rows, const std::optional<StoreReply> &reply, const Error &reason);
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -146,7 +146,8 @@
     EXPECT_EQ(std::tie(name, address, port, memberVersion), std::make_tuple("vm-1", "10.0.0.1", 7000U, 9U));
     const auto tokens = decodeTokenRow(stored("p1", R"({"at":7000,"home":"z1","reserved":300,"writer":"a/1"})"), reason);
     ASSERT_TRUE(tokens) << reason.message;
-    const auto &[reserved, writer, tokenVersion, home, begun, returned, holders] = *tokens;
+    const auto &[reserved, writer, tokenVersion, home, begun, returned, holders, outage] = *tokens;
+    EXPECT_EQ(outage, std::nullopt);
     EXPECT_EQ(returned, 0U);
     EXPECT_TRUE(holders.empty());
     EXPECT_EQ(std::tie(reserved, writer, tokenVersion, home), std::make_tuple(300U, "a/1", 9U, "z1"));
@@ -171,7 +172,8 @@
     const auto turn = decodeTurn({"t/1%", 1}, rows, reason);
     ASSERT_TRUE(turn && *turn) << reason.message;
     const auto &[id, bases, text, until, program, tokens] = **turn;
-    const auto &[reserved, writer, version, home, begun, returned, holders] = tokens;
+    const auto &[reserved, writer, version, home, begun, returned, holders, outage] = tokens;
+    EXPECT_EQ(outage, std::nullopt);
     EXPECT_EQ(returned, 0U);
     EXPECT_TRUE(holders.empty());
     EXPECT_EQ(std::tie(id, text, until, program), std::make_tuple("t/1%", "in\nout", 123456U, "p1"));
--- /dev/null
+++ b/tests/platform/wire_outage_test.cpp
@@ -0,0 +1,68 @@
+/** Rows of owners, and the messages about second shares. */
+#include "vanillahall/platform/wire_outage_func.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace Vanillahall::Platform {
+
+using namespace std::chrono_literals;
+
+// A field that got lost on the way would let two proxies own a partition, or a closed share be granted.
+TEST(WireOutage, RowsAndMessagesAreReadAsTheyWereWritten)
+{
+    const auto call = writeBudgetOwnersCall({{7, "vm-1", "42", 3, 9, true, 50, 12}});
+    const auto body = nlohmann::json::parse(call.body);
+    EXPECT_EQ(body["expect"][0]["ver"], 12U);
+    Error ec;
+    const auto rows
+        = decodeRows(nlohmann::json({{"rows", {{{"key", "7"}, {"value", body["writes"][0]["value"]}, {"ver", 13}}}}}).dump(), ec);
+    ASSERT_TRUE(rows);
+    const auto row = decodeBudgetOwner(rows->rows.at(0), ec);
+    ASSERT_TRUE(row) << ec.message;
+    const auto &[partition, owner, incarnation, term, renewals, isClean, share, version] = *row;
+    EXPECT_EQ(std::tie(partition, owner, incarnation, term), std::make_tuple(7U, "vm-1", "42", 3U));
+    EXPECT_EQ(std::tie(renewals, isClean, share, version), std::make_tuple(9U, true, 50U, 13U));
+    const Forward::SoftwareVersion begun{"svc", "v1"};
+    const auto grant = decodeOutageGrant(encodeOutageGrant({"p", "t", 400, 20, 1500ms, begun}, 50), 50);
+    ASSERT_TRUE(grant);
+    EXPECT_EQ(std::tie(grant->program, grant->turn, grant->budget, grant->maxTokens), std::make_tuple("p", "t", 400U, 20U));
+    EXPECT_EQ(grant->timeLeft, 1500ms);
+    EXPECT_EQ(grant->streamVersion, begun);
+    EXPECT_FALSE(decodeOutageGrant(encodeOutageGrant({"p", "t", 400, 20, 1500ms}, 25), 50));
+    EXPECT_EQ(decodeOutageReport(encodeOutageReport({"p", "t", 20}))->used, 20U);
+    EXPECT_EQ(decodeShareQuery(encodeShareQuery("p", 50), 50), "p");
+    EXPECT_EQ(decodeShareQuery(encodeShareQuery("p", 50), 25), std::nullopt);
+    EXPECT_EQ(decodeClosedShare(encodeClosedShare({60}))->tokens, 60U);
+    EXPECT_EQ(decodeShareVersions(encodeShareVersions({begun})), std::vector{begun});
+    const Forward::TokenWrite write{"p", {40, "a/1", 1, "z", {}, 0, {}, 60}};
+    const auto written = nlohmann::json::parse(writeTokenRowCall(write, 1).body)["writes"][0]["value"];
+    const auto tokens = decodeRows(nlohmann::json({{"rows", {{{"key", "p"}, {"value", written}, {"ver", 2}}}}}).dump(), ec);
+    EXPECT_EQ(decodeTokenRow(tokens->rows.at(0), ec)->outageTokens, 60U);
+}
+
+class WireOutageRow : public ::testing::TestWithParam<const char *>
+{
+};
+
+// An owner whose row can't be read mustn't be taken for none: it may still grant.
+TEST_P(WireOutageRow, IsRefusedIfAFieldIsMissingOrOfAnotherType)
+{
+    Error ec;
+    EXPECT_FALSE(decodeBudgetOwner({"7", GetParam(), 3, false}, ec));
+    EXPECT_FALSE(ec.message.empty());
+    const auto row = unreadableBudgetOwner({"7", GetParam(), 3, false});
+    ASSERT_TRUE(row);
+    EXPECT_EQ(std::tie(row->partition, row->version, row->sharePercent), std::make_tuple(7U, 3U, 0U));
+    EXPECT_FALSE(row->owner.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         WireOutageRow,
+                         ::testing::Values("",
+                                           "[]",
+                                           R"({"owner":"a","incarnation":"1","term":1,"renewals":1})",
+                                           R"({"owner":"a","incarnation":"1","term":-1,"renewals":1,"share":50})",
+                                           R"({"owner":1,"incarnation":"1","term":1,"renewals":1,"share":50})"));
+
+} // namespace Vanillahall::Platform
--- a/tests/proxy/proxy_outage_test.cpp
+++ b/tests/proxy/proxy_outage_test.cpp
@@ -17,6 +17,9 @@
     explicit OutageWorld(std::uint32_t percent = Half)
         : world(
             [this](const std::string &request) {
+                if (refusesStreams) {
+                    return Script{"HTTP/1.1 503 X\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+                }
                 if (breaksStreams && request.find("\r\nLast-Event-Id: ") == std::string::npos) {
                     return Script{streamHead() + eventChunk(1), true};
                 }
@@ -61,7 +64,8 @@
         }));
     }
 
-    bool breaksStreams = false; ///< True if streams break off after their first event, unless they are resumed.
+    bool refusesStreams = false; ///< True if servers state that they don't run requests.
+    bool breaksStreams = false;  ///< True if streams break off after their first event, unless they are resumed.
     ProxyWorld world;
     std::unique_ptr<Proxy> beside;
     int requests = 0;
@@ -79,6 +83,18 @@
         EXPECT_EQ(statusOf(it.ask(*it.beside, program, 100)), 200U);
         EXPECT_EQ(statusOf(it.ask(*it.world.proxy, program, 100)), 200U);
     }
+    // From 1.5 s on, the store counts as unavailable and isn't called.
+    const auto end = std::chrono::steady_clock::now() + 7s;
+    for (int n = 0; std::chrono::steady_clock::now() < end; n++) {
+        const auto program = "program" + std::to_string(n);
+        for (const auto *at : {it.beside.get(), it.world.proxy.get()}) {
+            EXPECT_EQ(statusOf(it.ask(*at, program, 100)), 200U) << program;
+        }
+        const auto next = std::chrono::steady_clock::now() + 300ms;
+        it.world.run([next] {
+            return std::chrono::steady_clock::now() >= next;
+        });
+    }
     // Half of the budget is used up; whether the rest is, isn't known.
     EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 100)), 503U);
     EXPECT_EQ(it.world.rows.tokens.count("p"), 0U);
@@ -184,6 +200,24 @@
     EXPECT_TRUE(it.world.hasLine("outcome=no_server_of_version"));
 }
 
+// Tokens of a turn that no server ran counted as used.
+TEST(ProxyOutage, TokensOfATurnThatDidNotRunAreGrantedAgain)
+{
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    it.world.rows.refusesAll = true;
+    it.refusesStreams = true;
+    for (const auto *at : {it.beside.get(), it.world.proxy.get()}) {
+        EXPECT_EQ(statusOf(it.ask(*at, "p", 40)), 503U);
+    }
+    it.refusesStreams = false;
+    // The second share holds one turn.
+    ASSERT_TRUE(it.world.run([&it] {
+        return statusOf(it.ask(*it.beside, "p", 40)) == 200U;
+    }));
+    EXPECT_EQ(statusOf(it.ask(*it.beside, "p", 40)), 503U);
+}
+
 // Conversations need the store to keep their turns.
 TEST(ProxyOutage, StoredConversationsWait)
 {
