--- a/packages/core/include/vanillahall/core/budget/budget_owners_base.h
+++ b/packages/core/include/vanillahall/core/budget/budget_owners_base.h
@@ -133,4 +133,12 @@
     bool m_isStopping = false;
 };
 
+/** Decides about the tokens of a turn with the right of this proxy, and records a grant as use of the partition. */
+OutageAnswer grantAsOwner(BudgetOwners &owners, OutageShare &share, const OutageGrantRequest &request, TimePoint now);
+/**
+ * Ends the grants to a program with the right of this proxy. Counts as use of the partition like a grant: a successor that doesn't know of
+ * the closing would grant the share of a program whose row holds the rest of the budget.
+ */
+OutageCloseAnswer closeAsOwner(BudgetOwners &owners, OutageShare &share, const std::string &program, TimePoint now);
+
 } // namespace Vanillahall::Forward
--- a/packages/core/src/budget/budget_owners.cpp
+++ b/packages/core/src/budget/budget_owners.cpp
@@ -289,4 +289,24 @@
     }));
 }
 
+OutageAnswer grantAsOwner(BudgetOwners &owners, OutageShare &share, const OutageGrantRequest &request, TimePoint now)
+{
+    const auto partition = budgetPartition(request.program);
+    const auto answer = share.grant(request, owners.right(partition, now), now);
+    if (std::holds_alternative<OutageGranted>(answer)) {
+        owners.recordUse(partition, now);
+    }
+    return answer;
+}
+
+OutageCloseAnswer closeAsOwner(BudgetOwners &owners, OutageShare &share, const std::string &program, TimePoint now)
+{
+    const auto partition = budgetPartition(program);
+    const auto answer = share.close(program, owners.right(partition, now), now);
+    if (std::holds_alternative<OutageClosed>(answer)) {
+        owners.recordUse(partition, now);
+    }
+    return answer;
+}
+
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -121,11 +121,6 @@
     return m_proxy.settings.name + "/" + m_proxy.settings.incarnation + "/" + std::to_string(++m_turns);
 }
 
-OwnerRight OutageControl::right(const std::string &program) const
-{
-    return m_owners.right(budgetPartition(program), now());
-}
-
 void OutageControl::runPeriodicTasks()
 {
     if (!isOn()) {
@@ -259,10 +254,7 @@
 
 OutageAnswer OutageControl::grant(const OutageGrantRequest &request)
 {
-    const auto answer = m_share.grant(request, right(request.program), now());
-    if (std::holds_alternative<OutageGranted>(answer)) {
-        m_owners.recordUse(budgetPartition(request.program), now());
-    }
+    const auto answer = grantAsOwner(m_owners, m_share, request, now());
     m_proxy.metrics.count("vanillahall_outage_grants_total", {"outcome", std::visit(AnswerName(), answer)});
     return answer;
 }
@@ -349,16 +341,6 @@
     }
 }
 
-OutageCloseAnswer OutageControl::closeOwn(const std::string &program)
-{
-    const auto answer = m_share.close(program, right(program), now());
-    if (std::holds_alternative<OutageClosed>(answer)) {
-        // A successor has to know that nothing more may be granted.
-        m_owners.recordUse(budgetPartition(program), now());
-    }
-    return answer;
-}
-
 void OutageControl::close(const std::string &program, CloseHandler handler)
 {
     const auto owner = m_owners.owner(budgetPartition(program));
@@ -371,7 +353,7 @@
         handler(tokens);
     };
     if (owner == m_proxy.settings.name) {
-        const auto answer = closeOwn(program);
+        const auto answer = closeAsOwner(m_owners, m_share, program, now());
         const auto *closed = std::get_if<OutageClosed>(&answer);
         done(closed != nullptr ? std::optional(closed->tokens) : std::nullopt);
         return;
@@ -389,7 +371,7 @@
 
 std::optional<std::vector<SoftwareVersion>> OutageControl::ownVersions(const std::string &program)
 {
-    return m_share.streamVersions(program, right(program));
+    return m_share.streamVersions(program, m_owners.right(budgetPartition(program), now()));
 }
 
 void OutageControl::findVersions(const std::string &program, const VersionsHandler &handler)
@@ -430,7 +412,7 @@
     }
     if (request.target == ShareClosePath) {
         const auto program = Platform::decodeShareQuery(request.body, percent);
-        answer(program ? std::visit(CloseReply(), closeOwn(*program)) : MessageReply{StatusNotFound, {}, {}});
+        answer(program ? std::visit(CloseReply(), closeAsOwner(m_owners, m_share, *program, now())) : MessageReply{StatusNotFound, {}, {}});
         return true;
     }
     if (request.target == ShareVersionsPath) {
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -85,9 +85,7 @@
     void sendReport(PendingReport &pending);
     void repeatReports();
     OutageAnswer grant(const OutageGrantRequest &request);
-    OutageCloseAnswer closeOwn(const std::string &program);
     [[nodiscard]] std::optional<std::vector<SoftwareVersion>> ownVersions(const std::string &program);
-    [[nodiscard]] OwnerRight right(const std::string &program) const;
     void logOwned();
 
     ProxyState &m_proxy; ///< The proxy; owns this object.
--- a/tests/core/outage_share_test.cpp
+++ b/tests/core/outage_share_test.cpp
@@ -252,20 +252,18 @@
         if (owner == nullptr || m_proxies[n]->ledger.row(m_program).outageTokens) {
             return;
         }
-        const auto right = owner->owners.right(budgetPartition(m_program), m_now);
         const OutageGrantRequest request{m_program, std::to_string(++m_names), m_budget, Most, 10s};
-        const auto answer = owner->share.grant(request, right, m_now);
+        const auto answer = grantAsOwner(owner->owners, owner->share, request, m_now);
         if (!std::holds_alternative<OutageGranted>(answer)) {
             return;
         }
-        owner->owners.recordUse(budgetPartition(m_program), m_now);
         grants++;
         if (pick(8) == 0 && !m_isPlain) {
             m_hasLoss = true; // The reply is lost, and the report that the tokens aren't used, too.
             return;
         }
         // A repeated request gets the same reply and counts once.
-        if (!std::holds_alternative<OutageGranted>(owner->share.grant(request, right, m_now)) && failure.empty()) {
+        if (!std::holds_alternative<OutageGranted>(grantAsOwner(owner->owners, owner->share, request, m_now)) && failure.empty()) {
             failure = "a repeated request was refused";
         }
         onGranted({m_program, n, m_incarnations[n], owner->name, request.turn, m_now + request.timeLeft});
@@ -277,10 +275,8 @@
         auto *owner = ownerAt(n);
         std::optional<std::uint64_t> tokens;
         if (owner != nullptr) {
-            const auto partition = budgetPartition(m_program);
-            const auto answer = owner->share.close(m_program, owner->owners.right(partition, m_now), m_now);
+            const auto answer = closeAsOwner(owner->owners, owner->share, m_program, m_now);
             if (const auto *closed = std::get_if<OutageClosed>(&answer)) {
-                owner->owners.recordUse(partition, m_now);
                 tokens = closed->tokens;
                 closings++;
             }
