--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -34,6 +34,8 @@
     {EventNumber::PermitRefused, "permit_refused"},
     {EventNumber::GrantorUnanswered, "grantor_unanswered"},
     {EventNumber::PermitAskInvalid, "permit_ask_invalid"},
+    {EventNumber::OutageTokens, "outage_tokens"},
+    {EventNumber::BudgetOwnersChanged, "budget_owners_changed"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
