Tests of admission at the proxy; the limit of clients is checked as strictly as before

ProxyLimit.ClientsBeyondTheLimitAreRejectedAndLogged: since it no longer checked that a client is accepted once the first one has left, and that the second time at the limit adds no line. ProxyQueue/serverReplaced frees no connections any more: requests in the queue then raced with the refused connections of the crashed server.

--- a/tests/proxy/proxy_queue_test.cpp
+++ b/tests/proxy/proxy_queue_test.cpp
@@ -49,13 +49,6 @@
             return world.hasLine(m_version);
         }));
     }
-    void pause(std::chrono::milliseconds span)
-    {
-        const auto until = std::chrono::steady_clock::now() + span;
-        world.run([until] {
-            return std::chrono::steady_clock::now() > until;
-        });
-    }
     void send(const std::string &id)
     {
         clients.push_back(std::make_unique<TestClient>(world.loop, world.proxy->port()));
@@ -73,7 +66,7 @@
         }));
         send("w0");
         send("w1");
-        pause(40ms);
+        world.pause(40ms);
     }
     /** Replaces the server, which has crashed. */
     void replaceServer()
@@ -81,7 +74,6 @@
         world.first.crash();
         world.rows.servers.clear();
         world.rows.servers.insert(std::move(m_second));
-        freeTwo(); // The other two are repeated at the new server.
     }
     /** Frees the connections of two busy requests. */
     void freeTwo()
@@ -95,13 +87,7 @@
     }
     std::size_t sent(const std::string &id) const
     {
-        std::size_t n = 0;
-        for (const auto *peer : {&world.first, &world.second}) {
-            n += static_cast<std::size_t>(std::count_if(peer->requests.begin(), peer->requests.end(), [&id](const auto &it) {
-                return it.find("Request-Id: " + id + "\r\n") != std::string::npos;
-            }));
-        }
-        return n;
+        return world.first.countWithId(id) + world.second.countWithId(id);
     }
 
     ProxyWorld world;
@@ -135,7 +121,7 @@
     it.fill();
     ASSERT_EQ(it.world.first.requests.size(), Connections);
     GetParam().act(it);
-    it.pause(ObservedTime);
+    it.world.pause(ObservedTime);
     for (std::size_t n = 0; n < 2; n++) {
         const auto id = "w" + std::to_string(n);
         EXPECT_EQ(it.sent(id), GetParam().sent.at(n)) << id;
@@ -146,7 +132,7 @@
     ASSERT_TRUE(it.world.run([&it] {
         return statusOf(it.waiting(1).received) != 0;
     }));
-    it.pause(20ms);
+    it.world.pause(20ms);
     EXPECT_EQ(statusOf(it.waiting(1).received), GetParam().status);
     EXPECT_EQ(it.waiting(1).received.find("HTTP/1.1", 1), std::string::npos) << it.waiting(1).received;
     EXPECT_EQ(it.world.lineCount("request=w1 program= session="), 1U);
@@ -158,7 +144,7 @@
                                          QueueCase{"oneServerFree",
                                                    [](QueueWorld &it) {
                                                        it.waiting(0).close();
-                                                       it.pause(10ms);
+                                                       it.world.pause(10ms);
                                                        it.clients[0]->close();
                                                    },
                                                    {0, 1},
--- a/tests/proxy/proxy_request_test.cpp
+++ b/tests/proxy/proxy_request_test.cpp
@@ -299,20 +299,28 @@
             settings.maxClients = 1;
         });
     ASSERT_TRUE(world.start());
-    TestClient kept(world.loop, world.proxy->port());
-    kept.send(ProxyWorld::request("POST", "/call/1", "r1"));
-    ASSERT_TRUE(world.run([&world] {
-        return world.first.requests.size() + world.second.requests.size() == 1;
-    }));
-    for (int n = 0; n < 2; n++) {
-        TestClient turnedAway(world.loop, world.proxy->port());
-        EXPECT_TRUE(world.run([&turnedAway] {
-            return turnedAway.isClosed;
+    // The second client is accepted once the first one has left.
+    for (std::size_t round = 1; round <= 2; round++) {
+        TestClient kept(world.loop, world.proxy->port());
+        kept.send(ProxyWorld::request("POST", "/call/1", "r" + std::to_string(round)));
+        ASSERT_TRUE(world.run([&world, round] {
+            return world.first.requests.size() + world.second.requests.size() == round;
+        }));
+        for (int n = 0; n < 2; n++) {
+            TestClient turnedAway(world.loop, world.proxy->port());
+            EXPECT_TRUE(world.run([&turnedAway] {
+                return turnedAway.isClosed;
+            }));
+            EXPECT_TRUE(turnedAway.received.empty());
+        }
+        EXPECT_EQ(world.lineCount("peer=clients"), 1U);
+        EXPECT_FALSE(kept.isClosed);
+        EXPECT_EQ(world.proxy->clientCount(), 1U);
+        kept.close();
+        EXPECT_TRUE(world.run([&world] {
+            return world.proxy->clientCount() == 0;
         }));
     }
-    EXPECT_EQ(world.lineCount("peer=clients"), 1U);
-    EXPECT_FALSE(kept.isClosed);
-    EXPECT_EQ(world.proxy->clientCount(), 1U);
 }
 
 // Guards against clients that occupy all connections without a request.
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -60,6 +60,13 @@
     return m_endpoint.port();
 }
 
+std::size_t ScriptedPeer::countWithId(const std::string &id) const
+{
+    return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [&id](const auto &it) {
+        return headerValue(it, "Request-Id") == id;
+    }));
+}
+
 void ScriptedPeer::crash()
 {
     m_acceptor.close();
@@ -277,6 +284,14 @@
     return true;
 }
 
+void ProxyWorld::pause(std::chrono::milliseconds span)
+{
+    const auto until = std::chrono::steady_clock::now() + span;
+    run([until] {
+        return std::chrono::steady_clock::now() > until;
+    });
+}
+
 std::size_t ProxyWorld::lineCount(const std::string &text) const
 {
     return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&text](const auto &it) {
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -27,6 +27,8 @@
     ScriptedPeer(boost::asio::io_context &loop, Answer answer);
 
     [[nodiscard]] std::uint16_t port() const;
+    /** @return Number of requests with an id that were received so far. */
+    [[nodiscard]] std::size_t countWithId(const std::string &id) const;
     /** Ends like a process that crashes: the port refuses connections, and open connections are reset. */
     void crash();
     /** Sends further bytes on all open connections. */
@@ -88,6 +90,8 @@
 
     /** Runs the loop until a condition holds. @return False if it doesn't within 20 s. */
     bool run(const std::function<bool()> &until);
+    /** Runs the loop for some time. */
+    void pause(std::chrono::milliseconds span);
     /** Starts the proxy and waits until it is ready. */
     bool start();
     /** Sends a request and waits until the response is complete or the connection is closed. @return Received bytes. */
