Unread responses of the role entry are bounded for the process and for a connection

Cause: a complete response was held until its caller read it or 30 s passed without progress, for each of 4,096 connections; only streams had a limit (4 MB each), and none in sum. Change: HttpServer counts what it holds for each response, with 64 KB while the library buffers a part. Beyond entry.max_unsent_bytes (64 MB) it closes the connection that has read least for longest (bytes times time since the last progress); a response that is the only one is always sent. The streams of one HTTP/2 connection may hold a quarter of it. Counter vanillahall_clients_closed_total{reason="unread"}, gauge vanillahall_unsent_response_bytes, event 1902 at most every 10 s. A response ends only when the library has passed its last byte on. Not bounded in sum: messages to peers over links, also at a gate (64 MB for each link, then it is closed).

--- a/packages/daemon/src/api_server.cpp
+++ b/packages/daemon/src/api_server.cpp
@@ -5,11 +5,14 @@
 #include "vanillahall/core/error_func.h"
 #include "vanillahall/core/id_func.h"
 
+#include <utility>
+
 namespace Vanillahall {
 
 namespace {
 
 constexpr Duration AccessRefreshInterval = std::chrono::seconds(1);
+constexpr Duration ReaderLogInterval = std::chrono::seconds(10); ///< Interval between log lines about closed connections.
 constexpr Duration OverloadRetryAfter = std::chrono::seconds(1);
 constexpr const char *EventStream = "text/event-stream";
 constexpr std::uint64_t TemporaryProgramTokens = 10'000'000;
@@ -24,6 +27,7 @@
     server.tls = settings.entryTls;
     server.maxBody = settings.maxBodyBytes;
     server.maxConnections = settings.maxConnections;
+    server.maxHeldResponses = settings.maxUnsentBytes;
     server.headers = {ProgramHeader, TurnHeader, ClassHeader, IfMatchHeader, IdempotencyHeader};
     return server;
 }
@@ -66,6 +70,7 @@
         if (!m_access.refresh(reason)) {
             writeLog(LogLevel::Warning, EventNumber::SettingsFault, reason.peer, reason.message);
         }
+        reportClosedReaders();
     });
 }
 
@@ -82,6 +87,29 @@
     m_server.stopListening();
 }
 
+void ApiServer::reportClosedReaders()
+{
+    const auto closed = m_server.closedReaders();
+    if (closed != m_countedReaders) {
+        m_metrics.count("vanillahall_clients_closed_total", {"reason", "unread"}, closed - std::exchange(m_countedReaders, closed));
+    }
+    const bool isTooEarly = m_readersLoggedAt && Loop::now() - *m_readersLoggedAt < ReaderLogInterval;
+    if (closed == m_loggedReaders || isTooEarly) {
+        return;
+    }
+    m_readersLoggedAt = Loop::now();
+    writeLog(LogLevel::Warning,
+             EventNumber::ClientsClosed,
+             "clients",
+             "reason=unread clients=" + std::to_string(closed - std::exchange(m_loggedReaders, closed))
+                 + " bytes_held=" + std::to_string(m_server.unsentBytes()));
+}
+
+std::size_t ApiServer::unsentBytes() const
+{
+    return m_server.unsentBytes();
+}
+
 std::size_t ApiServer::openRequests() const
 {
     return m_open.size();
--- a/packages/daemon/src/api_server_base.h
+++ b/packages/daemon/src/api_server_base.h
@@ -51,6 +51,9 @@
     /** @return Number of requests without a final response. */
     [[nodiscard]] std::size_t openRequests() const;
 
+    /** @return Bytes of responses that the clients haven't received yet. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
 private:
     /** Respond in the format of the native API. */
     struct NativeForm
@@ -84,6 +87,8 @@
 
     void onRequest(HttpExchangeId exchange, HttpRequest &&request);
     void onClosed(HttpExchangeId exchange);
+    /** Counts and logs the connections that were closed because their responses weren't read. */
+    void reportClosedReaders();
     void serve(HttpExchangeId exchange, const Access &access, ApiRequest &&api);
     void refuse(HttpExchangeId exchange, const Error &error);
     RequestId open(HttpExchangeId exchange, const std::string &customer, AnswerForm form);
@@ -101,6 +106,9 @@
     AccessTable m_access;
     HttpServer m_server;
     std::uint64_t m_nextRequest = 1;
+    std::uint64_t m_countedReaders = 0;         ///< Closed connections in the metrics.
+    std::uint64_t m_loggedReaders = 0;          ///< Closed connections in the log.
+    std::optional<TimePoint> m_readersLoggedAt; ///< When they were last logged.
     std::unordered_map<RequestId, OpenRequest> m_open;
     std::unordered_map<HttpExchangeId, RequestId> m_byExchange;
     std::map<CustomerName, std::uint64_t> m_perCustomer;
--- a/packages/daemon/src/entry_process.cpp
+++ b/packages/daemon/src/entry_process.cpp
@@ -260,6 +260,7 @@
             break;
         }
         m_metrics.gauge("vanillahall_open_requests", static_cast<double>(m_apiServer.openRequests()));
+        m_metrics.gauge("vanillahall_unsent_response_bytes", static_cast<double>(m_apiServer.unsentBytes()));
         HttpResponse response;
         response.contentType = "text/plain; version=0.0.4";
         response.body = m_metrics.text();
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -41,6 +41,7 @@
     std::string defaultClass;                                    ///< entry.default_class
     std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024; ///< entry.max_body_bytes
     std::uint64_t maxConnections = 4096;                         ///< entry.max_connections
+    std::uint64_t maxUnsentBytes = std::uint64_t{64} << 20;      ///< entry.max_unsent_bytes
     std::uint64_t maxRequestsPerCustomer = 1024;                 ///< entry.max_requests_per_customer
     Endpoint store;                                              ///< platform.store
     Endpoint vmList;                                             ///< platform.vm_list
--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -116,6 +116,13 @@
      RequiredBy::Nobody,
      VH_SETTING(setNumber, maxConnections),
      "Most connections of callers at once."},
+    {"entry",
+     "max_unsent_bytes",
+     NumberForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setNumber, maxUnsentBytes),
+     "Bytes of responses that callers haven't read, of all connections together; beyond it those that have read least for longest are "
+     "closed."},
     {"entry",
      "max_requests_per_customer",
      NumberForm,
--- a/packages/net/include/vanillahall/net/http_server_base.h
+++ b/packages/net/include/vanillahall/net/http_server_base.h
@@ -53,6 +53,12 @@
     /** @return Number of requests whose response is not complete. */
     [[nodiscard]] std::size_t openExchanges() const;
 
+    /** @return Bytes of responses that the callers haven't received yet. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
+    /** @return Number of connections that were closed so far because their responses weren't read. */
+    [[nodiscard]] std::uint64_t closedReaders() const;
+
 private:
     std::unique_ptr<HttpServerState> m_state;
 };
--- a/packages/net/include/vanillahall/net/http_type.h
+++ b/packages/net/include/vanillahall/net/http_type.h
@@ -59,11 +59,14 @@
     std::size_t maxBody = std::size_t{4} * 1024 * 1024;        ///< Largest request body, in bytes.
     std::size_t maxHeldBodies = std::size_t{64} * 1024 * 1024; ///< Limit on all bodies that are being received, in bytes.
     std::size_t maxConnections = 4096; ///< Maximum number of open connections. Beyond it the oldest one without a request is closed.
-    std::size_t maxUnsent = std::size_t{4} * 1024 * 1024; ///< A caller with more unsent response bytes than this is disconnected.
-    Duration bodyTimeout = std::chrono::seconds(30);      ///< Maximum time to receive a complete request.
-    Duration sendTimeout = std::chrono::seconds(30);      ///< A caller that reads nothing for this long is disconnected.
-    Duration idleTimeout = std::chrono::seconds(60);      ///< An idle connection is closed after this time.
-    std::vector<std::string> headers;                     ///< Names of the request headers passed to the handler, lower case.
+    std::size_t maxUnsent = std::size_t{4} * 1024 * 1024; ///< A stream with more unsent bytes than this is closed. The streams of
+                                                          ///< one connection may hold a quarter of maxHeldResponses if that is more.
+    std::size_t maxHeldResponses = std::size_t{64} * 1024 * 1024; ///< Limit on the unsent responses of all connections, in bytes. Beyond
+                                                                  ///< it, the connection that has read least for longest is closed.
+    Duration bodyTimeout = std::chrono::seconds(30);              ///< Maximum time to receive a complete request.
+    Duration sendTimeout = std::chrono::seconds(30);              ///< A caller that reads nothing for this long is disconnected.
+    Duration idleTimeout = std::chrono::seconds(60);              ///< An idle connection is closed after this time.
+    std::vector<std::string> headers;                             ///< Names of the request headers passed to the handler, lower case.
 };
 
 /** A request to send. */
--- a/packages/net/src/http_response.cpp
+++ b/packages/net/src/http_response.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxWriteBytes = std::size_t{64} * 1024;      ///< Maximum number of bytes passed to the library at once.
 constexpr std::size_t MaxHttp2FrameBytes = std::size_t{16} * 1024; ///< Maximum HTTP/2 frame size that every peer must accept.
 constexpr std::size_t MaxHeadBytes = std::size_t{16} * 1024;       ///< Buffer size for the head of a response.
 
@@ -99,23 +98,26 @@
     if (exchange == nullptr || !exchange->responding) {
         return 0;
     }
-    if (!exchange->headSent ? !sendHead(*exchange) : !sendBody(*exchange)) {
+    if (exchange->isDropped || (!exchange->headSent ? !sendHead(*exchange) : !sendBody(*exchange))) {
         return -1;
     }
     const bool drained = exchange->headSent && exchange->outSentBytes == exchange->out.size();
     if (drained) {
-        exchange->out.clear();
+        std::string().swap(exchange->out);
         exchange->outSentBytes = 0;
     } else if (exchange->outSentBytes > MaxWriteBytes) {
         exchange->out.erase(0, exchange->outSentBytes);
         exchange->outSentBytes = 0;
     }
-    if (drained && exchange->ended) {
+    updateUnsent(*exchange);
+    // What the library still buffers counts until the caller has taken it.
+    const bool isBuffered = lws_partial_buffered(wsi) != 0;
+    if (drained && exchange->ended && !isBuffered) {
         return exchange->bodyPending ? 0 : finish(*exchange);
     }
-    if (!drained) {
+    if (!drained || exchange->ended) {
         lws_callback_on_writable(wsi);
-    } else if (lws_partial_buffered(wsi) == 0) {
+    } else if (!isBuffered) {
         pauseReading(*exchange, true);
     }
     return 0;
@@ -198,6 +200,8 @@
         exchange.lastProgress = Loop::now();
         armSendTimeout(exchange);
     }
+    updateUnsent(exchange);
+    boundUnsent(exchange);
 }
 
 void HttpServerState::armSendTimeout(ServerExchange &exchange)
@@ -239,6 +243,7 @@
     loop.stopTimer(exchange.timer);
     releaseBody(exchange);
     unwatchPeer(exchange);
+    setUnsent(exchange, 0);
     lws_set_opaque_user_data(exchange.wsi, nullptr);
     onExchangeEnded(exchange.wsi);
     exchanges.erase(exchange.id);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -144,11 +144,6 @@
         return;
     }
     m_state->append(*it, std::move(piece));
-    if (it->out.size() - it->outSentBytes > m_state->settings.maxUnsent) {
-        it->ended = true;
-        m_state->closeConnection(*it);
-        return;
-    }
     m_state->requestWrite(*it);
 }
 
@@ -179,4 +174,14 @@
     return m_state->exchanges.size();
 }
 
+std::size_t HttpServer::unsentBytes() const
+{
+    return m_state->unsentBytes;
+}
+
+std::uint64_t HttpServer::closedReaders() const
+{
+    return m_state->closedReaders;
+}
+
 } // namespace Vanillahall
--- a/packages/net/src/http_server_state.h
+++ b/packages/net/src/http_server_state.h
@@ -10,6 +10,8 @@
 
 namespace Vanillahall {
 
+inline constexpr std::size_t MaxWriteBytes = std::size_t{64} * 1024; ///< Maximum number of bytes passed to the library at once.
+
 /** State of one request and its response. */
 struct ServerExchange
 {
@@ -19,6 +21,7 @@
     HttpResponse head;            ///< Status and headers to send.
     std::string out;              ///< Body bytes to send after the head.
     std::size_t outSentBytes = 0; ///< Number of bytes of `out` passed to the library.
+    std::size_t heldBytes = 0;    ///< Bytes that are counted as unsent.
     TimerId timer;                ///< Timer for bodyTimeout, later for sendTimeout.
     TimePoint lastProgress;       ///< Time at which bytes of the response were last passed to the library.
     bool bodyPending = false;     ///< True until the body has been received.
@@ -32,15 +35,17 @@
     bool multiplexed = false;     ///< True for HTTP/2.
     bool headOnly = false;        ///< True for a HEAD request.
     bool acceptsChunks = false;   ///< True if the caller supports chunked transfer encoding.
+    bool isDropped = false;       ///< True once the rest of the response was discarded; the connection is about to be closed.
 };
 
 /** One network connection. */
 struct AcceptedConnection
 {
-    TimerId timer;             ///< Closes the connection if no request is received in time.
-    std::size_t exchanges = 0; ///< Number of requests in progress.
-    std::uint64_t number = 0;  ///< Grows with each accepted connection.
-    bool isClosing = false;    ///< True once the connection was closed to accept another one.
+    TimerId timer;               ///< Closes the connection if no request is received in time.
+    std::size_t exchanges = 0;   ///< Number of requests in progress.
+    std::size_t unsentBytes = 0; ///< Bytes of its responses that aren't sent.
+    std::uint64_t number = 0;    ///< Grows with each accepted connection.
+    bool isClosing = false;      ///< True once the connection was closed to accept another one.
 };
 
 /** A request header that is passed to the handler. */
@@ -101,6 +106,17 @@
     void requestWrite(ServerExchange &exchange);
     void armSendTimeout(ServerExchange &exchange);
     void closeConnection(ServerExchange &exchange);
+
+    // Unsent responses.
+    /** Counts what is held for a response at present. */
+    void updateUnsent(ServerExchange &exchange);
+    void setUnsent(ServerExchange &exchange, std::size_t bytes);
+    /** Closes connections whose responses exceed the limits. @param newest Response that was added to. */
+    void boundUnsent(const ServerExchange &newest);
+    /** @return The connection that has read least for longest, or null if only one response is held. */
+    [[nodiscard]] lws *slowestReader() const;
+    /** Discards the responses of a connection and closes it. */
+    void closeReader(lws *connection);
     ServerExchange *find(HttpExchangeId id);
     ServerExchange *find(lws *wsi);
     void removeExchange(ServerExchange &exchange);
@@ -118,6 +134,8 @@
     std::unordered_map<lws *, AcceptedConnection> connections;                     ///< Open connections.
     std::unordered_map<HttpExchangeId, std::unique_ptr<ServerExchange>> exchanges; ///< Requests in progress.
     std::size_t heldBodies = 0;                                                    ///< Bytes of the bodies that are being received.
+    std::size_t unsentBytes = 0;                                                   ///< Bytes of responses that aren't sent.
+    std::uint64_t closedReaders = 0;                                               ///< Connections closed by boundUnsent().
     std::uint64_t lastConnection = 0;                                              ///< Number of the newest connection.
     std::size_t closingConnections = 0;                                            ///< Connections with isClosing.
     std::uint64_t lastId = 0;                                                      ///< ID of the newest exchange.
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -1,7 +1,7 @@
-"""Clients that misbehave, against a real proxy. Usage: clients_test.py BUILD_DIR [--binary FILE] [TEST ...]
+"""Clients that misbehave, against a real proxy or a real entry. Usage: clients_test.py BUILD_DIR [--binary FILE] [TEST ...]
 
-Each test starts `vanillahalld role=proxy` with lowered limits, a stand-in store and a stand-in server on loopback addresses, plays one kind of
-client load, and guards against the same failures: the process ends, its memory or its descriptors exceed the bound, or an ordinary request
+Each test starts `vanillahalld role=proxy` with lowered limits, a stand-in store and a stand-in server on loopback addresses, or an entry with
+the stand-ins of tests/standins and its default limits, plays one kind of client load, and guards against the same failures: the process ends, its memory or its descriptors exceed the bound, or an ordinary request
 isn't answered although the load continues. Waits have long time-outs and end as soon as the expected state is reached.
 """
 
@@ -17,10 +17,13 @@
 import tempfile
 import unittest
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review", "lib"))
+for folder in (("review", "lib"), ("tools",)):
+    sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", *folder))
 
+import deployment as processes  # pylint: disable=wrong-import-position
 from standins import HOST, Deployment, Worker, answer_after, plain, route  # pylint: disable=wrong-import-position
 
+BUILD = None
 BINARY = None
 MEMORY_MB = 40       # proxy.memory_mb, and the bound of VmHWM.
 MAX_FILES = 700      # proxy.max_files, and RLIMIT_NOFILE of the process.
@@ -30,6 +33,8 @@
 WAIT_S = 25.0        # Limit of each wait.
 SEND_S = 2.0         # A client that can't send for this time stops sending and stays connected.
 LARGE_ANSWER = 200000
+ENTRY_MEMORY_MB = 160  # Bound of VmHWM of an entry: 24 MB idle, 64 MB of unsent responses, the stored program, and what is being encoded.
+ENTRY_FILES = 400      # Bound of the descriptors of an entry.
 
 
 def head(path="/plain/x", fields=(), method="POST", request_id="crowd"):
@@ -53,6 +58,11 @@
     return start + fields + (b"\r\n" if is_finished else b"")
 
 
+def peak_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="utf-8") as status:
+        return next(int(it.split()[1]) for it in status if it.startswith("VmHWM")) / 1024
+
+
 class Crowd:
     """Clients that keep their connections open and never read."""
 
@@ -203,10 +213,6 @@
     def measure(self):
         self.files = max(self.files, len(os.listdir(f"/proc/{self.process.pid}/fd")))
 
-    def peak_mb(self):
-        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
-            return next(int(it.split()[1]) for it in status if it.startswith("VmHWM")) / 1024
-
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
@@ -238,7 +244,7 @@
     def check(self, proxy):
         proxy.measure()
         self.assertIsNone(proxy.process.poll(), "the process has ended")
-        peak = proxy.peak_mb()
+        peak = peak_mb(proxy.process.pid)
         print(f"{self.id().rsplit('.')[-1]}: VmHWM {peak:.1f} MB, {proxy.files} descriptors", flush=True)
         self.assertLess(peak, MEMORY_MB, "memory")
         self.assertLess(proxy.files, MAX_FILES - SPARE_FILES, "descriptors")
@@ -341,6 +347,48 @@
         self.listener("peer", "/api/rows-tx")
 
 
+class EntryTest(unittest.TestCase):
+    """Clients of the role entry."""
+
+    def test_unread_answers_at_an_entry(self):
+        """The responses, of 1.4 MB each, were held for as long as the clients stayed connected without reading."""
+        deployment = processes.Deployment(BUILD, entries=1, gates=1, services=0)
+        self.addCleanup(deployment.stop)
+        deployment.start()
+        address, token = deployment.address("entry-1"), deployment.tokens["klokwerk"]
+
+        def ask(method, path, body=None):
+            status, answer, _ = processes.request(address, method, path, body, token)
+            self.assertIn(status, (200, 201), answer)
+            return answer
+        program = ask("POST", "/v1/programs", {"class": "diagnosis", "budget": {"tokens": 100000000, "calls": 100, "seconds": 3600}})["program"]
+        for turn in range(1, 11):
+            ask("POST", f"/v1/programs/{program}/calls", {"turn": turn, "kind": "model", "model": "bell-diagnosis", "max_tokens": 5, "stream": False,
+                                                          "messages": [{"role": "user", "content": "m" * 140000}]})
+        self.assertGreater(len(json.dumps(ask("GET", f"/v1/programs/{program}/history"))), 1400000)
+        data = f"GET /v1/programs/{program}/history HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n\r\n".encode()
+        process = deployment.processes["entry-1"].process
+
+        async def run():
+            crowd = Crowd()
+            try:
+                host, port = address.rsplit(":", 1)
+                await crowd.play((host, int(port)), data, 250)
+                await asyncio.sleep(3)
+                loop = asyncio.get_running_loop()
+                await loop.run_in_executor(None, ask, "GET", f"/v1/programs/{program}")
+                files = len(os.listdir(f"/proc/{process.pid}/fd"))
+            finally:
+                await crowd.end()
+            return files
+        files = asyncio.run(run())
+        self.assertIsNone(process.poll(), "the process has ended")
+        peak = peak_mb(process.pid)
+        print(f"unread_answers_at_an_entry: VmHWM {peak:.1f} MB, {files} descriptors", flush=True)
+        self.assertLess(peak, ENTRY_MEMORY_MB, "memory")
+        self.assertLess(files, ENTRY_FILES, "descriptors")
+
+
 # Loads of one kind of client.
 LOADS = {
     "bodies_in_one_piece": lambda proxy, crowd: crowd.play(proxy.front, body_request(MAX_BODY, MAX_BODY - 1), 40),
@@ -364,5 +412,6 @@
     parser.add_argument("build")
     parser.add_argument("--binary")
     arguments, names = parser.parse_known_args()
+    BUILD = arguments.build
     BINARY = arguments.binary or os.path.join(arguments.build, "packages", "daemon", "vanillahalld")
-    unittest.main(argv=[sys.argv[0], *(f"ClientsTest.{it}" for it in names)], verbosity=2)
+    unittest.main(argv=[sys.argv[0], *(f"{'EntryTest' if hasattr(EntryTest, it) else 'ClientsTest'}.{it}" for it in names)], verbosity=2)
