Grantors that fail, or two at once, keep the rule

Change: the bucket's capacity shrinks by the part of the rate that is left to proxies that aren't heard of; former incarnations don't count; proxies whose reports don't reach the store name their totals with asks for no permits; the list of proxies may be 17 s old and a new grantor begins after 6 s; a single lost ask is repeated; the ledger's bucket is used only as far as the grantor's.

Calls between proxies use random numbers of their own, so that the traffic of the existing cases is that of before.

--- a/packages/core/include/vanillahall/core/customer/customer_permits_base.h
+++ b/packages/core/include/vanillahall/core/customer/customer_permits_base.h
@@ -10,6 +10,7 @@
 #include "vanillahall/core/customer/quota_ledger_base.h"
 
 #include <string>
+#include <vector>
 
 namespace Vanillahall::Forward {
 
@@ -41,6 +42,11 @@
 
     /** Requests a permit. */
     PermitDecision request(const QuotaRequest &request, TimePoint now);
+    /**
+     * Names this proxy's totals to the grantors while its reports don't reach them, so that they leave no part of the rate to it.
+     * @return Asks to send now; empty while reports are exchanged.
+     */
+    std::vector<PermitCall> keepAlive(TimePoint now);
     /** Handles the answer to an ask; nothing if there was none in time. */
     void onAnswer(const PermitAsk &ask, const std::optional<PermitAnswer> &answer, TimePoint now);
     /** Forgets customers without recent requests. */
--- a/packages/core/include/vanillahall/core/customer/permit_grantor_base.h
+++ b/packages/core/include/vanillahall/core/customer/permit_grantor_base.h
@@ -39,6 +39,8 @@
 
     /** @return VM of the grantor of a customer; empty if none is known. */
     [[nodiscard]] std::string grantorOf(std::uint64_t customer) const;
+    /** @return Capacity of a customer's bucket; 0 without a limit. */
+    [[nodiscard]] double capacityOf(std::uint64_t customer) const;
     /** @return Number of customers whose permits this proxy grants now. */
     [[nodiscard]] std::size_t activeCount(TimePoint now) const;
 
@@ -59,6 +61,7 @@
         double capacity = 0;             ///< Capacity of the bucket.
         double level = 0;                ///< Permits in the bucket; may be negative.
         double reservedRate = 0;         ///< Part of the rate that is left to proxies that aren't heard of.
+        TimePoint reservedAt{};          ///< Time of `reservedRate`.
         TimePoint advancedAt{};          ///< Time of `level`.
         std::optional<TimePoint> since;  ///< Since when this proxy is the grantor.
         std::map<std::string, Use> uses; ///< By VM and incarnation.
@@ -68,7 +71,7 @@
     void updateRole(std::uint64_t customer, Account &account, TimePoint now) const;
     static void advance(Account &account, TimePoint now);
     static Use &merge(Account &account, const UsageReport &report, const CustomerUsage &usage, TimePoint now);
-    static void reserve(Account &account, TimePoint now);
+    void reserve(Account &account, TimePoint now) const;
 
     std::string m_vm;
     QuotaSettings m_settings;
@@ -83,9 +86,12 @@
 inline constexpr std::size_t MaxGrantors = 16;
 /** Asks per second that one grantor answers; 0.15 ms each takes 3% of a core. The others are decided by the reports. */
 inline constexpr double MaxAsksPerSecond = 200;
-/** A grantor stops granting when its list of proxies is older; two heartbeats may be lost. */
-inline constexpr Duration MemberListLifetime = std::chrono::seconds(9);
-/** A new grantor begins after this time: longer than MemberListLifetime, so that a former one has stopped. */
-inline constexpr Duration GrantorStartDelay = std::chrono::seconds(10);
+/** A grantor stops granting when its list of proxies is older: longer than an outage of the store and a heartbeat before and after it. */
+inline constexpr Duration MemberListLifetime = std::chrono::seconds(17);
+/**
+ * A new grantor begins after this time. By then most lists of proxies are newer than the change, and proxies that aren't heard of, because
+ * they ask a former grantor or none, have their part of the rate reserved.
+ */
+inline constexpr Duration GrantorStartDelay = std::chrono::seconds(6);
 
 } // namespace Vanillahall::Forward
--- a/packages/core/include/vanillahall/core/customer/permit_holder_base.h
+++ b/packages/core/include/vanillahall/core/customer/permit_holder_base.h
@@ -9,6 +9,8 @@
 
 #include <optional>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace Vanillahall::Forward {
 
@@ -46,6 +48,8 @@
 
     /** Takes a permit, or says what to do. @param isInProgress True for a request of a program in progress. */
     PermitState take(std::uint64_t customer, bool isInProgress, TimePoint now);
+    /** @return Asks without a wish, by customer, for those that were asked for recently and have no ask in progress. */
+    std::vector<std::pair<std::uint64_t, PermitToAsk>> keepAlive(TimePoint now);
     /** Handles the answer to an ask; nothing if there was none in time. */
     void onAnswer(std::uint64_t customer, std::uint64_t number, const std::optional<PermitAnswer> &answer, TimePoint now);
     /** Forgets customers without recent asks. */
@@ -62,6 +66,7 @@
         TimePoint spentUntil{};               ///< The bucket holds no permit until then.
         TimePoint newSpentUntil{};            ///< The bucket holds no permit for a new program until then.
         bool isPendingInProgress = false;     ///< True if the ask in progress is for a program in progress.
+        unsigned failures{};                  ///< Asks without an answer in a row.
         TimePoint askedAt{};                  ///< When the grantor was last asked.
     };
 
--- a/packages/core/include/vanillahall/core/customer/permit_type.h
+++ b/packages/core/include/vanillahall/core/customer/permit_type.h
@@ -13,7 +13,7 @@
     UsageReport report;        ///< Report of the proxy with the usage of this customer only.
     std::uint64_t number{};    ///< Number of the ask; grows within the incarnation.
     std::uint64_t held{};      ///< Permits of earlier replies that the proxy may still use.
-    std::uint64_t wanted{};    ///< Permits asked for.
+    std::uint64_t wanted{};    ///< Permits asked for; 0 if the proxy only names its total.
     bool isInProgress = false; ///< True if a request of a program in progress waits for one.
 };
 
--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -30,6 +30,7 @@
     bool isRepeated = false;    ///< True if this request has called QuotaLedger::request() before.
     std::uint64_t spreadHash{}; ///< Hash of the program; spreads the retry delays of requests that are refused together.
     Duration timeLeft{};        ///< Remaining time of the request; clients wait for at most a third of it.
+    double leastLevel = 0;      ///< Permits that have to stay in the bucket, because that of the grantor is smaller.
 };
 
 /** The request may be sent. */
@@ -82,6 +83,8 @@
     [[nodiscard]] bool hasLimit(std::uint64_t customer) const;
     /** @return Report with the usage of one customer only, for its grantor. */
     [[nodiscard]] UsageReport usageOf(std::uint64_t customer, TimePoint now) const;
+    /** @return Capacity of a customer's bucket; 0 without a limit. */
+    [[nodiscard]] double capacityOf(std::uint64_t customer) const;
     /** @return Recent demand of a customer at this proxy, per second. */
     [[nodiscard]] double demandOf(std::uint64_t customer, TimePoint now) const;
     /** @return Number of customers with a rate limit. */
--- a/packages/core/src/customer/customer_permits.cpp
+++ b/packages/core/src/customer/customer_permits.cpp
@@ -1,5 +1,6 @@
 #include "vanillahall/core/customer/customer_permits_base.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -45,6 +46,8 @@
         if (toAsk == nullptr) {
             auto counted = request;
             counted.isRepeated = true;
+            // The grantor's bucket and this one together must keep the rule, so this one isn't used beyond the other's capacity.
+            counted.leastLevel = std::max(0.0, m_ledger.capacityOf(customer) - m_grantor.capacityOf(customer));
             return {m_ledger.request(counted, now), std::nullopt, true};
         }
         PermitAsk ask{m_ledger.usageOf(customer, now), toAsk->number, toAsk->held, 1, request.isInProgress};
@@ -57,6 +60,27 @@
     }
 }
 
+std::vector<PermitCall> CustomerPermits::keepAlive(TimePoint now)
+{
+    std::vector<PermitCall> calls;
+    if (m_ledger.isInTouch(now)) {
+        return calls;
+    }
+    for (const auto &[customer, toAsk] : m_holder.keepAlive(now)) {
+        const auto grantor = m_grantor.grantorOf(customer);
+        if (grantor.empty() || !m_ledger.hasLimit(customer)) {
+            continue;
+        }
+        PermitAsk ask{m_ledger.usageOf(customer, now), toAsk.number, toAsk.held, 0, false};
+        if (grantor == m_vm) {
+            m_grantor.grant(ask, now);
+        } else {
+            calls.push_back({grantor, std::move(ask)});
+        }
+    }
+    return calls;
+}
+
 void CustomerPermits::onAnswer(const PermitAsk &ask, const std::optional<PermitAnswer> &answer, TimePoint now)
 {
     if (!ask.report.usage.empty()) {
--- a/packages/core/src/customer/permit_grantor.cpp
+++ b/packages/core/src/customer/permit_grantor.cpp
@@ -20,10 +20,13 @@
 constexpr double CapacityFraction = 0.5;
 /** New programs are admitted only while the bucket holds more than this part of its capacity, so that programs in progress can go on. */
 constexpr double ReserveFraction = 0.25;
+constexpr double BurstReserve = 0.3;      ///< The same part of the burst as at the ledger, if that is less.
 constexpr double BatchFraction = 0.5;     ///< More permits than one are granted only while the bucket holds this part of its capacity.
 constexpr std::uint64_t EarlyReports = 4; ///< A process with more reports may have sent requests long before it is first heard of.
 constexpr double SecondsPerKs = 1000;     ///< Scale of CustomerUsage::demandPerKs.
-constexpr Duration UseLifetime = ReportLifetime;                  ///< Counts of a process that isn't heard of are kept for this long.
+constexpr Duration UseLifetime = ReportLifetime; ///< Counts of a process that isn't heard of are kept for this long.
+constexpr int MissedReports = 3; ///< A proxy whose reports are missing this often in a row, and that didn't ask, isn't heard of.
+constexpr Duration ReserveInterval = std::chrono::milliseconds(500); ///< Longest time between two looks for proxies that aren't heard of.
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(20); ///< A reply that names an earlier time would be asked for at once again.
 
 double toSeconds(Duration span)
@@ -137,8 +140,10 @@
     if (now <= account.advancedAt) {
         return;
     }
-    const double rate = std::max(0.0, account.limit.perSecond - account.reservedRate);
-    account.level = std::min(account.capacity, account.level + rate * toSeconds(now - account.advancedAt));
+    const double rate = account.limit.perSecond;
+    const double heard = rate > 0 ? std::max(0.0, 1 - account.reservedRate / rate) : 0;
+    // What proxies that aren't heard of send isn't known, so the bucket doesn't save up their part either.
+    account.level = std::min(account.capacity * heard, account.level + rate * heard * toSeconds(now - account.advancedAt));
     account.advancedAt = now;
 }
 
@@ -171,10 +176,12 @@
             last = known->second;
             continue;
         }
+        const auto prefix = it.vm + '/';
         for (auto &[hash, account] : m_accounts) {
-            if (const auto use = account.uses.find(key); use != account.uses.end()) {
-                use->second.demand = 0; // A report omits quiet customers.
-                use->second.heardAt = now;
+            // A report omits quiet customers, and the former incarnations of its process have ended.
+            for (auto use = account.uses.lower_bound(prefix); use != account.uses.end() && use->first.starts_with(prefix); ++use) {
+                use->second.demand = 0;
+                use->second.heardAt = use->first == key ? now : use->second.heardAt;
             }
         }
         for (const auto &usage : it.usage) {
@@ -189,21 +196,33 @@
     }
 }
 
-void PermitGrantor::reserve(Account &account, TimePoint now)
+double PermitGrantor::capacityOf(std::uint64_t customer) const
 {
+    const auto found = m_accounts.find(customer);
+    return found != m_accounts.end() ? found->second.capacity : 0;
+}
+
+void PermitGrantor::reserve(Account &account, TimePoint now) const
+{
+    // Reports of many proxies come less often.
+    const auto silentTime
+        = MissedReports * std::max<Duration>(MinReportInterval, ReportIntervalPerProxy * static_cast<std::int64_t>(m_reports.size()));
     std::erase_if(account.uses, [now](const auto &it) {
         return now - it.second.heardAt > UseLifetime;
     });
+    account.reservedAt = now;
     double all = 0;
     double silent = 0;
     for (const auto &[key, use] : account.uses) {
         const auto silence = now - use.heardAt;
         if (silence <= LostProxyTime) {
             all += use.demand;
-            silent += silence > SilentProxyTime ? use.demand : 0.0;
+            silent += silence > silentTime ? use.demand : 0.0;
         }
     }
-    account.reservedRate = all > 0 ? account.limit.perSecond * silent / all : 0;
+    account.reservedRate = silent > 0 ? account.limit.perSecond * silent / all : 0;
+    const double heard = 1 - account.reservedRate / account.limit.perSecond;
+    account.level = std::min(account.level, account.capacity * heard);
 }
 
 PermitAnswer PermitGrantor::grant(const PermitAsk &ask, TimePoint now)
@@ -223,6 +242,9 @@
     auto &account = found->second;
     advance(account, now);
     auto &use = merge(account, ask.report, usage, now);
+    if (now - account.reservedAt > ReserveInterval) {
+        reserve(account, now);
+    }
     if (ask.number <= use.number) {
         return NotGrantor{};
     }
@@ -235,7 +257,11 @@
         account.level -= static_cast<double>(total - use.counted);
     }
     use.counted = total;
-    const double needed = 1 + (ask.isInProgress ? 0.0 : ReserveFraction * account.capacity);
+    if (ask.wanted == 0) {
+        return PermitsGranted{0};
+    }
+    const double needed
+        = 1 + (ask.isInProgress ? 0.0 : std::min(BurstReserve * std::max(account.limit.burst, 0.0), ReserveFraction * account.capacity));
     if (account.level < needed) {
         const double rate = std::max(account.limit.perSecond - account.reservedRate, account.limit.perSecond / SecondsPerKs);
         const auto wait = std::chrono::duration_cast<Duration>(Seconds((needed - account.level) / rate));
--- a/packages/core/src/customer/permit_holder.cpp
+++ b/packages/core/src/customer/permit_holder.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr Duration ByReportsTime = std::chrono::milliseconds(500); ///< A grantor that didn't answer isn't asked for this long.
-constexpr Duration MaxShortage = std::chrono::milliseconds(800);   ///< Requests wait for a permit that is due within this time.
-constexpr Duration EntryLifetime = std::chrono::seconds(30);       ///< Longer than any time kept in an entry.
+constexpr unsigned MaxFailures = 2; ///< Asks without an answer in a row after which the reports decide; a single message may be lost.
+constexpr Duration MaxShortage = std::chrono::milliseconds(800); ///< Requests wait for a permit that is due within this time.
+constexpr Duration EntryLifetime = std::chrono::seconds(30);     ///< Longer than any time kept in an entry.
 
 } // namespace
 
@@ -39,6 +40,17 @@
     return PermitToAsk{m_asks, entry.held};
 }
 
+std::vector<std::pair<std::uint64_t, PermitToAsk>> PermitHolder::keepAlive(TimePoint now)
+{
+    std::vector<std::pair<std::uint64_t, PermitToAsk>> asks;
+    for (const auto &[customer, entry] : m_entries) {
+        if (!entry.pending && now - entry.askedAt <= EntryLifetime) {
+            asks.push_back({customer, {++m_asks, now < entry.heldUntil ? entry.held : 0}});
+        }
+    }
+    return asks;
+}
+
 void PermitHolder::onAnswer(std::uint64_t customer, std::uint64_t number, const std::optional<PermitAnswer> &answer, TimePoint now)
 {
     const auto found = m_entries.find(customer);
@@ -47,6 +59,10 @@
     }
     auto &entry = found->second;
     entry.pending.reset();
+    entry.failures = answer ? 0 : entry.failures + 1;
+    if (entry.failures != 0 && entry.failures < MaxFailures) {
+        return; // The next request asks again.
+    }
     if (!answer || std::holds_alternative<NotGrantor>(*answer)) {
         entry.byReportsUntil = now + ByReportsTime;
     } else if (const auto *granted = std::get_if<PermitsGranted>(&*answer)) {
--- a/packages/core/src/customer/quota_ledger.cpp
+++ b/packages/core/src/customer/quota_ledger.cpp
@@ -146,6 +146,9 @@
         if (account.level < needed) {
             return QuotaRefused{retryDelay(account, needed - account.level, request)};
         }
+        if (account.level < needed + request.leastLevel) {
+            return QuotaBusy{};
+        }
     }
     if (account.part < 1) {
         return QuotaBusy{};
@@ -187,6 +190,12 @@
     return m_accounts.count(customer) != 0;
 }
 
+double QuotaLedger::capacityOf(std::uint64_t customer) const
+{
+    const auto found = m_accounts.find(customer);
+    return found != m_accounts.end() ? found->second.capacity : 0;
+}
+
 double QuotaLedger::demandOf(std::uint64_t customer, TimePoint now) const
 {
     const auto found = m_accounts.find(customer);
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -41,6 +41,9 @@
     if (quotas.size() == 0) {
         return;
     }
+    for (const auto &call : permits.keepAlive(startedAt)) {
+        askGrantor({}, call);
+    }
     const auto write = Platform::writeUsageCall(quotas.report(startedAt));
     store.call(write, StoreTimeout, false, [weak = weak_from_this(), startedAt](const auto &reply, const Error &reason) {
         const auto self = weak.lock();
--- a/tests/core/quota_replay_test.cpp
+++ b/tests/core/quota_replay_test.cpp
@@ -44,6 +44,11 @@
     std::size_t frozen = 0;             ///< Proxies that freeze for 5 s.
     std::size_t cutOff = 0;             ///< Proxies that don't reach the store for 8 s.
     double limitFactor = 1;             ///< Change of all limits.
+    std::size_t isolated = 0;           ///< Proxies that reach neither the store nor other proxies for 8 s.
+    std::size_t lost = 0;               ///< Proxies that end and don't come back.
+    bool hitsGrantors = false;          ///< True if the grantors of the customers come first in the counts above.
+    bool hasTwoGrantors = false;        ///< True if half of the proxies don't see the grantors that the others ask.
+    std::size_t proxies = Proxies;      ///< Proxies at the start.
 };
 
 void PrintTo(const ReplayCase &param, std::ostream *out) // NOLINT(readability-identifier-naming): named by GoogleTest
@@ -100,6 +105,11 @@
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exponential_distribution<>(1 / mean)(m_random)));
     }
+    /** @return True if a call between proxies is lost; leaves the random numbers of the traffic unchanged. */
+    bool isPeerCallLost()
+    {
+        return std::uniform_real_distribution<>()(m_peerRandom) < LostCalls;
+    }
     bool chance(double probability)
     {
         return std::uniform_real_distribution<>()(m_random) < probability;
@@ -122,7 +132,7 @@
         schedule(m_now + exponential(0.2), [this, at, process] {
             exchange(at, process);
         });
-        schedule(m_now + exponential(0.2), [this, at, process] {
+        schedule(m_now + PeerDelay, [this, at, process] {
             readMembers(at, process);
         });
     }
@@ -135,31 +145,27 @@
         schedule(m_now + MemberHeartbeatInterval, [this, at, process] {
             readMembers(at, process);
         });
-        if (isWithin(at, std::get<0>(GetParam()).frozen, 5s) || isWithin(at, std::get<0>(GetParam()).cutOff, 8s)) {
-            return;
-        }
-        std::vector<std::string> alive;
-        for (const auto &it : m_processes) {
-            alive.push_back(it->vm);
+        const auto &param = std::get<0>(GetParam());
+        if (!isWithin(at, param.frozen, 5s) && !isWithin(at, param.cutOff, 8s) && !isIsolated(at) && !isLost(at)) {
+            process->grantor.onMembers(membersSeenBy(at), m_now, m_now);
         }
-        process->grantor.onMembers(alive, m_now, m_now);
     }
     /** Calls another proxy. */
-    void callGrantor(const std::shared_ptr<Process> &process, const PermitCall &call)
+    void callGrantor(std::size_t from, const std::shared_ptr<Process> &process, const PermitCall &call)
     {
         schedule(m_now + PermitAskTimeout, [this, process, ask = call.ask] {
             process->permits.onAnswer(ask, std::nullopt, m_now);
         });
-        if (chance(LostCalls)) {
+        if (isPeerCallLost() || isIsolated(from)) {
             return;
         }
         schedule(m_now + PeerDelay / 2, [this, process, call] {
             const auto at = static_cast<std::size_t>(std::stoul(call.grantor.substr(2)));
-            if (isWithin(at, std::get<0>(GetParam()).frozen, 5s)) {
+            if (isWithin(at, std::get<0>(GetParam()).frozen, 5s) || isIsolated(at) || isLost(at)) {
                 return;
             }
             const auto answer = m_processes[at]->grantor.grant(call.ask, m_now);
-            if (chance(LostCalls)) {
+            if (isPeerCallLost()) {
                 return;
             }
             schedule(m_now + PeerDelay / 2, [this, process, ask = call.ask, answer] {
@@ -173,7 +179,38 @@
     }
     bool isWithin(std::size_t at, std::size_t count, Duration span) const
     {
-        return at < count && m_now >= start() + Disturbed && m_now < start() + Disturbed + span;
+        return isHit(at, count) && m_now >= start() + Disturbed && m_now < start() + Disturbed + span;
+    }
+    /** @return True if a proxy is among the first `count` ones, grantors first if the case says so. */
+    bool isHit(std::size_t at, std::size_t count) const
+    {
+        if (!std::get<0>(GetParam()).hitsGrantors) {
+            return at < count;
+        }
+        const auto found = std::find(m_grantors.begin(), m_grantors.end(), at);
+        return found < m_grantors.begin() + static_cast<std::ptrdiff_t>(std::min(count, m_grantors.size()));
+    }
+    bool isIsolated(std::size_t at) const
+    {
+        return isWithin(at, std::get<0>(GetParam()).isolated, 8s);
+    }
+    bool isLost(std::size_t at) const
+    {
+        return isWithin(at, std::get<0>(GetParam()).lost, End);
+    }
+    /** @return Proxies that one of them knows. */
+    std::vector<std::string> membersSeenBy(std::size_t at) const
+    {
+        std::vector<std::string> alive;
+        for (std::size_t it = 0; it < m_processes.size(); it++) {
+            const bool isKnownLost = isLost(it) && m_now >= start() + Disturbed + MemberTimeout;
+            const bool isHidden = std::get<0>(GetParam()).hasTwoGrantors && at % 2 == 1
+                && std::find(m_grantors.begin(), m_grantors.end(), it) != m_grantors.end();
+            if (!isKnownLost && !isHidden) {
+                alive.push_back(m_processes[it]->vm);
+            }
+        }
+        return alive;
     }
     void exchange(std::size_t at, const std::shared_ptr<Process> &process)
     {
@@ -190,7 +227,10 @@
         }
         const auto madeAt = m_now;
         const auto report = process->ledger.report(m_now);
-        if (isWithin(at, param.cutOff, 8s)) {
+        for (const auto &call : process->permits.keepAlive(m_now)) {
+            callGrantor(at, process, call);
+        }
+        if (isWithin(at, param.cutOff, 8s) || isIsolated(at) || isLost(at)) {
             return;
         }
         if (!chance(LostCalls)) {
@@ -219,13 +259,19 @@
         const auto &param = std::get<0>(GetParam());
         const bool isSurging = customer == param.surging && m_now >= start() + Disturbed;
         schedule(m_now + exponential(ProgramSize / (Rates[customer] * UsualLoad * (isSurging ? param.surge : 1))), [this, customer] {
-            const auto proxy = std::uniform_int_distribution<std::size_t>(0, m_processes.size() - 1)(m_random);
+            auto proxy = std::uniform_int_distribution<std::size_t>(0, m_processes.size() - 1)(m_random);
+            while (isLost(proxy)) {
+                proxy = (proxy + 1) % m_processes.size();
+            }
             sendNext(customer, proxy, 0);
             beginPrograms(customer);
         });
     }
     void sendNext(std::size_t customer, std::size_t proxy, int position)
     {
+        if (isLost(proxy)) {
+            return; // The program ends with its proxy.
+        }
         auto &traffic = m_traffic[customer];
         const double seconds = std::chrono::duration<double>(m_now - traffic.idealAt).count();
         traffic.ideal = std::min(Rates[customer], traffic.ideal + Rates[customer] * seconds);
@@ -254,7 +300,7 @@
         const auto decision
             = m_processes[proxy]->permits.request({"c" + std::to_string(customer), position > 0, m_now != arrived, 0, 30s}, m_now);
         if (decision.call) {
-            callGrantor(m_processes[proxy], *decision.call);
+            callGrantor(proxy, m_processes[proxy], *decision.call);
         }
         const auto &result = decision.answer;
         if (std::holds_alternative<QuotaGranted>(result)) {
@@ -284,6 +330,7 @@
     }
 
     std::mt19937_64 m_random;
+    std::mt19937_64 m_peerRandom{3};
     /** Plays the whole case. */
     void replay();
 
@@ -293,15 +340,21 @@
     std::vector<std::shared_ptr<Process>> m_processes;
     std::map<std::string, UsageReport> m_rows;
     std::array<Traffic, Rates.size()> m_traffic;
+    std::vector<std::size_t> m_grantors; ///< Grantors of the customers.
 };
 
 void QuotaReplay::replay()
 {
     const auto &[param, seed] = GetParam();
     m_random.seed(seed);
-    for (std::size_t at = 0; at < Proxies; at++) {
+    for (std::size_t at = 0; at < param.proxies; at++) {
         addProxy(at, "i1");
     }
+    PermitGrantor choice("");
+    choice.onMembers(membersSeenBy(0), m_now, m_now);
+    for (const auto &it : customers(1)) {
+        m_grantors.push_back(std::stoul(choice.grantorOf(customerHash(it.name)).substr(2)));
+    }
     for (std::size_t it = 0; it < Rates.size(); it++) {
         beginPrograms(it);
     }
@@ -378,4 +431,20 @@
                              return std::get<0>(it.param).name + std::string("Seed") + std::to_string(std::get<1>(it.param));
                          });
 
+// Grantors that fail, or two at once, let more requests through than a limit allows.
+INSTANTIATE_TEST_SUITE_P(Grantors,
+                         QuotaReplay,
+                         ::testing::Combine(::testing::Values(ReplayCase{"lostGrantors", 1, 7.5, 0, 0, 0, 0, 1, 0, 4, true},
+                                                              ReplayCase{"frozenGrantors", 1, 7.5, 0, 0, 4, 0, 1, 0, 0, true},
+                                                              ReplayCase{"isolatedGrantors", 1, 7.5, 0, 0, 0, 0, 1, 4, 0, true},
+                                                              ReplayCase{"isolatedThird", 1, 7.5, 0, 0, 0, 0, 1, Proxies / 3},
+                                                              ReplayCase{"isolatedAll", 1, 7.5, 0, 0, 0, 0, 1, Proxies},
+                                                              ReplayCase{"twoGrantors", 1, 7.5, 0, 0, 0, 0, 1, 0, 0, false, true},
+                                                              ReplayCase{"twoGrantorsSurge1000", 3, 7.5, 0, 0, 0, 0, 1, 0, 0, false, true},
+                                                              ReplayCase{"proxies300", 1, 7.5, 0, 0, 0, 0, 1, 0, 0, false, false, 300}),
+                                            ::testing::Values(1U, 2U)),
+                         [](const auto &it) {
+                             return std::get<0>(it.param).name + std::string("Seed") + std::to_string(std::get<1>(it.param));
+                         });
+
 } // namespace Vanillahall::Forward
