--- a/tests/proxy/proxy_quota_test.cpp
+++ b/tests/proxy/proxy_quota_test.cpp
@@ -1,7 +1,9 @@
 /** Rate limits of customers: what clients are answered, and which calls of the store are made. */
 #include "proxy_world.h"
 
+#include "vanillahall/core/customer/permit_grantor_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
+#include "vanillahall/core/proxy_membership_base.h"
 #include "vanillahall/platform/wire_quota_func.h"
 
 #include <nlohmann/json.hpp>
@@ -101,6 +103,31 @@
     EXPECT_EQ(it.world.rows.usage.size(), 2U);
 }
 
+// Two proxies each granted a customer's burst, or refused it although the grantor had permits.
+TEST(ProxyQuota, TheGrantorDecidesForAllProxies)
+{
+    QuotaWorld it(5, 0);
+    ASSERT_TRUE(it.world.start());
+    const auto other = it.world.addProxy("other");
+    ASSERT_TRUE(other);
+    const auto since = std::chrono::steady_clock::now();
+    it.world.run([&] {
+        return std::chrono::steady_clock::now() - since > MemberHeartbeatInterval + GrantorStartDelay + std::chrono::seconds(4);
+    });
+    std::map<unsigned, int> statuses;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int n = 0; n < 30; n++) {
+        statuses[statusOf(it.ask("a"))]++;
+        const auto id = "o" + std::to_string(n);
+        statuses[statusOf(it.world.ask(*other, ProxyWorld::request("POST", "/once/1", id, "Credential: secret-a\r\n", "body")))]++;
+    }
+    const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    // The capacity is half of 4 + 2.9 + 20 - 5 * 0.25, refilled by 5 a second.
+    EXPECT_GE(statuses[200], 12);
+    EXPECT_LE(statuses[200], 13 + 5 * seconds);
+    EXPECT_EQ(statuses[200] + statuses[429] + statuses[503], 60);
+}
+
 // The customers of a proxy that didn't reach the store were all refused, or not limited at all.
 TEST(ProxyQuota, WithoutTheStoreRequestsGoOnAtThePartOfThisProxy)
 {
