Second shares: small changes of shared headers, late replies, limits

Cause: the name of event 1132 and members amid others moved the comments of whole headers, which others change too; and an owner's reply that a frozen proxy handles late could close a share long after it was sent.

Change: event 1132 is owners_changed; new members stand in groups of their own. A reply to a closing that is handled over 600 ms after the request counts as none, as for grants.

--- a/packages/daemon/src/table/event_table.h
+++ b/packages/daemon/src/table/event_table.h
@@ -33,7 +33,7 @@
     {EventNumber::CustomerChanged, "customer_changed"},
     {EventNumber::PermitRefused, "permit_refused"},
     {EventNumber::OutageTokens, "outage_tokens"},
-    {EventNumber::BudgetOwnersChanged, "budget_owners_changed"},
+    {EventNumber::OwnersChanged, "owners_changed"},
     {EventNumber::ProgramBegun, "program_begun"},
     {EventNumber::ProgramDone, "program_done"},
     {EventNumber::TurnOrdered, "turn_ordered"},
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -43,10 +43,11 @@
     std::size_t maxClients = 3000;                                ///< Limit on open client connections.
     CustomerSettings customers;                                   ///< Validity of API keys while the store is unavailable.
     QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
-    bool restrictsAdmission = false;       ///< True to restrict admission under overload also if the configuration names no customers.
+    bool restrictsAdmission = false; ///< True to restrict admission under overload also if the configuration names no customers.
+    ChoiceSettings choice;           ///< Parameters of the server selection.
+
     std::uint32_t outageBudgetPercent = 0; ///< Part of each token budget that the owner of the program may grant while the store is away.
     Duration budgetClaimDelay = std::chrono::seconds(5); ///< No partition of the programs is claimed this long after the start.
-    ChoiceSettings choice;                               ///< Parameters of the server selection.
 };
 
 /** Receives one log line. @param fields "key=value" pairs, separated by spaces. */
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -210,39 +210,26 @@
     /** @return Remaining time that the request may wait for the store. */
     [[nodiscard]] Duration storeWaitLeft() const;
 
-    /** Turn whose tokens the owner of the program has granted. */
-    struct OutageTurn
-    {
-        std::string owner;          ///< Proxy that has granted them.
-        OutageGrantRequest request; ///< The request for them.
-    };
-
-    ProxyState &m_proxy;                       ///< The proxy; outlives the exchange.
-    std::shared_ptr<ClientSession> m_session;  ///< Connection of the client.
-    ClientRequest m_request;                   ///< The request.
-    Route m_route;                             ///< Route as configured when the request arrived.
-    std::string m_service;                     ///< Service selected by the route's weights.
-    std::uint32_t m_maxConnections = 0;        ///< Connections that a server of the service accepts.
-    std::uint32_t m_tokensPerEvent = 1;        ///< Generated tokens in one event.
-    boost::asio::steady_timer m_limitTimer;    ///< Ends the request at m_limitAt.
-    boost::asio::steady_timer m_waitTimer;     ///< Delay before the next attempt to get tokens or a server.
-    TimePoint m_limitAt{};                     ///< Deadline of the client or time limit of the route, whichever is earlier.
-    std::optional<TimePoint> m_serverChosenAt; ///< When a server was first selected.
-    std::optional<TimePoint> m_firstByteAt;    ///< When the response started.
-    std::uint64_t m_configVersion = 0;         ///< Version of the configuration when the request arrived.
-    std::uint64_t m_contentHash = 0;           ///< Hash of path and body.
-    std::uint64_t m_grantedTokens = 0;         ///< Tokens that were granted and aren't settled yet.
-    std::optional<OutageTurn> m_outageTurn;    ///< Turn granted by the owner of the program, not settled yet.
-    std::string m_askedTurn;                   ///< Name of the turn for which the owner was asked; empty if it wasn't.
-    bool m_isOutageShareSpent = false;         ///< True if the owner grants no more to the program.
-    bool m_needsClosing = false;               ///< True while waiting for the second share of the budget to be closed.
-    bool m_isAskingVersions = false;           ///< True while the owner is asked for versions.
-    std::optional<std::vector<SoftwareVersion>> m_outageVersions; ///< Versions at which streams began with tokens of the owner.
-    std::uint64_t m_forwardedEvents = 0;                          ///< Events forwarded to the client.
-    std::uint32_t m_attemptEvents = 0;                            ///< Events received in the current attempt.
-    TimePoint m_attemptStartedAt{};                               ///< When the current attempt started.
-    TimePoint m_attemptFirstEventAt{};                            ///< When its first event was received.
-    std::optional<std::uint64_t> m_lastEvent;                     ///< Id of the last event forwarded to the client.
+    ProxyState &m_proxy;                               ///< The proxy; outlives the exchange.
+    std::shared_ptr<ClientSession> m_session;          ///< Connection of the client.
+    ClientRequest m_request;                           ///< The request.
+    Route m_route;                                     ///< Route as configured when the request arrived.
+    std::string m_service;                             ///< Service selected by the route's weights.
+    std::uint32_t m_maxConnections = 0;                ///< Connections that a server of the service accepts.
+    std::uint32_t m_tokensPerEvent = 1;                ///< Generated tokens in one event.
+    boost::asio::steady_timer m_limitTimer;            ///< Ends the request at m_limitAt.
+    boost::asio::steady_timer m_waitTimer;             ///< Delay before the next attempt to get tokens or a server.
+    TimePoint m_limitAt{};                             ///< Deadline of the client or time limit of the route, whichever is earlier.
+    std::optional<TimePoint> m_serverChosenAt;         ///< When a server was first selected.
+    std::optional<TimePoint> m_firstByteAt;            ///< When the response started.
+    std::uint64_t m_configVersion = 0;                 ///< Version of the configuration when the request arrived.
+    std::uint64_t m_contentHash = 0;                   ///< Hash of path and body.
+    std::uint64_t m_grantedTokens = 0;                 ///< Tokens that were granted and aren't settled yet.
+    std::uint64_t m_forwardedEvents = 0;               ///< Events forwarded to the client.
+    std::uint32_t m_attemptEvents = 0;                 ///< Events received in the current attempt.
+    TimePoint m_attemptStartedAt{};                    ///< When the current attempt started.
+    TimePoint m_attemptFirstEventAt{};                 ///< When its first event was received.
+    std::optional<std::uint64_t> m_lastEvent;          ///< Id of the last event forwarded to the client.
     std::optional<SoftwareVersion> m_origin;           ///< Version that began the stream; nothing if it hasn't begun or isn't known.
     std::optional<SoftwareVersion> m_newVersion;       ///< Version to begin at although the program's row doesn't name it yet.
     std::shared_ptr<ServerConnection> m_connection;    ///< Connection of the current attempt.
@@ -293,6 +280,22 @@
     bool m_isTurnCounted = false;                      ///< True if the request counts as a turn of its program.
     bool m_isAttemptCounted = false;                   ///< True while the current attempt counts as work in progress.
     std::string m_ownerPrefix;                         ///< Prefix of the keys of what belongs to the customer; empty without a customer.
+
+    // Second share of the token budget.
+
+    /** Turn whose tokens the owner of the program has granted. */
+    struct OutageTurn
+    {
+        std::string owner;          ///< Proxy that has granted them.
+        OutageGrantRequest request; ///< The request for them.
+    };
+
+    std::optional<OutageTurn> m_outageTurn;                       ///< Turn granted by the owner of the program, not settled yet.
+    std::string m_askedTurn;                                      ///< Name of the turn for which the owner was asked; empty if it wasn't.
+    bool m_isOutageShareSpent = false;                            ///< True if the owner grants no more to the program.
+    bool m_needsClosing = false;                                  ///< True while waiting for the second share of the budget to be closed.
+    bool m_isAskingVersions = false;                              ///< True while the owner is asked for versions.
+    std::optional<std::vector<SoftwareVersion>> m_outageVersions; ///< Versions at which streams began with tokens of the owner.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -217,7 +217,7 @@
     m_proxy.metrics.count("vanillahall_budget_owner_writes_total", {"outcome", outcome});
     if (!answer) {
         m_proxy.log(LogLevel::Warning,
-                    EventNumber::BudgetOwnersChanged,
+                    EventNumber::OwnersChanged,
                     "rows=" + std::to_string(rows.size()) + " outcome=" + outcome + " why=\"" + ec.message + '"');
     }
     logOwned();
@@ -230,7 +230,7 @@
     }
     m_loggedOwned = m_owners.ownedCount();
     m_proxy.log(LogLevel::Info,
-                EventNumber::BudgetOwnersChanged,
+                EventNumber::OwnersChanged,
                 "owned=" + std::to_string(m_loggedOwned) + " ownerless=" + std::to_string(m_owners.ownerlessCount()));
 }
 
@@ -358,9 +358,10 @@
         done(closed != nullptr ? std::optional(closed->tokens) : std::nullopt);
         return;
     }
-    const auto answered = [weak = m_proxy.weak_from_this(), done](const auto &reply, const Error &) {
+    const auto answered = [weak = m_proxy.weak_from_this(), askedAt = now(), done](const auto &reply, const Error &) {
         if (const auto proxy = weak.lock()) {
-            const auto closed = reply && reply->status == StatusOk ? Platform::decodeClosedShare(reply->body) : std::nullopt;
+            const bool isInTime = now() - askedAt < 2 * OwnerCallTimeout;
+            const auto closed = isInTime && reply && reply->status == StatusOk ? Platform::decodeClosedShare(reply->body) : std::nullopt;
             done(closed ? std::optional(closed->tokens) : std::nullopt);
         }
     };
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -21,15 +21,14 @@
 /** Rows and behavior of the store. */
 struct StoreModel
 {
-    std::string config;                                              ///< Value of the configuration row; empty if there is none.
-    std::map<std::string, std::string> servers;                      ///< Values of the servers' rows.
-    std::map<std::string, std::pair<std::string, int>> tokens;       ///< Token rows: base64 value and version.
-    std::map<std::string, std::string> members;                      ///< Values of the proxies' rows in base64.
-    std::map<std::string, std::pair<std::string, int>> budgetOwners; ///< Rows of the owners of budgets: base64 value and version.
-    std::map<std::string, std::string> usage;                        ///< Proxies' reports about rate limits, by VM, in base64.
-    std::size_t usageCalls = 0;                                      ///< Calls about these reports so far.
-    bool holdsUsage = false;                                         ///< True to leave these calls without a reply.
-    std::map<std::string, std::string> crashRecords;                 ///< Values of the crash records, by key.
+    std::string config;                                        ///< Value of the configuration row; empty if there is none.
+    std::map<std::string, std::string> servers;                ///< Values of the servers' rows.
+    std::map<std::string, std::pair<std::string, int>> tokens; ///< Token rows: base64 value and version.
+    std::map<std::string, std::string> members;                ///< Values of the proxies' rows in base64.
+    std::map<std::string, std::string> usage;                  ///< Proxies' reports about rate limits, by VM, in base64.
+    std::size_t usageCalls = 0;                                ///< Calls about these reports so far.
+    bool holdsUsage = false;                                   ///< True to leave these calls without a reply.
+    std::map<std::string, std::string> crashRecords;           ///< Values of the crash records, by key.
     std::map<std::string, std::pair<std::string, int>>
         turns;                         ///< Rows of stored turns and their expiry records by "table/part/key": base64 and version.
     std::string downPart;              ///< Partition of the turn tables that answers 503; empty for none.
@@ -55,6 +54,8 @@
     std::size_t fullReads = 0;         ///< Full reads of the server list so far.
     std::size_t watches = 0;           ///< Watch calls for the server list so far.
 
+    std::map<std::string, std::pair<std::string, int>> budgetOwners; ///< Rows of the owners of budgets: base64 value and version.
+
     /** @return Reply to a call. */
     Script answer(const std::string &request);
 
