--- a/packages/daemon/src/table/settings_table.h
+++ b/packages/daemon/src/table/settings_table.h
@@ -32,6 +32,7 @@
 
 bool setText(std::string &field, const std::string &value);
 bool setNumber(std::uint64_t &field, const std::string &value);
+bool setSharePercent(std::uint32_t &field, const std::string &value);
 bool setMilliseconds(Duration &field, const std::string &value);
 bool setOptionalMilliseconds(std::optional<Duration> &field, const std::string &value);
 bool setOptionalSeconds(std::optional<Duration> &field, const std::string &value);
@@ -116,6 +117,13 @@
      RequiredBy::Nobody,
      VH_SETTING(setNumber, maxConnections),
      "Most connections of callers at once."},
+    {"entry",
+     "max_unsent_bytes",
+     NumberForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setNumber, maxUnsentBytes),
+     "Bytes of responses that callers haven't read, of all connections together; beyond it those that have read least for longest are "
+     "closed."},
     {"entry",
      "max_requests_per_customer",
      NumberForm,
@@ -224,6 +232,19 @@
      RequiredBy::Nobody,
      VH_SETTING(setEndpoint, proxyPeerListen),
      "Where other proxies call; without it they can't reach the store through this one."},
+    {"proxy",
+     "operator_listen",
+     EndpointForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setEndpoint, proxyOperatorListen),
+     "Where a proxy answers `vanillahall where`, to this VM or with an operator's token; without it, it doesn't."},
+    {"proxy",
+     "tokens_file",
+     TextForm,
+     RequiredBy::Nobody,
+     VH_SETTING(setText, proxyTokensFile),
+     "File with the bearer tokens of operators, in the form of entry.tokens_file; without it, only loopback addresses reach "
+     "proxy.operator_listen."},
     {"proxy",
      "max_files",
      NumberForm,
@@ -304,6 +325,14 @@
      RequiredBy::Nobody,
      VH_SETTING(setOptionalAmount, proxyQuotaSlack),
      "Tolerated excess over a rate limit in a window, in requests; 20 by default."},
+    {"proxy",
+     "outage_budget_percent",
+     "a whole number from 0 to 50",
+     RequiredBy::Nobody,
+     VH_SETTING(setSharePercent, proxyOutageBudgetPercent),
+     "Part of each token budget that may be granted while the store is unavailable; 0 (the default) for none. Must be the same at all "
+     "proxies, "
+     "and changes only while no programs are in progress."},
     {"proxy",
      "placement",
      "learned or fixed",
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -4,8 +4,10 @@
 #include "client_session.h"
 #include "conversation.h"
 #include "event_splitter.h"
+#include "request_explanation_type.h"
 #include "server_connection.h"
 
+#include "vanillahall/core/budget/outage_share_base.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
@@ -24,6 +26,9 @@
 {
 public:
     Exchange(ProxyState &proxy, const std::shared_ptr<ClientSession> &session, ClientRequest request);
+    ~Exchange() override;
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
 
     // Commands.
 
@@ -43,6 +48,10 @@
     void tryServer();
     /** Refuses the request to release its memory. @pre canBeRefused() */
     void refuseForMemory();
+    /**
+     * Explains what start() would lead to now, and changes nothing but this exchange. @pre The exchange has no session and wasn't started.
+     */
+    [[nodiscard]] RequestExplanation explain();
 
     // Queries.
 
@@ -58,8 +67,12 @@
     bool onConnected() override;
 
 private:
-    /** Determines the customer of the request. @return False if the request was refused. */
-    bool identifyCustomer();
+    /** Determines route, customer and service of the request. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> prepare();
+    /** Determines the customer of the request. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> identifyCustomer();
+    /** Checks what depends on the customer and can't change by waiting. @return Refusal; nothing if the request may go on. */
+    std::optional<Refusal> checkContent();
     /** Checks that the customer is still the one that the request was accepted for. @return False if the request was refused. */
     bool confirmCustomer();
     /** @return Customer of the request under the configuration in force. */
@@ -88,28 +101,53 @@
     void returnPermit();
     /** @return True if the customer of the request has a rate limit. */
     [[nodiscard]] bool hasRateLimit() const;
+    /** @return Request for a permit of the customer's rate limit; the request has a customer. */
+    [[nodiscard]] QuotaRequest quotaRequest() const;
+    /** @return Remaining time that the request may wait for a permit. */
+    [[nodiscard]] Duration permitWaitLeft() const;
     /** @return What the request tells about its program; the request has a customer. */
     [[nodiscard]] ProgramHints programHints() const;
     [[nodiscard]] bool isTurnNameValid() const;
     void queryStore();
     void findConversation();
     void onConversationFound(const TurnStep &result);
+    /** @return Request for the tokens of the turn. */
+    [[nodiscard]] TokenRequest tokenRequest() const;
     void requestTokens();
+    /** @return Tokens that the turn generates at most. */
+    [[nodiscard]] std::uint64_t maxTokens() const;
+    /**
+     * Asks the owner of the program for the tokens, since the store doesn't answer.
+     * @return False if that isn't possible; the request has to wait for the store then.
+     */
+    bool requestOutageTokens();
+    /** @param answer Answer of the owner; nothing if there was none. */
+    void onOutageAnswer(const OutageGrantRequest &request, const std::string &owner, const std::optional<OutageAnswer> &answer);
+    /** Asks the owner of the program at which versions streams began with its tokens; queryStore() follows. */
+    void findOutageVersions();
+    /** @return Delay before the next attempt; grows with each one. */
+    Duration nextStoreRetryDelay();
     void waitForStore();
     void setStoreTimer(Duration span);
     /** Refuses the request if its content has crashed too many servers. @return True if it was refused. */
     bool refuseQuarantined();
     /**
      * Determines from the program's row which version began the stream that the client resumes.
-     * @return False if the request was refused because the version can't be known.
+     * @return False if the version can't be known, so that the request has to be refused.
      */
     bool findOrigin();
+    /** @return True if the owner of the program has to be asked first at which versions streams began with its tokens. */
+    [[nodiscard]] bool needsOutageVersions() const;
+    /** @return True if no server can continue the stream. */
+    [[nodiscard]] bool isVersionGone() const;
     /** @return Version at which the turn's stream is to begin, if the program's row has to name it before. */
     [[nodiscard]] std::optional<SoftwareVersion> versionToName() const;
-    /** @return Server for the request, among those whose version fits. */
-    [[nodiscard]] std::optional<Choice> chooseServer();
+    /** @return Server for the request, among those whose version fits. @param explanation Receives the explanation; may be null. */
+    [[nodiscard]] std::optional<Choice> chooseServer(ChoiceExplanation *explanation) const;
     /** @return Server for the request, among those that may be sent its bytes; the others are excluded. */
     [[nodiscard]] std::optional<Choice> chooseServerWithRoom();
+    /** The same without counting the others. @param explanation Receives the explanation; may be null. */
+    [[nodiscard]] std::optional<Choice> findServerWithRoom(ChoiceExplanation *explanation);
     /** @return Size of the request as it is sent, without its first line and the headers of the proxy. */
     [[nodiscard]] std::size_t requestBytes() const;
     /** Counts the request among those that its server holds, until removeServerBytes(). */
@@ -125,6 +163,8 @@
     void answerVersionGone();
     void selectServer();
     void waitForServer();
+    /** @return Refusal of a request for which there is no server now; nothing if it may wait. @param waitLeft How long it may wait. */
+    [[nodiscard]] std::optional<Refusal> serverRefusal(Duration waitLeft) const;
     void send(const Choice &choice);
     [[nodiscard]] std::string requestText(const Server &server) const;
     /** Handles the end of an attempt whose server has ended the response early, or sent one that can't be passed on. */
@@ -176,8 +216,16 @@
     [[nodiscard]] Duration maxServerWait() const;
     /** @return True if the deadline of the program has passed. */
     [[nodiscard]] bool isProgramLate() const;
+    /** @return What the decision about admission depends on. */
+    [[nodiscard]] ProgramRequest programRequest() const;
     /** @return True if the request must wait because others have precedence at its service. */
     [[nodiscard]] bool isBehindOthers() const;
+    /** The same for a state of the service. */
+    [[nodiscard]] bool isBehindOthers(const SaturationView &saturation) const;
+    void explainAdmission(RequestExplanation &explanation);
+    void explainPermit(RequestExplanation &explanation) const;
+    void explainStoreSteps(RequestExplanation &explanation);
+    void explainServer(RequestExplanation &explanation);
     void joinQueue(Duration maxWait);
     void leaveQueue();
     void recordAttemptStart();
@@ -196,26 +244,39 @@
     /** @return Remaining time that the request may wait for the store. */
     [[nodiscard]] Duration storeWaitLeft() const;
 
-    ProxyState &m_proxy;                               ///< The proxy; outlives the exchange.
-    std::shared_ptr<ClientSession> m_session;          ///< Connection of the client.
-    ClientRequest m_request;                           ///< The request.
-    Route m_route;                                     ///< Route as configured when the request arrived.
-    std::string m_service;                             ///< Service selected by the route's weights.
-    std::uint32_t m_maxConnections = 0;                ///< Connections that a server of the service accepts.
-    std::uint32_t m_tokensPerEvent = 1;                ///< Generated tokens in one event.
-    boost::asio::steady_timer m_limitTimer;            ///< Ends the request at m_limitAt.
-    boost::asio::steady_timer m_waitTimer;             ///< Delay before the next attempt to get tokens or a server.
-    TimePoint m_limitAt{};                             ///< Deadline of the client or time limit of the route, whichever is earlier.
-    std::optional<TimePoint> m_serverChosenAt;         ///< When a server was first selected.
-    std::optional<TimePoint> m_firstByteAt;            ///< When the response started.
-    std::uint64_t m_configVersion = 0;                 ///< Version of the configuration when the request arrived.
-    std::uint64_t m_contentHash = 0;                   ///< Hash of path and body.
-    std::uint64_t m_grantedTokens = 0;                 ///< Tokens that were granted and aren't settled yet.
-    std::uint64_t m_forwardedEvents = 0;               ///< Events forwarded to the client.
-    std::uint32_t m_attemptEvents = 0;                 ///< Events received in the current attempt.
-    TimePoint m_attemptStartedAt{};                    ///< When the current attempt started.
-    TimePoint m_attemptFirstEventAt{};                 ///< When its first event was received.
-    std::optional<std::uint64_t> m_lastEvent;          ///< Id of the last event forwarded to the client.
+    /** Turn whose tokens the owner of the program has granted. */
+    struct OutageTurn
+    {
+        std::string owner;          ///< Proxy that has granted them.
+        OutageGrantRequest request; ///< The request for them.
+    };
+
+    ProxyState &m_proxy;                       ///< The proxy; outlives the exchange.
+    std::shared_ptr<ClientSession> m_session;  ///< Connection of the client.
+    ClientRequest m_request;                   ///< The request.
+    Route m_route;                             ///< Route as configured when the request arrived.
+    std::string m_service;                     ///< Service selected by the route's weights.
+    std::uint32_t m_maxConnections = 0;        ///< Connections that a server of the service accepts.
+    std::uint32_t m_tokensPerEvent = 1;        ///< Generated tokens in one event.
+    boost::asio::steady_timer m_limitTimer;    ///< Ends the request at m_limitAt.
+    boost::asio::steady_timer m_waitTimer;     ///< Delay before the next attempt to get tokens or a server.
+    TimePoint m_limitAt{};                     ///< Deadline of the client or time limit of the route, whichever is earlier.
+    std::optional<TimePoint> m_serverChosenAt; ///< When a server was first selected.
+    std::optional<TimePoint> m_firstByteAt;    ///< When the response started.
+    std::uint64_t m_configVersion = 0;         ///< Version of the configuration when the request arrived.
+    std::uint64_t m_contentHash = 0;           ///< Hash of path and body.
+    std::uint64_t m_grantedTokens = 0;         ///< Tokens that were granted and aren't settled yet.
+    std::optional<OutageTurn> m_outageTurn;    ///< Turn granted by the owner of the program, not settled yet.
+    std::string m_askedTurn;                   ///< Name of the turn for which the owner was asked; empty if it wasn't.
+    bool m_isOutageShareSpent = false;         ///< True if the owner grants no more to the program.
+    bool m_needsClosing = false;               ///< True while waiting for the second share of the budget to be closed.
+    bool m_isAskingVersions = false;           ///< True while the owner is asked for versions.
+    std::optional<std::vector<SoftwareVersion>> m_outageVersions; ///< Versions at which streams began with tokens of the owner.
+    std::uint64_t m_forwardedEvents = 0;                          ///< Events forwarded to the client.
+    std::uint32_t m_attemptEvents = 0;                            ///< Events received in the current attempt.
+    TimePoint m_attemptStartedAt{};                               ///< When the current attempt started.
+    TimePoint m_attemptFirstEventAt{};                            ///< When its first event was received.
+    std::optional<std::uint64_t> m_lastEvent;                     ///< Id of the last event forwarded to the client.
     std::optional<SoftwareVersion> m_origin;           ///< Version that began the stream; nothing if it hasn't begun or isn't known.
     std::optional<SoftwareVersion> m_newVersion;       ///< Version to begin at although the program's row doesn't name it yet.
     std::shared_ptr<ServerConnection> m_connection;    ///< Connection of the current attempt.
--- a/packages/proxy/src/proxy_quota.cpp
+++ b/packages/proxy/src/proxy_quota.cpp
@@ -92,7 +92,7 @@
 
 void ProxyState::addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange)
 {
-    m_permitWaiters[customer].push_back(exchange);
+    addWaiter(m_permitWaiters[customer], exchange);
 }
 
 void ProxyState::recordQuotaRefusal(const std::string &customer, Duration retryAfter)
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -42,7 +42,7 @@
     , serverRequestBytes(settings.maxServerBytes)
     , customers(settings.customers)
     , servers(settings.zone, settings.choice)
-    , ledger(processName(settings), settings.zone)
+    , ledger(processName(settings), settings.zone, settings.outageBudgetPercent)
     , quotas(settings.name, settings.incarnation, settings.quota)
     , grantor(settings.name, settings.quota)
     , permits(settings.name, quotas, grantor)
@@ -51,6 +51,7 @@
     , overload(ioLoop)
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
+    , outage(*this)
     , clientAcceptor(ioLoop)
     , readinessServer(
           ioLoop,
@@ -70,6 +71,7 @@
               answerPeer(request, answer);
           },
           PeerLimits)
+    , operatorListener(*this)
     , m_processName(processName(settings))
     , m_log(std::move(log))
     , m_periodicTimer(ioLoop)
@@ -81,6 +83,20 @@
 {
 }
 
+ProxyState::~ProxyState()
+{
+    // Sessions and connections are kept by their pending operations, whose handlers would call this object.
+    m_exchanges.clear();
+    for (const auto &[number, session] : std::exchange(m_sessions, {})) {
+        session->close();
+    }
+    for (const auto &[server, connections] : std::exchange(m_idleConnections, {})) {
+        for (const auto &it : connections) {
+            it->abandon();
+        }
+    }
+}
+
 void ProxyState::log(LogLevel level, EventNumber event, const std::string &fields)
 {
     m_log(level, event, fields);
@@ -97,6 +113,9 @@
     if (settings.peerListen && !peerServer.listen(*settings.peerListen, reason)) {
         return false;
     }
+    if (!operatorListener.listen(reason)) {
+        return false;
+    }
     m_nextTokenPart = std::hash<std::string>()(settings.name);
     m_nextTurnPart = m_nextTokenPart;
     acceptClients();
@@ -280,6 +299,7 @@
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     overload.setGauges(*this);
+    outage.setGauges();
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     setQuotaGauges();
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
@@ -307,6 +327,9 @@
         answerPermitAsk(request.body, answer);
         return;
     }
+    if (outage.answerPeer(request, answer)) {
+        return;
+    }
     const Platform::StoreRequest wanted{request.method, request.target, request.body};
     if (!Platform::isRelayableCall(wanted)) {
         answer({StatusNotFound, {}, {}});
@@ -354,8 +377,9 @@
         return it.second->isBusy();
     });
     returnTokens();
+    outage.giveUpAll();
     // Records that the store doesn't have yet, and tokens that aren't given back, would be lost with the process.
-    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens());
+    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens()) && outage.isStopped();
     const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && isStored;
     if (isDone || plannedStop.isOverdue(now())) {
         shutDown();
@@ -389,6 +413,7 @@
     readinessServer.close();
     metricsServer.close();
     peerServer.close();
+    operatorListener.close();
     for (const auto &it : {m_configWatcher, m_serverWatcher}) {
         if (it) {
             it->stop();
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -27,6 +27,8 @@
     ScriptedPeer(boost::asio::io_context &loop, Answer answer);
 
     [[nodiscard]] std::uint16_t port() const;
+    /** @return Number of requests with an id that were received so far. */
+    [[nodiscard]] std::size_t countWithId(const std::string &id) const;
     /** Ends like a process that crashes: the port refuses connections, and open connections are reset. */
     void crash();
     /** Sends further bytes on all open connections. */
@@ -88,6 +90,8 @@
 
     /** Runs the loop until a condition holds. @return False if it doesn't within 20 s. */
     bool run(const std::function<bool()> &until);
+    /** Runs the loop for some time. */
+    void pause(std::chrono::milliseconds span);
     /** Starts the proxy and waits until it is ready. */
     bool start();
     /** Sends a request and waits until the response is complete or the connection is closed. @return Received bytes. */
@@ -95,7 +99,7 @@
     /** Like ask(), at another proxy. */
     std::string ask(const Proxy &at, const std::string &request);
     /** @return Another proxy on the same store, started and ready; null if it isn't ready within 20 s. */
-    std::unique_ptr<Proxy> addProxy(const std::string &name);
+    std::unique_ptr<Proxy> addProxy(const std::string &name, const std::string &incarnation = "1");
     /** @return Number of log lines that contain a text. */
     [[nodiscard]] std::size_t lineCount(const std::string &text) const;
     /** @return True if a log line contains a text. */
