The row may hold one turn beyond the first share (LOST)

Cause: with the second share open, a row held no more than half of the budget. Change: the row may hold one turn beyond the first share, which the rule allows, as the owner grants nothing beyond its share.

--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -123,7 +123,8 @@
     if (closed || m_secondSharePercent == 0) {
         return {request.budget - std::min(request.budget, closed.value_or(0)), request.maxTokens, false, closed};
     }
-    return {request.budget - secondShare(request.budget, m_secondSharePercent), 0, true, std::nullopt};
+    // The owner grants nothing beyond its share, so the one turn is left to the row; a budget of less than two turns needs it.
+    return {request.budget - secondShare(request.budget, m_secondSharePercent), request.maxTokens, true, std::nullopt};
 }
 
 void TokenLedger::onShareClosed(const std::string &program, std::optional<std::uint64_t> tokens, TimePoint now)
