--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -166,6 +166,8 @@
      * @param tokens Tokens granted from the second share, of which no more are granted; nothing if they aren't known.
      */
     void onShareClosed(const std::string &program, std::optional<std::uint64_t> tokens, TimePoint now);
+    /** Records that a second share was closed before it was needed; the next write of the row names it. @param tokens As above. */
+    void recordClosedShare(const std::string &program, std::uint64_t tokens, TimePoint now);
     /** Removes programs that were last used before a time. @return Rows last written by this entry that may be removed from the store. */
     std::vector<TokenWrite> removeIdle(TimePoint since);
 
@@ -181,6 +183,8 @@
     [[nodiscard]] bool holdsTokens() const;
     /** @return True if this entry holds tokens of a program that haven't been given back. */
     [[nodiscard]] bool holdsTokens(const std::string &program) const;
+    /** @return True if the row of a program is known and its second share isn't closed as far as known. */
+    [[nodiscard]] bool hasOpenShare(const std::string &program, TimePoint now) const;
     /** @return Known row of a program; version 0 if unknown. */
     [[nodiscard]] TokenRow row(const std::string &program) const;
     /** @return Row of a program as of a time or later; nothing if it wasn't read or written since. */
@@ -261,8 +265,8 @@
 
 /** Entries that a row names at most as holders of tokens. */
 inline constexpr std::size_t MaxTokenHolders = 8;
-/** The owner's word that a second share is closed is used for this long; an owner that follows it answers differently only much later. */
-inline constexpr Duration ShareClosingLifetime = std::chrono::seconds(5);
+/** The owner's word that a second share is closed is used for this long; an owner that follows it grants no sooner than 155 s after it. */
+inline constexpr Duration ShareClosingLifetime = std::chrono::seconds(30);
 /** Interval between attempts to give back the same tokens. */
 inline constexpr Duration TokenReturnInterval = std::chrono::milliseconds(500);
 /** Limit on writes that start in one call of TokenLedger::beginReturns(). */
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -135,11 +135,28 @@
     }
     it->second.isWriting = false;
     if (tokens) {
+        recordClosedShare(program, *tokens, now);
+    }
+}
+
+void TokenLedger::recordClosedShare(const std::string &program, std::uint64_t tokens, TimePoint now)
+{
+    const auto it = m_accounts.find(program);
+    if (it != m_accounts.end()) {
         it->second.closedTokens = tokens;
         it->second.closedAt = now;
     }
 }
 
+bool TokenLedger::hasOpenShare(const std::string &program, TimePoint now) const
+{
+    const auto it = m_accounts.find(program);
+    if (it == m_accounts.end() || m_secondSharePercent == 0 || it->second.row.version == 0 || it->second.row.outageTokens) {
+        return false;
+    }
+    return !it->second.closedTokens || now - it->second.closedAt >= ShareClosingLifetime;
+}
+
 std::string TokenLedger::nextWriter()
 {
     return m_writer + "/" + std::to_string(++m_writes);
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -161,6 +161,20 @@
     });
 }
 
+void ProxyState::closeShareEarly(const std::string &program)
+{
+    // A program that has a row seldom needs tokens in an outage, but it may need more than the first share after its owner was lost.
+    if (!ledger.hasOpenShare(program, now())) {
+        return;
+    }
+    outage.close(program, [weak = weak_from_this(), program](std::optional<std::uint64_t> tokens) {
+        const auto self = weak.lock();
+        if (self && tokens) {
+            self->ledger.recordClosedShare(program, *tokens, now());
+        }
+    });
+}
+
 void ProxyState::notifyTokenWaiters(const std::string &program, bool hasFailed)
 {
     const auto waiters = std::move(m_tokenWaiters[program]);
@@ -213,6 +227,7 @@
     onStoreReachable();
     if (const auto *done = std::get_if<Platform::TransactionDone>(&answer)) {
         ledger.onWritten(write.program, done->version);
+        closeShareEarly(write.program);
         return TokenOutcome::Written;
     }
     TokenRow row;
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -84,6 +84,8 @@
     void requestReturns(const std::string &program, const std::vector<std::string> &holders);
     /** Asks the owner of a program to close its second share, and notifies the exchanges that wait for the program. */
     void closeShare(const std::string &program);
+    /** Asks the owner to close the second share of a program whose row was written, before more than the first share is needed. */
+    void closeShareEarly(const std::string &program);
     /** Registers an exchange to be notified after the next store call about a program's tokens. */
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
