--- a/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
+++ b/packages/core/include/vanillahall/core/customer/quota_ledger_base.h
@@ -30,6 +30,7 @@
     bool isRepeated = false;    ///< True if this request has called QuotaLedger::request() before.
     std::uint64_t spreadHash{}; ///< Hash of the program; spreads the retry delays of requests that are refused together.
     Duration timeLeft{};        ///< Remaining time of the request; clients wait for at most a third of it.
+    double leastLevel = 0;      ///< Permits that have to stay in the bucket, because that of the grantor is smaller.
 };
 
 /** The request may be sent. */
@@ -47,6 +48,18 @@
 };
 using QuotaAnswer = std::variant<QuotaGranted, QuotaRefused, QuotaBusy>; ///< Result of QuotaLedger::request().
 
+/** What this proxy knows about the rate limit of one customer. */
+struct QuotaView
+{
+    CustomerLimit limit;                     ///< Limit.
+    double level = 0;                        ///< Permits in the bucket of all proxies, as far as known; may be negative.
+    double capacity = 0;                     ///< Capacity of the bucket.
+    double part = 0;                         ///< Permits that this proxy may still use.
+    double demand = 0;                       ///< Recent demand at this proxy, per second.
+    bool isInTouch = false;                  ///< True if reports were exchanged recently.
+    std::optional<Duration> reportsAge = {}; ///< Age of the reports of the other proxies; nothing if none were read.
+};
+
 /** Decides which requests of customers with a rate limit may be sent. Times are of CLOCK_BOOTTIME. */
 class QuotaLedger
 {
@@ -65,6 +78,10 @@
     QuotaAnswer request(const QuotaRequest &request, TimePoint now);
     /** Takes back a permit whose request never reached a server. */
     void takeBack(const std::string &customer);
+    /** Counts a request that has arrived as demand. */
+    void recordDemand(std::uint64_t customer, TimePoint now);
+    /** Counts a request that is sent with a permit of the customer's grantor. */
+    void recordSent(std::uint64_t customer, TimePoint now);
     /** @return Report to write to the store now. */
     UsageReport report(TimePoint now);
     /** Handles the success of the write of a report. */
@@ -74,6 +91,18 @@
 
     // Queries.
 
+    /** @return The answer that request() would give now; nothing is changed. */
+    [[nodiscard]] QuotaAnswer preview(const QuotaRequest &request, TimePoint now) const;
+    /** @return What is known about a customer's limit; nothing if it has none. */
+    [[nodiscard]] std::optional<QuotaView> view(const std::string &customer, TimePoint now) const;
+    /** @return True if a customer, named by its hash, has a limit. */
+    [[nodiscard]] bool hasLimit(std::uint64_t customer) const;
+    /** @return Report with the usage of one customer only, for its grantor. */
+    [[nodiscard]] UsageReport usageOf(std::uint64_t customer, TimePoint now) const;
+    /** @return Capacity of a customer's bucket; 0 without a limit. */
+    [[nodiscard]] double capacityOf(std::uint64_t customer) const;
+    /** @return Recent demand of a customer at this proxy, per second. */
+    [[nodiscard]] double demandOf(std::uint64_t customer, TimePoint now) const;
     /** @return Number of customers with a rate limit. */
     [[nodiscard]] std::size_t size() const;
     /** @return Time between two reports; grows with the number of proxies, so that their writes fit into one part of the table. */
@@ -133,6 +162,9 @@
     std::optional<TimePoint> m_readAt;                             ///< When the last read of the reports was requested.
 };
 
+/** @return Retry delay of a refused request, spread over twice `delay` and useful for the client. */
+[[nodiscard]] Duration spreadRetryDelay(Duration delay, const QuotaRequest &request);
+
 /** @return Hash that identifies a customer in reports. */
 [[nodiscard]] std::uint64_t customerHash(const std::string &name);
 
--- a/packages/core/include/vanillahall/core/log_type.h
+++ b/packages/core/include/vanillahall/core/log_type.h
@@ -27,6 +27,10 @@
     AttemptAbandoned = 1107,   ///< An attempt of a forwarded request has ended for the proxy while its server may still run it.
     CustomerChanged = 1108,    ///< The API key of a waiting request was moved to another customer, or removed.
     PermitRefused = 1121,      ///< Requests of a customer were refused because of its rate limit.
+    GrantorUnanswered = 1122,  ///< The grantor of a customer's permits didn't answer.
+    PermitAskInvalid = 1123,   ///< Another proxy has asked for permits with a message that can't be read.
+    OutageTokens = 1131,       ///< The owner of a program was asked for tokens, or to close the second share of its budget.
+    OwnersChanged = 1132,      ///< The partitions of programs that this proxy owns have changed, or a write of their rows has failed.
     ProgramBegun = 1201,       ///< A program was created.
     ProgramDone = 1202,        ///< A program was ended.
     TurnOrdered = 1301,        ///< A turn was ordered from a gate.
@@ -56,6 +60,7 @@
     ConfigUncertain = 1803,    ///< Requests are refused because the configuration may not be the newest one.
     ContentQuarantined = 1901, ///< Content that crashes backend servers was quarantined.
     ClientsClosed = 1902,      ///< Connections of clients were closed, or their requests refused, to release memory or descriptors.
+    OperatorRefused = 1903,    ///< A request to the operators' listener came without permission.
     SaturationChanged = 2001,  ///< The servers of a service can't take more work, or can again.
     ProgramRefused = 2002,     ///< A program was refused because of overload.
     ProgramLooping = 2003,     ///< A program makes far more turns than others of its route.
--- a/packages/daemon/src/proxy_process.cpp
+++ b/packages/daemon/src/proxy_process.cpp
@@ -1,3 +1,4 @@
+#include "access_base.h"
 #include "log_func.h"
 #include "process_func.h"
 #include "settings_func.h"
@@ -75,6 +76,18 @@
     if (!settings.proxyPeerListen.address.empty()) {
         proxy.peerListen = toAddress(settings.proxyPeerListen);
     }
+    if (!settings.proxyOperatorListen.address.empty()) {
+        proxy.operatorListen = toAddress(settings.proxyOperatorListen);
+    }
+    if (!settings.proxyTokensFile.empty()) {
+        proxy.isOperatorToken
+            = [access = std::make_shared<AccessTable>(settings.proxyTokensFile)](const std::string &token, Error &reason) {
+                  // If the file can't be read, the previous tokens stay valid; before the first successful read there are none.
+                  access->refresh(reason);
+                  const auto found = access->find(token);
+                  return found && found->role == AccessRole::Operator;
+              };
+    }
     proxy.store = toAddress(settings.store);
     proxy.pollInterval = settings.proxyPollInterval;
     proxy.watchWait = settings.proxyWatchWait;
@@ -87,6 +100,7 @@
     proxy.quota.window = settings.proxyQuotaWindow.value_or(proxy.quota.window);
     proxy.quota.overrun = settings.proxyQuotaOverrun.value_or(proxy.quota.overrun);
     proxy.quota.slack = settings.proxyQuotaSlack.value_or(proxy.quota.slack);
+    proxy.outageBudgetPercent = settings.proxyOutageBudgetPercent;
     proxy.choice.placement = toPlacement(settings);
     proxy.maxClientBytes = settings.proxyMemoryMb * BytesPerMb / ClientMemoryDivisor;
     proxy.maxServerBytes = settings.proxyServerRequestMb * BytesPerMb;
--- a/packages/daemon/src/settings_type.h
+++ b/packages/daemon/src/settings_type.h
@@ -41,6 +41,7 @@
     std::string defaultClass;                                    ///< entry.default_class
     std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024; ///< entry.max_body_bytes
     std::uint64_t maxConnections = 4096;                         ///< entry.max_connections
+    std::uint64_t maxUnsentBytes = std::uint64_t{64} << 20;      ///< entry.max_unsent_bytes
     std::uint64_t maxRequestsPerCustomer = 1024;                 ///< entry.max_requests_per_customer
     Endpoint store;                                              ///< platform.store
     Endpoint vmList;                                             ///< platform.vm_list
@@ -65,6 +66,8 @@
     Endpoint proxyReadyListen{"127.0.0.1", 0};                   ///< proxy.ready_listen
     Endpoint proxyMetricsListen;                                 ///< proxy.metrics_listen
     Endpoint proxyPeerListen;                                    ///< proxy.peer_listen
+    Endpoint proxyOperatorListen;                                ///< proxy.operator_listen
+    std::string proxyTokensFile;                                 ///< proxy.tokens_file
     std::uint64_t proxyMaxFiles = 8192;                          ///< proxy.max_files
     bool restrictsAdmission = false;                             ///< proxy.admission
     std::uint64_t proxyMemoryMb = 256;                           ///< proxy.memory_mb
@@ -78,6 +81,7 @@
     std::optional<Duration> proxyQuotaWindow;                    ///< proxy.quota_window_s
     std::optional<double> proxyQuotaOverrun;                     ///< proxy.quota_overrun
     std::optional<double> proxyQuotaSlack;                       ///< proxy.quota_slack
+    std::uint32_t proxyOutageBudgetPercent = 0;                  ///< proxy.outage_budget_percent
     std::string proxyPlacement = "learned";                      ///< proxy.placement
     std::string logLevel = "info";                               ///< log.level
 };
--- a/packages/proxy/include/vanillahall/proxy/proxy_type.h
+++ b/packages/proxy/include/vanillahall/proxy/proxy_type.h
@@ -3,6 +3,7 @@
 
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/quota_type.h"
+#include "vanillahall/core/error_type.h"
 #include "vanillahall/core/log_type.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -45,6 +46,13 @@
     QuotaSettings quota;                                          ///< Rule for the rate limits of customers.
     bool restrictsAdmission = false; ///< True to restrict admission under overload also if the configuration names no customers.
     ChoiceSettings choice;           ///< Parameters of the server selection.
+
+    std::uint32_t outageBudgetPercent = 0; ///< Part of each token budget that the owner of the program may grant while the store is away.
+    Duration budgetClaimDelay = std::chrono::seconds(5); ///< No partition of the programs is claimed this long after the start.
+
+    std::optional<ProxyAddress> operatorListen; ///< Address for operators; none if they are not served.
+    /** Checks the token of an operator; `reason` is set if the tokens can't be read. Without it, only loopback addresses are served. */
+    std::function<bool(const std::string &token, Error &reason)> isOperatorToken;
 };
 
 /** Receives one log line. @param fields "key=value" pairs, separated by spaces. */
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -37,6 +37,14 @@
 {
 }
 
+Exchange::~Exchange()
+{
+    // The connection is kept by its pending operations and would call this object, for example after the proxy was destroyed.
+    if (m_connection) {
+        m_connection->abandon();
+    }
+}
+
 Duration Exchange::timeLeft() const
 {
     return m_limitAt - now();
@@ -44,40 +52,48 @@
 
 void Exchange::start()
 {
-    if (!m_proxy.routes.isLoaded()) {
-        answer(StatusUnavailable, ShortRetryAfter, Outcome::NoConfiguration);
+    if (const auto refusal = prepare()) {
+        if (refusal->outcome == Outcome::KeyUncertain || refusal->outcome == Outcome::KeyUnconfirmed) {
+            m_proxy.logUncertainConfig();
+        }
+        answer(refusal->status, refusal->retryAfter, refusal->outcome);
         return;
     }
+    runAfter(m_limitTimer, std::max(Duration::zero(), timeLeft() + AnswerGrace), *this, [](Exchange &self) {
+        self.onTimeout();
+    });
+    startForCustomer();
+}
+
+std::optional<Refusal> Exchange::prepare()
+{
+    if (!m_proxy.routes.isLoaded()) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::NoConfiguration};
+    }
     m_configVersion = m_proxy.routes.config().version;
     const std::string_view target = m_request.target;
     const auto *route = m_proxy.routes.find(m_request.host, target.substr(0, target.find('?')));
     if (route == nullptr) {
-        answer(StatusNotFound, std::nullopt, Outcome::NoRoute);
-        return;
+        return Refusal{StatusNotFound, std::nullopt, Outcome::NoRoute};
     }
     m_route = *route;
-    if (!identifyCustomer()) {
-        return;
+    if (auto refusal = identifyCustomer()) {
+        return refusal;
     }
     const auto &attributes = m_request.attributes;
     m_service = pickService(m_route, attributes.program.empty() ? attributes.requestId : attributes.program).value_or("");
     const auto &services = m_proxy.routes.config().services;
     const auto service = services.find(m_service);
     if (service == services.end()) {
-        answer(StatusUnavailable, ShortRetryAfter, Outcome::NoService);
-        return;
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::NoService};
     }
     m_maxConnections = service->second.maxConnections;
     m_tokensPerEvent = service->second.tokensPerEvent;
     m_limitAt = m_request.arrived + std::min(attributes.deadline.value_or(m_route.timeLimit), m_route.timeLimit);
-    runAfter(m_limitTimer, std::max(Duration::zero(), timeLeft() + AnswerGrace), *this, [](Exchange &self) {
-        self.onTimeout();
-    });
     if (!m_proxy.plannedStop.canTake(m_limitAt, now())) {
-        answerNotRun(Outcome::Stopping);
-        return;
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::Stopping};
     }
-    startForCustomer();
+    return std::nullopt;
 }
 
 bool Exchange::isResumed() const
@@ -96,6 +112,12 @@
     return m_route.repetition == Repetition::Resumable && hasTokenBudget();
 }
 
+bool Exchange::needsOutageVersions() const
+{
+    return isResumed() && !m_origin && hasTokenBudget() && m_proxy.outage.isOn() && !m_outageVersions
+        && m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived);
+}
+
 bool Exchange::findOrigin()
 {
     if (!isResumed() || m_origin) {
@@ -105,14 +127,25 @@
     if (!row) {
         return true;
     }
-    if (row->streamVersions.size() == 1 && !row->streamVersions.front().isUnknown()) {
-        m_origin = row->streamVersions.front();
+    auto versions = row->streamVersions;
+    if (m_outageVersions) {
+        // The row doesn't name the versions of streams that began with tokens of the program's owner.
+        std::copy_if(m_outageVersions->begin(), m_outageVersions->end(), std::back_inserter(versions), [&versions](const auto &it) {
+            return std::find(versions.begin(), versions.end(), it) == versions.end();
+        });
+    }
+    if (versions.size() == 1 && !versions.front().isUnknown()) {
+        m_origin = versions.front();
         return true;
     }
-    answerNotRun(Outcome::StreamOriginUnknown);
     return false;
 }
 
+bool Exchange::isVersionGone() const
+{
+    return m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin));
+}
+
 std::optional<SoftwareVersion> Exchange::versionToName() const
 {
     if (!isVersionInRow() || m_origin || isResumed()) {
@@ -148,28 +181,42 @@
     }
 }
 
-void Exchange::requestTokens()
+std::uint64_t Exchange::maxTokens() const
+{
+    // Rounded up to a whole number of events, since each may hold tokensPerEvent tokens.
+    const std::uint64_t perEvent = m_tokensPerEvent;
+    return (m_request.attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
+}
+
+TokenRequest Exchange::tokenRequest() const
 {
     const auto &attributes = m_request.attributes;
+    // A turn of a sub-agent isn't the first one of its program, so the row exists.
+    const bool shouldReadFirst = m_proxy.store.isBusy() || (!attributes.session.empty() && attributes.session != attributes.program);
+    // Another proxy may have named a version since this one last saw the row.
+    const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
+    return {m_programKey, *attributes.tokenBudget, maxTokens(), shouldReadFirst, versionToName(), confirmedSince, m_request.arrived};
+}
+
+void Exchange::requestTokens()
+{
+    if (needsOutageVersions()) {
+        findOutageVersions();
+        return;
+    }
     if (!findOrigin()) {
+        answerNotRun(Outcome::StreamOriginUnknown);
         return;
     }
     if (!hasTokenBudget()) {
         selectServer();
         return;
     }
-    // Rounded up to a whole number of events, since each may hold tokensPerEvent tokens.
-    const std::uint64_t perEvent = m_tokensPerEvent;
-    const std::uint64_t maxTokens = (attributes.maxGenerated + perEvent - 1) / perEvent * perEvent;
-    // A turn of a sub-agent isn't the first one of its program, so the row exists.
-    const bool shouldReadFirst = m_proxy.store.isBusy() || (!attributes.session.empty() && attributes.session != attributes.program);
-    // Another proxy may have named a version since this one last saw the row.
-    const auto confirmedSince = isResumed() && !m_origin ? m_request.arrived : TimePoint();
-    const auto result = m_proxy.ledger.reserve(
-        {m_programKey, *attributes.tokenBudget, maxTokens, shouldReadFirst, versionToName(), confirmedSince, m_request.arrived}, now());
+    const auto wanted = tokenRequest();
+    const auto result = m_proxy.ledger.reserve(wanted, now());
     if (std::holds_alternative<TokenGranted>(result)) {
         m_waitsForStore = false;
-        m_grantedTokens = maxTokens;
+        m_grantedTokens = wanted.maxTokens;
         selectServer();
         return;
     }
@@ -185,6 +232,7 @@
     const auto *needed = std::get_if<TokenNeedsWrite>(&result);
     const auto *returns = std::get_if<TokenNeedsReturns>(&result);
     const bool needsRead = std::holds_alternative<TokenNeedsRead>(result);
+    m_needsClosing = std::holds_alternative<TokenNeedsClosing>(result);
     if (m_proxy.isStoreReachable()) {
         m_proxy.addTokenWaiter(m_programKey, shared_from_this());
         setStoreTimer(storeWaitLeft());
@@ -194,13 +242,17 @@
             m_proxy.requestReturns(m_programKey, returns->holders);
         } else if (needsRead) {
             m_proxy.readTokens(m_programKey);
+        } else if (m_needsClosing) {
+            m_proxy.closeShare(m_programKey);
         }
         return;
     }
-    if (needed != nullptr || returns != nullptr || needsRead) {
+    if (needed != nullptr || returns != nullptr || needsRead || m_needsClosing) {
         m_proxy.ledger.onWriteFailed(m_programKey);
     }
-    waitForStore();
+    if (!requestOutageTokens()) {
+        waitForStore();
+    }
 }
 
 void Exchange::waitForStore()
@@ -230,7 +282,8 @@
 
 void Exchange::onStoreUpdate(bool hasFailed)
 {
-    if (m_isEnded || !m_waitsForStore) {
+    // An owner that was asked for tokens answers soon, and a turn gets its tokens from one place only.
+    if (m_isEnded || !m_waitsForStore || !m_askedTurn.empty() || m_isAskingVersions) {
         return;
     }
     stopTimer(m_waitTimer);
@@ -238,8 +291,14 @@
         queryStore();
         return;
     }
-    const auto wait = std::min(MaxStoreRetryDelay, StoreRetryDelay * (1U << std::min(m_storeFailures++, MaxStoreRetryDoublings)));
-    setStoreTimer(std::min(wait, storeWaitLeft()));
+    if (m_needsClosing || !requestOutageTokens()) {
+        setStoreTimer(std::min(nextStoreRetryDelay(), storeWaitLeft()));
+    }
+}
+
+Duration Exchange::nextStoreRetryDelay()
+{
+    return std::min(MaxStoreRetryDelay, StoreRetryDelay * (1U << std::min(m_storeFailures++, MaxStoreRetryDoublings)));
 }
 
 void Exchange::selectServer()
@@ -252,7 +311,7 @@
     if (!confirmCustomer() || refuseQuarantined()) {
         return;
     }
-    if (m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin))) {
+    if (isVersionGone()) {
         answerVersionGone();
         return;
     }
@@ -263,7 +322,7 @@
     }
     const auto software = choice->server.software();
     const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
-    if (isVersionInRow() && !m_origin && std::find(named.begin(), named.end(), software) == named.end()) {
+    if (isVersionInRow() && !m_origin && !m_outageTurn && std::find(named.begin(), named.end(), software) == named.end()) {
         // The row names the version before the stream begins. The tokens are reserved anew together with it.
         m_newVersion = software;
         m_proxy.ledger.settle(m_programKey, std::exchange(m_grantedTokens, 0), 0, now());
@@ -275,26 +334,36 @@
     }
 }
 
-std::optional<Choice> Exchange::chooseServer()
+std::optional<Choice> Exchange::chooseServer(ChoiceExplanation *explanation) const
 {
+    const auto choose = [this, explanation, present = now()](const ChoiceRequest &wanted) {
+        if (explanation != nullptr) {
+            *explanation = m_proxy.servers.explain(wanted, present);
+        }
+        return m_proxy.servers.choose(wanted, present);
+    };
     auto wanted = choiceRequest();
     if (m_origin) {
         const std::vector<SoftwareVersion> origin{*m_origin};
         wanted.software = &origin;
-        return m_proxy.servers.choose(wanted, now());
+        return choose(wanted);
     }
     if (!isVersionInRow()) {
-        return m_proxy.servers.choose(wanted, now());
+        return choose(wanted);
+    }
+    auto named = m_proxy.ledger.row(m_programKey).streamVersions;
+    if (m_outageTurn && m_outageTurn->request.streamVersion) {
+        named = {*m_outageTurn->request.streamVersion};
     }
-    const auto named = m_proxy.ledger.row(m_programKey).streamVersions;
     wanted.software = &named;
-    auto choice = m_proxy.servers.choose(wanted, now());
-    if (choice || m_mayHaveRun != 0) {
-        // A request that may have run can't wait for the store: it might have to be refused as not run.
+    auto choice = choose(wanted);
+    if (choice || m_mayHaveRun != 0 || m_outageTurn) {
+        // The owner of the program has recorded the version. A request that may have run can't wait for the store: it might have to be
+        // refused as not run.
         return choice;
     }
     wanted.software = nullptr;
-    return m_proxy.servers.choose(wanted, now());
+    return choose(wanted);
 }
 
 void Exchange::answerVersionGone()
@@ -313,13 +382,8 @@
         answer(StatusBadGateway, std::nullopt, Outcome::NoOtherServer);
         return;
     }
-    const auto rateLimitDelay = m_proxy.servers.rateLimitDelay(m_service, now());
-    if (rateLimitDelay && *rateLimitDelay > waitLeft) {
-        answerNotRun(Outcome::ServersLimited);
-        return;
-    }
-    if (waitLeft < Duration::zero() || !m_proxy.servers.hasServer(m_service)) {
-        answerNotRun(m_proxy.servers.hasServer(m_service) ? Outcome::ServersFull : Outcome::NoServer);
+    if (const auto refusal = serverRefusal(waitLeft)) {
+        answerNotRun(refusal->outcome);
         return;
     }
     m_excludedServers.clear();
@@ -332,6 +396,18 @@
     });
 }
 
+std::optional<Refusal> Exchange::serverRefusal(Duration waitLeft) const
+{
+    const auto rateLimitDelay = m_proxy.servers.rateLimitDelay(m_service, now());
+    if (rateLimitDelay && *rateLimitDelay > waitLeft) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, Outcome::ServersLimited};
+    }
+    if (waitLeft < Duration::zero() || !m_proxy.servers.hasServer(m_service)) {
+        return Refusal{StatusUnavailable, ShortRetryAfter, m_proxy.servers.hasServer(m_service) ? Outcome::ServersFull : Outcome::NoServer};
+    }
+    return std::nullopt;
+}
+
 std::string Exchange::requestText(const Server &server) const
 {
     std::string text = m_request.method + " " + m_request.target + " HTTP/1.1\r\n" + m_request.headers;
--- a/packages/proxy/src/exchange_quota.cpp
+++ b/packages/proxy/src/exchange_quota.cpp
@@ -33,25 +33,34 @@
     return {m_customer->name, attributes.program, attributes.session, !attributes.previousTurn.empty(), isModelRoute};
 }
 
+QuotaRequest Exchange::quotaRequest() const
+{
+    const auto hints = programHints();
+    return {m_customer->name,
+            m_proxy.programs.contains(hints, now()),
+            m_hasRequestedPermit,
+            std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
+            timeLeft()};
+}
+
+Duration Exchange::permitWaitLeft() const
+{
+    return m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
+}
+
 void Exchange::requestPermit()
 {
-    m_waitsForPermit = false;
+    const bool isRegistered = std::exchange(m_waitsForPermit, false);
     if (!hasRateLimit()) {
         continueWithPermit();
         return;
     }
-    const auto hints = programHints();
-    const QuotaRequest wanted{
-        m_customer->name,
-        m_proxy.programs.contains(hints, now()),
-        std::exchange(m_hasRequestedPermit, true),
-        std::hash<std::string>()(hints.program.empty() ? m_request.attributes.requestId : m_request.attributes.program),
-        timeLeft()};
-    const auto result = m_proxy.quotas.request(wanted, now());
+    const auto result = m_proxy.requestPermit(quotaRequest());
+    m_hasRequestedPermit = true;
     if (std::holds_alternative<QuotaGranted>(result)) {
         m_hasPermit = true;
         m_permitCustomer = m_customer->name;
-        m_proxy.programs.record(hints, now());
+        m_proxy.programs.record(programHints(), now());
         continueWithPermit();
         return;
     }
@@ -61,8 +70,10 @@
         return;
     }
     m_waitsForPermit = true;
-    m_proxy.addQuotaWaiter(shared_from_this());
-    const auto waitLeft = m_request.arrived + std::min(MaxPermitWait, (m_limitAt - m_request.arrived) / PermitWaitDivisor) - now();
+    if (!isRegistered) {
+        m_proxy.addQuotaWaiter(m_customer->name, shared_from_this());
+    }
+    const auto waitLeft = permitWaitLeft();
     runAfter(m_waitTimer, std::clamp(waitLeft, Duration::zero(), PermitCheckInterval), *this, [waitLeft](Exchange &self) {
         if (waitLeft > PermitCheckInterval) {
             self.requestPermit();
@@ -77,13 +88,15 @@
 {
     if (!m_isEnded && m_waitsForPermit) {
         stopTimer(m_waitTimer);
+        // The proxy has removed it from the waiting requests.
+        m_waitsForPermit = false;
         requestPermit();
     }
 }
 
 void Exchange::continueWithPermit()
 {
-    if (m_grantedTokens != 0) {
+    if (m_grantedTokens != 0 || m_outageTurn) {
         selectServer();
     } else {
         queryStore();
--- a/packages/proxy/src/message_server.cpp
+++ b/packages/proxy/src/message_server.cpp
@@ -109,7 +109,13 @@
     {
         m_isServing = true;
         auto &request = m_parser->get();
-        const MessageRequest message{std::string(request.method_string()), std::string(request.target()), std::move(request.body())};
+        boost::system::error_code ec;
+        const auto peer = m_socket.remote_endpoint(ec);
+        const MessageRequest message{std::string(request.method_string()),
+                                     std::string(request.target()),
+                                     std::move(request.body()),
+                                     std::string(request[Http::field::authorization]),
+                                     !ec && peer.address().is_loopback()};
         m_server->handle(message, [self = shared_from_this()](MessageReply reply) {
             if (!self->m_isClosed) {
                 self->answer(std::move(reply));
@@ -277,8 +283,9 @@
 
 void MessageServer::accept()
 {
-    m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted) {
+    // An accepted connection may be waiting for its handler when the server is destroyed.
+    m_acceptor.async_accept([this, alive = std::weak_ptr(m_isAlive)](const boost::system::error_code &ec, tcp::socket socket) {
+        if (alive.expired() || ec == boost::asio::error::operation_aborted) {
             return;
         }
         if (!ec) {
@@ -289,8 +296,8 @@
             return;
         }
         m_acceptTimer.expires_after(AcceptRetryDelay);
-        m_acceptTimer.async_wait([this](const boost::system::error_code &waitError) {
-            if (!waitError) {
+        m_acceptTimer.async_wait([this, alive](const boost::system::error_code &waitError) {
+            if (!alive.expired() && !waitError) {
                 accept();
             }
         });
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -22,14 +22,19 @@
 }
 
 void ProxyState::addStoreWaiter(const std::shared_ptr<Exchange> &exchange)
+{
+    addWaiter(m_storeWaiters, exchange);
+}
+
+void ProxyState::addWaiter(std::vector<std::weak_ptr<Exchange>> &waiters, const std::shared_ptr<Exchange> &exchange) const
 {
     // Requests that ended meanwhile would take memory as long as the store is unavailable.
-    if (m_storeWaiters.size() > 2 * m_exchanges.size() + MinStoreWaiters) {
-        std::erase_if(m_storeWaiters, [](const auto &it) {
+    if (waiters.size() > 2 * m_exchanges.size() + MinStoreWaiters) {
+        std::erase_if(waiters, [](const auto &it) {
             return it.expired();
         });
     }
-    m_storeWaiters.push_back(exchange);
+    waiters.push_back(exchange);
 }
 
 void ProxyState::writeTokens(const TokenWrite &write)
@@ -146,6 +151,30 @@
     }
 }
 
+void ProxyState::closeShare(const std::string &program)
+{
+    outage.close(program, [weak = weak_from_this(), program](std::optional<std::uint64_t> tokens) {
+        if (const auto self = weak.lock()) {
+            self->ledger.onShareClosed(program, tokens, now());
+            self->notifyTokenWaiters(program, !tokens);
+        }
+    });
+}
+
+void ProxyState::closeShareEarly(const std::string &program)
+{
+    // A program that has a row seldom needs tokens in an outage, but it may need more than the first share after its owner was lost.
+    if (!ledger.hasOpenShare(program, now())) {
+        return;
+    }
+    outage.close(program, [weak = weak_from_this(), program](std::optional<std::uint64_t> tokens) {
+        const auto self = weak.lock();
+        if (self && tokens) {
+            self->ledger.recordClosedShare(program, *tokens, now());
+        }
+    });
+}
+
 void ProxyState::notifyTokenWaiters(const std::string &program, bool hasFailed)
 {
     const auto waiters = std::move(m_tokenWaiters[program]);
@@ -189,8 +218,8 @@
         "program=" + clientId(program) + " reserved=" + std::to_string(row ? row->reserved : 0)
             + " returned=" + std::to_string(row ? row->returned : 0) + " expected_version=" + std::to_string(row ? row->version : 0)
             + " outcome=" + (row ? "read" : "read_failed why=\"" + ec.message + '"'));
-    // Waiting requests continue at once even if the read failed; they try a write then.
-    notifyTokenWaiters(program, false);
+    // Waiting requests continue at once even if the read failed; they ask the owner of the program, or try a write then.
+    notifyTokenWaiters(program, !row && outage.isOn());
 }
 
 ProxyState::TokenOutcome ProxyState::applyTokenAnswer(const TokenWrite &write, const Platform::TransactionAnswer &answer)
@@ -198,6 +227,7 @@
     onStoreReachable();
     if (const auto *done = std::get_if<Platform::TransactionDone>(&answer)) {
         ledger.onWritten(write.program, done->version);
+        closeShareEarly(write.program);
         return TokenOutcome::Written;
     }
     TokenRow row;
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -6,6 +6,7 @@
 #include "timer_func.h"
 
 #include "vanillahall/platform/wire_header_func.h"
+#include "vanillahall/platform/wire_permit_func.h"
 
 #include <algorithm>
 
@@ -24,7 +25,7 @@
 
 constexpr MessageLimits StatusLimits{16, 1024, 4096}; ///< Readiness checks and metrics have no body.
 constexpr MessageLimits PeerLimits{
-    64, std::size_t{2} * 1024 * 1024, std::size_t{4} * 1024 * 1024}; ///< Calls of other proxies; the store accepts calls of at most 1 MB.
+    512, std::size_t{2} * 1024 * 1024, std::size_t{4} * 1024 * 1024}; ///< Calls of other proxies; the store accepts calls of at most 1 MB.
 
 /** @return Name of this incarnation of the process; identifies its rows in the store. */
 std::string processName(const ProxySettings &settings)
@@ -41,13 +42,16 @@
     , serverRequestBytes(settings.maxServerBytes)
     , customers(settings.customers)
     , servers(settings.zone, settings.choice)
-    , ledger(processName(settings), settings.zone)
+    , ledger(processName(settings), settings.zone, settings.outageBudgetPercent)
     , quotas(settings.name, settings.incarnation, settings.quota)
+    , grantor(settings.name, settings.quota)
+    , permits(settings.name, quotas, grantor)
     , turns(settings.maxTurnBytes)
     , members(settings.name)
     , overload(ioLoop)
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
+    , outage(*this)
     , clientAcceptor(ioLoop)
     , readinessServer(
           ioLoop,
@@ -67,6 +71,7 @@
               answerPeer(request, answer);
           },
           PeerLimits)
+    , operatorListener(*this)
     , m_processName(processName(settings))
     , m_log(std::move(log))
     , m_periodicTimer(ioLoop)
@@ -78,6 +83,20 @@
 {
 }
 
+ProxyState::~ProxyState()
+{
+    // Sessions and connections are kept by their pending operations, whose handlers would call this object.
+    m_exchanges.clear();
+    for (const auto &[number, session] : std::exchange(m_sessions, {})) {
+        session->close();
+    }
+    for (const auto &[server, connections] : std::exchange(m_idleConnections, {})) {
+        for (const auto &it : connections) {
+            it->abandon();
+        }
+    }
+}
+
 void ProxyState::log(LogLevel level, EventNumber event, const std::string &fields)
 {
     m_log(level, event, fields);
@@ -94,6 +113,9 @@
     if (settings.peerListen && !peerServer.listen(*settings.peerListen, reason)) {
         return false;
     }
+    if (!operatorListener.listen(reason)) {
+        return false;
+    }
     m_nextTokenPart = std::hash<std::string>()(settings.name);
     m_nextTurnPart = m_nextTokenPart;
     acceptClients();
@@ -277,6 +299,7 @@
     metrics.gauge("vanillahall_crash_records_unshared", static_cast<double>(crashes.unsharedCount()));
     metrics.gauge("vanillahall_abandoned_attempts", static_cast<double>(abandoned.size()));
     overload.setGauges(*this);
+    outage.setGauges();
     metrics.gauge("vanillahall_proxies_known", members.count(now()));
     setQuotaGauges();
     metrics.gauge("vanillahall_store_reachable_directly", store.isDirectRouteDown() ? 0 : 1);
@@ -300,6 +323,13 @@
         answerTokenReturn(request.body, answer, MaxReturnAttempts);
         return;
     }
+    if (request.method == "POST" && request.target == Platform::PermitPath) {
+        answerPermitAsk(request.body, answer);
+        return;
+    }
+    if (outage.answerPeer(request, answer)) {
+        return;
+    }
     const Platform::StoreRequest wanted{request.method, request.target, request.body};
     if (!Platform::isRelayableCall(wanted)) {
         answer({StatusNotFound, {}, {}});
@@ -347,8 +377,9 @@
         return it.second->isBusy();
     });
     returnTokens();
+    outage.giveUpAll();
     // Records that the store doesn't have yet, and tokens that aren't given back, would be lost with the process.
-    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens());
+    const bool isStored = crashes.unsharedCount() == 0 && !(ledger.holdsTokens() && canReturnTokens()) && outage.isStopped();
     const bool isDone = !acceptsConnections && isIdle && m_exchanges.empty() && isStored;
     if (isDone || plannedStop.isOverdue(now())) {
         shutDown();
@@ -382,6 +413,7 @@
     readinessServer.close();
     metricsServer.close();
     peerServer.close();
+    operatorListener.close();
     for (const auto &it : {m_configWatcher, m_serverWatcher}) {
         if (it) {
             it->stop();
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -4,6 +4,8 @@
 #include "client_session.h"
 #include "exchange.h"
 #include "message_server.h"
+#include "operator_listener.h"
+#include "outage_control.h"
 #include "overload_control.h"
 #include "server_connection.h"
 #include "server_request_bytes.h"
@@ -13,8 +15,8 @@
 #include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/crash_tracker_base.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
+#include "vanillahall/core/customer/customer_permits_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
-#include "vanillahall/core/customer/quota_ledger_base.h"
 #include "vanillahall/core/planned_stop_base.h"
 #include "vanillahall/core/route_table_base.h"
 #include "vanillahall/core/server_registry_base.h"
@@ -42,6 +44,9 @@
 {
 public:
     ProxyState(boost::asio::io_context &loop, ProxySettings settings, ProxyLog log);
+    ~ProxyState() override;
+    ProxyState(const ProxyState &) = delete;
+    ProxyState &operator=(const ProxyState &) = delete;
 
     // Commands of the owner.
 
@@ -77,12 +82,18 @@
     void readTokens(const std::string &program);
     /** Asks other proxies to give back the tokens of a program, and notifies the exchanges that wait for it. */
     void requestReturns(const std::string &program, const std::vector<std::string> &holders);
+    /** Asks the owner of a program to close its second share, and notifies the exchanges that wait for the program. */
+    void closeShare(const std::string &program);
+    /** Asks the owner to close the second share of a program whose row was written, before more than the first share is needed. */
+    void closeShareEarly(const std::string &program);
     /** Registers an exchange to be notified after the next store call about a program's tokens. */
     void addTokenWaiter(const std::string &program, const std::shared_ptr<Exchange> &exchange);
     /** Registers an exchange to be notified when the store answers again. */
     void addStoreWaiter(const std::shared_ptr<Exchange> &exchange);
-    /** Registers an exchange to be notified after the next exchange of reports about rate limits. */
-    void addQuotaWaiter(const std::shared_ptr<Exchange> &exchange);
+    /** Requests a permit for a request of a customer with a rate limit, and asks its grantor if needed. */
+    QuotaAnswer requestPermit(const QuotaRequest &request);
+    /** Registers an exchange to be notified after the next exchange of reports about rate limits, or answer of the customer's grantor. */
+    void addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange);
     /** Counts and logs a request that was refused because of its customer's rate limit. */
     void recordQuotaRefusal(const std::string &customer, Duration retryAfter);
     /** Records an attempt with this content that broke the connection, and shares the record with the other proxies. */
@@ -124,6 +135,8 @@
     void onStoreFailure(const std::string &message);
     /** Makes a call whose reply is ignored, except that failures are logged. @param name Name of the call for the log. */
     void callStore(const Platform::StoreRequest &request, const char *name);
+    /** Logs a row that can't be decoded, once per version of it. */
+    void reportInvalidRow(const Error &reason, std::uint64_t version);
     /** @return Estimated clock of the store, in milliseconds. */
     [[nodiscard]] std::uint64_t storeNowMs() const;
 
@@ -146,6 +159,8 @@
     ServerRegistry servers;
     TokenLedger ledger;
     QuotaLedger quotas;
+    PermitGrantor grantor;
+    CustomerPermits permits;
     ProgramsInProgress programs;
     TurnCache turns;
     CrashTracker crashes;
@@ -156,10 +171,12 @@
     OverloadControl overload;
     PlannedStop plannedStop;
     StoreRouter store;
+    OutageControl outage;
     boost::asio::ip::tcp::acceptor clientAcceptor;
     MessageServer readinessServer;
     MessageServer metricsServer;
     MessageServer peerServer;
+    OperatorListener operatorListener;
 
 private:
     /** State of readAll(). */
@@ -177,7 +194,8 @@
     /** Called whenever the configuration table is known to be up to date. */
     void onConfigConfirmed();
     void applyServerRows(const TableReplica &table);
-    void applyMembers(const std::optional<Platform::StoreRows> &rows);
+    /** @param readAt When the read was requested. */
+    void applyMembers(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
     void readCrashes();
     void acceptClients();
     /** @return An idle connection to a server, or null. */
@@ -225,7 +243,6 @@
     /** Applies the server list to the registry. @param wasUnavailable True if the list couldn't be read for a while before. */
     void updateServers(bool wasUnavailable);
     void onStoreReachable();
-    void reportInvalidRow(const Error &reason, std::uint64_t version);
     /** Proxies that were asked to give back the tokens of a program. */
     struct ReturnRound
     {
@@ -253,6 +270,8 @@
     /** Gives back tokens that are held for programs without turns in progress. */
     void returnTokens();
     void onTokensRead(const std::string &program, const std::optional<StoreReply> &reply, const Error &reason);
+    /** Adds an exchange to a list of waiting ones, and removes those that have ended if the list has become long. */
+    void addWaiter(std::vector<std::weak_ptr<Exchange>> &waiters, const std::shared_ptr<Exchange> &exchange) const;
     /** Notifies the exchanges that wait for a program's tokens. */
     void notifyTokenWaiters(const std::string &program, bool hasFailed);
     void onTokensWritten(const TokenWrite &write, const std::optional<StoreReply> &reply, const Error &reason);
@@ -261,6 +280,13 @@
     /** Writes this proxy's report about the rate limits of customers and reads those of the others, again and again. */
     void exchangeUsage();
     void onUsageRead(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
+    /** Asks the grantor of a customer for permits. */
+    void askGrantor(const std::string &customer, const PermitCall &call);
+    /** Handles the grantor's answer, and notifies the exchanges that wait for it. @param why Reason if there is none. */
+    void
+    onPermitReply(const std::string &customer, const PermitCall &call, const std::optional<PermitAnswer> &answer, const std::string &why);
+    /** Answers another proxy that asks for permits. */
+    void answerPermitAsk(const std::string &body, const MessageServer::Reply &answer);
     /** Logs an event about a customer's rate limit; at most one line of each kind per customer in some time. */
     void logQuota(LogLevel level, EventNumber event, const std::string &customer, const std::string &fields);
     void setQuotaGauges();
@@ -337,7 +363,8 @@
         std::uint64_t omitted{};           ///< Events since then.
     };
 
-    std::vector<std::weak_ptr<Exchange>> m_quotaWaiters;                     ///< Exchanges to notify after an exchange of reports.
+    std::unordered_map<std::string, std::vector<std::weak_ptr<Exchange>>>
+        m_permitWaiters;                                                     ///< Exchanges that wait for a permit, by customer.
     boost::asio::steady_timer m_usageTimer;                                  ///< Delay before the next exchangeUsage().
     bool m_isExchangingUsage = false;                                        ///< True once exchangeUsage() was started.
     std::map<std::pair<EventNumber, std::string>, QuotaLogEntry> m_quotaLog; ///< Last log lines about rate limits.
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -54,6 +54,8 @@
     std::size_t fullReads = 0;         ///< Full reads of the server list so far.
     std::size_t watches = 0;           ///< Watch calls for the server list so far.
 
+    std::map<std::string, std::pair<std::string, int>> budgetOwners; ///< Rows of the owners of budgets: base64 value and version.
+
     /** @return Reply to a call. */
     Script answer(const std::string &request);
 
@@ -76,6 +78,8 @@
     std::optional<Script> answerTurns(const std::string &request);
     Script readTurns(const std::string &request);
     Script writeTurns(const std::string &body);
+    /** @return Reply to a call about the owners of budgets, or nothing for other calls. */
+    std::optional<Script> answerBudgetOwners(const std::string &request);
 
     Table m_config;
     Table m_servers;
