Failed attempts are logged with the features of their requests

Change: hashes of content, beginning of the body, parts of the prompt, caller and path are computed for each request, and logged with events 1103 and 1107. No decision uses them.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -161,7 +161,7 @@
 
 bool Exchange::refuseQuarantined()
 {
-    if (!m_proxy.crashes.isRefused(m_contentHash)) {
+    if (!m_proxy.crashes.isRefused(content())) {
         return false;
     }
     if (m_mayHaveRun != 0) {
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -8,6 +8,7 @@
 #include "server_connection.h"
 
 #include "vanillahall/core/budget/outage_share_base.h"
+#include "vanillahall/core/crash/request_feature_type.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
@@ -172,6 +173,8 @@
     void onAttemptFailed(AttemptFailure failure, const std::string &message);
     /** @param isComplete True if the server has answered the whole request successfully, so that its time tells its cost. */
     void endAttempt(bool isComplete);
+    /** @return Hash of the request's content; 0 before checkContent(). */
+    [[nodiscard]] std::uint64_t content() const;
     /** @return What the choice of a server depends on, for servers of any software version. */
     [[nodiscard]] ChoiceRequest choiceRequest() const;
     /** @return Fields of the log line about the expected course of the request. */
@@ -257,7 +260,7 @@
     std::optional<TimePoint> m_serverChosenAt;         ///< When a server was first selected.
     std::optional<TimePoint> m_firstByteAt;            ///< When the response started.
     std::uint64_t m_configVersion = 0;                 ///< Version of the configuration when the request arrived.
-    std::uint64_t m_contentHash = 0;                   ///< Hash of path and body.
+    RequestFeatures m_features;                        ///< Features by which the request is recognized if it crashes servers.
     std::uint64_t m_grantedTokens = 0;                 ///< Tokens that were granted and aren't settled yet.
     std::uint64_t m_forwardedEvents = 0;               ///< Events forwarded to the client.
     std::uint32_t m_attemptEvents = 0;                 ///< Events received in the current attempt.
--- a/packages/proxy/src/exchange_customer.cpp
+++ b/packages/proxy/src/exchange_customer.cpp
@@ -168,8 +168,9 @@
     if (!Platform::isStoreKey(m_programKey)) {
         return Refusal{StatusBadRequest, std::nullopt, Outcome::ProgramNameTooLong};
     }
-    m_contentHash = contentHash(m_request.method, m_request.target, attributes.program, m_request.body, m_ownerPrefix);
-    if (m_proxy.crashes.isRefused(m_contentHash)) {
+    m_features
+        = requestFeatures({m_request.method, m_request.target, attributes.program, m_request.body, m_ownerPrefix, &attributes.promptParts});
+    if (m_proxy.crashes.isRefused(content())) {
         return Refusal{StatusUnavailable, CrashRecordLifetime, Outcome::ContentQuarantined};
     }
     if (isResumed()) {
@@ -178,6 +179,11 @@
     return std::nullopt;
 }
 
+std::uint64_t Exchange::content() const
+{
+    return m_features.empty() ? 0 : m_features.front().hash;
+}
+
 std::string Exchange::keyOf(const std::string &id) const
 {
     return m_proxy.customers.hasCustomers() ? ownedKey(m_ownerPrefix, id) : id;
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -38,7 +38,7 @@
 {
     m_proxy.servers.recordFailure(m_choice.server.id, now());
     if (m_failure == AttemptFailure::Broken) {
-        m_proxy.recordContentFailure(m_contentHash);
+        m_proxy.recordContentFailure(content());
     } else {
         recordAbandoned("answer_rejected");
     }
@@ -55,9 +55,9 @@
     const auto step = m_isClientDisconnected ? NextStep::BreakOff : nextStep(history, failure);
     std::ostringstream line;
     line << "request=" << m_request.attributes.requestId << " program=" << m_request.attributes.program << " server=" << m_choice.server.id
-         << " content=" << m_contentHash << " crash_records=" << m_proxy.crashes.recordCount(m_contentHash)
-         << " failure=" << failureName(failure) << " may_have_run=" << m_mayHaveRun << " tries=" << m_attempts << " step=" << stepName(step)
-         << " why=\"" << message << '"';
+         << " content=" << content() << " crash_records=" << m_proxy.crashes.recordCount(content())
+         << " features=" << featureText(m_features) << " failure=" << failureName(failure) << " may_have_run=" << m_mayHaveRun
+         << " tries=" << m_attempts << " step=" << stepName(step) << " why=\"" << message << '"';
     m_proxy.log(LogLevel::Warning, EventNumber::AttemptFailed, line.str());
     m_proxy.metrics.count("vanillahall_attempt_failures_total", {"failure", std::string(failureName(failure))});
     switch (step) {
@@ -182,11 +182,11 @@
 
 void Exchange::recordAbandoned(std::string_view why)
 {
-    m_proxy.recordAbandonedAttempt(m_choice.server, m_contentHash, m_limitAt);
+    m_proxy.recordAbandonedAttempt(m_choice.server, content(), m_limitAt);
     std::ostringstream line;
-    line << "request=" << m_request.attributes.requestId << " server=" << m_choice.server.id << " content=" << m_contentHash
-         << " crash_records=" << m_proxy.crashes.recordCount(m_contentHash) << " sent_ms_ago=" << ms(now() - m_attemptStartedAt)
-         << " left_ms=" << ms(timeLeft()) << " why=" << why;
+    line << "request=" << m_request.attributes.requestId << " server=" << m_choice.server.id << " content=" << content()
+         << " crash_records=" << m_proxy.crashes.recordCount(content()) << " features=" << featureText(m_features)
+         << " sent_ms_ago=" << ms(now() - m_attemptStartedAt) << " left_ms=" << ms(timeLeft()) << " why=" << why;
     m_proxy.log(LogLevel::Info, EventNumber::AttemptAbandoned, line.str());
     m_proxy.metrics.count("vanillahall_attempts_abandoned_total", {"why", std::string(why)});
 }
