--- a/packages/core/include/vanillahall/core/abandoned_attempts_base.h
+++ b/packages/core/include/vanillahall/core/abandoned_attempts_base.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "vanillahall/core/crash/crash_evidence_type.h"
 #include "vanillahall/core/forward_type.h"
 
 #include <cstdint>
@@ -32,12 +33,12 @@
     Failed,    ///< There was no response in time, or another error.
 };
 
-/** Server that has ended, with the contents that it may have been running then. */
+/** Server that has ended, with the attempts that it may have been running then. */
 struct EndedServer
 {
-    std::string server;                  ///< Id of the server.
-    ServerEnd end{};                     ///< How its end became known.
-    std::vector<std::uint64_t> contents; ///< Content of each abandoned attempt that may have been running.
+    std::string server;                   ///< Id of the server.
+    ServerEnd end{};                      ///< How its end became known.
+    std::vector<CrashedAttempt> attempts; ///< Abandoned attempts that may have been running.
 };
 
 /** Remembers abandoned attempts for as long as their servers may run them, and assigns the end of a server to those that were there. */
@@ -49,10 +50,10 @@
     /**
      * Records an attempt that has ended for the proxy while its server may still run it.
      * @param server Server of the attempt, as chosen.
-     * @param content Hash of the request's content.
+     * @param attempt The attempt.
      * @param runsUntil Deadline that the server was given; it stops work then.
      */
-    void record(const Server &server, std::uint64_t content, TimePoint runsUntil);
+    void record(const Server &server, CrashedAttempt attempt, TimePoint runsUntil);
     /** Handles the result of a connection attempt to a server. @return The server, if it shows that it has ended. */
     std::vector<EndedServer> onConnectResult(const std::string &server, ConnectResult result, TimePoint now);
     /** Handles a current list of servers. @return Servers that it shows to have ended. */
@@ -74,8 +75,8 @@
     /** An abandoned attempt. */
     struct Attempt
     {
-        std::uint64_t content{}; ///< Hash of the request's content.
-        TimePoint runsUntil{};   ///< Deadline that the server was given.
+        CrashedAttempt crashed; ///< What counts if the server ends.
+        TimePoint runsUntil{};  ///< Deadline that the server was given.
     };
 
     /** Attempts at one server. */
--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -13,7 +13,7 @@
     BudgetSpent,         ///< The remaining token budget of the program is too small for the turn.
     BudgetUnsettled,     ///< It isn't known yet whether the budget is spent.
     ClientGone,          ///< The client disconnected first.
-    ContentQuarantined,  ///< The content has crashed several servers.
+    ContentQuarantined,  ///< Such requests have crashed several servers.
     ConversationAway,    ///< The earlier turns can't be read from the store.
     ConversationTooLong, ///< The turn or its conversation is longer than the limits allow.
     FaultyTurnName,      ///< The previous turn is named twice, with an invalid name, or on a route without stored conversations.
@@ -67,8 +67,8 @@
      "The client closed its connection first. `all_ms` and `first_ms` show whether it waited long or left early."},
     {Outcome::ContentQuarantined,
      "content_quarantined",
-     "503, not run, or 502 after an attempt of this request: requests with this path and body broke three server connections within two "
-     "minutes. Event 1901 says when."},
+     "503, not run, or 502 after an attempt of this request: requests that share a feature with it, such as path, program or body, ended "
+     "with their servers at least three times. Event 1901 names the feature."},
     {Outcome::ConversationAway,
      "conversation_away",
      "503, not run: the earlier turns of the conversation can't be read from the store. Event 1106 says which; see events 1501 and "
--- a/packages/core/src/commands/abandoned_attempts_cmd.cpp
+++ b/packages/core/src/commands/abandoned_attempts_cmd.cpp
@@ -6,7 +6,7 @@
 
 namespace Vanillahall::Forward {
 
-void AbandonedAttempts::record(const Server &server, std::uint64_t content, TimePoint runsUntil)
+void AbandonedAttempts::record(const Server &server, CrashedAttempt attempt, TimePoint runsUntil)
 {
     auto &state = m_servers[server.id];
     if (state.attempts.empty()) {
@@ -15,7 +15,7 @@
     if (state.attempts.size() >= MaxAbandonedPerServer) {
         state.attempts.erase(state.attempts.begin());
     }
-    state.attempts.push_back({content, runsUntil});
+    state.attempts.push_back({std::move(attempt), runsUntil});
 }
 
 EndedServer AbandonedAttempts::end(Iterator it, ServerEnd how, TimePoint runningAfter)
@@ -23,7 +23,8 @@
     EndedServer ended{it->first, how, {}};
     for (const auto &attempt : it->second.attempts) {
         if (attempt.runsUntil >= runningAfter) {
-            ended.contents.push_back(attempt.content);
+            ended.attempts.push_back(attempt.crashed);
+            ended.attempts.back().endUncertainty = how == ServerEnd::Refused ? RefusalDelay : ListDelay;
         }
     }
     m_servers.erase(it);
--- a/packages/core/src/commands/crash_tracker_cmd.cpp
+++ b/packages/core/src/commands/crash_tracker_cmd.cpp
@@ -1,36 +1,51 @@
 #include "vanillahall/core/crash_tracker_base.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 #include <utility>
 
 namespace Vanillahall::Forward {
 
-CrashRecord CrashTracker::recordCrash(std::uint64_t content, TimePoint now)
+void CrashTracker::setHold(Duration hold)
+{
+    m_hold = hold;
+}
+
+void CrashTracker::setEntries(std::size_t count)
+{
+    m_entries = std::max<std::size_t>(count, 1);
+}
+
+void CrashTracker::add(CrashEvidence evidence)
 {
-    auto &own = m_own[content];
-    own.serials.push_back(++m_serial);
-    own.lastCrash = now;
-    const CrashRecord record{content, m_serial};
     if (m_unshared.size() >= MaxUnsharedCrashes) {
         m_unshared.erase(m_unshared.begin() + static_cast<std::ptrdiff_t>(m_sharing));
     }
-    m_unshared.push_back({record, now});
-    return record;
+    m_unshared.push_back({evidence});
+    m_own.push_back(std::move(evidence));
+    if (m_own.size() > MaxUnsharedCrashes) {
+        m_own.pop_front();
+    }
+}
+
+std::vector<AttributedFeature> CrashTracker::recordCrash(const CrashedAttempt &attempt, TimePoint now)
+{
+    const auto content = attempt.features.empty() ? 0 : attempt.features.front().hash;
+    add({{content, ++m_serial}, attempt.features, attempt.server, std::max(attempt.sentAt, now - attempt.endUncertainty), now});
+    return attribute(now);
 }
 
-std::optional<CrashBatch> CrashTracker::beginShare(TimePoint now)
+std::vector<CrashEvidence> CrashTracker::beginShare(TimePoint now)
 {
+    std::vector<CrashEvidence> batch;
     if (m_unshared.empty() || m_sharing != 0 || now < m_nextShareAt) {
-        return std::nullopt;
+        return batch;
     }
     m_sharing = std::min(m_unshared.size(), MaxSharedCrashes);
-    CrashBatch batch;
-    batch.records.reserve(m_sharing);
+    batch.reserve(m_sharing);
     for (std::size_t n = 0; n < m_sharing; n++) {
-        batch.records.push_back(m_unshared[n].record);
+        batch.push_back(m_unshared[n].evidence);
     }
-    batch.newestAt = m_unshared[m_sharing - 1].madeAt;
     return batch;
 }
 
@@ -40,7 +55,7 @@
     const auto end = m_unshared.begin() + static_cast<std::ptrdiff_t>(std::exchange(m_sharing, 0));
     const auto rest = std::remove_if(m_unshared.begin(), end, [&obsolete, isStored](const UnsharedRecord &it) {
         if (it.isObsolete) {
-            obsolete.push_back(it.record);
+            obsolete.push_back(it.evidence.record);
         }
         return isStored || it.isObsolete;
     });
@@ -51,33 +66,21 @@
     return obsolete;
 }
 
-bool CrashTracker::beginRead(TimePoint now)
-{
-    if (now < m_nextReadAt) {
-        return false;
-    }
-    m_nextReadAt = now + CrashReadInterval;
-    return true;
-}
-
-void CrashTracker::onReadFailed(TimePoint now)
-{
-    m_nextReadAt = std::min(m_nextReadAt, now + CrashRetryInterval);
-}
-
 void CrashTracker::onStoreBack(TimePoint now)
 {
     m_nextShareAt = now;
-    m_nextReadAt = std::min(m_nextReadAt, now + CrashRetryInterval);
 }
 
-std::vector<CrashRecord> CrashTracker::removeRecords(std::unordered_map<std::uint64_t, OwnRecords>::iterator own)
+template<typename Predicate>
+std::vector<CrashRecord> CrashTracker::removeOwn(const Predicate &isRemoved)
 {
     std::vector<CrashRecord> records;
-    records.reserve(own->second.serials.size());
-    for (const auto it : own->second.serials) {
-        const auto unshared = std::find_if(m_unshared.begin(), m_unshared.end(), [it](const UnsharedRecord &record) {
-            return record.record.serial == it;
+    for (const auto &it : m_own) {
+        if (!isRemoved(it)) {
+            continue;
+        }
+        const auto unshared = std::find_if(m_unshared.begin(), m_unshared.end(), [&it](const UnsharedRecord &waiting) {
+            return waiting.evidence.record == it.record;
         });
         if (unshared != m_unshared.end() && unshared - m_unshared.begin() < static_cast<std::ptrdiff_t>(m_sharing)) {
             // Its write could come after the removal.
@@ -88,50 +91,110 @@
             m_unshared.erase(unshared);
         }
         // An earlier write with an unknown outcome may have stored it.
-        records.push_back({own->first, it});
+        records.push_back(it.record);
     }
-    m_own.erase(own);
+    m_own.erase(std::remove_if(m_own.begin(), m_own.end(), isRemoved), m_own.end());
     return records;
 }
 
-std::vector<CrashRecord> CrashTracker::recordSuccess(std::uint64_t content, TimePoint sentAt)
+std::vector<CrashRecord> CrashTracker::recordSuccess(const RequestFeatures &features, TimePoint sentAt, TimePoint now)
 {
-    const auto own = m_own.find(content);
-    return own == m_own.end() || own->second.lastCrash > sentAt ? std::vector<CrashRecord>() : removeRecords(own);
+    RequestFeatures cleared;
+    bool isNearRefusal = false;
+    for (const auto &it : features) {
+        const auto suspect = m_sharedSuspects.find(it.hash);
+        if (it.kind != FeatureKind::Content && suspect != m_sharedSuspects.end() && suspect->second != 0) {
+            cleared.push_back(it);
+            isNearRefusal = isNearRefusal || suspect->second + 1 >= CrashLimit;
+        }
+    }
+    bool isNew = false;
+    for (const auto &it : cleared) {
+        m_cleared[it.hash] = now;
+        isNew = isNew || m_suspects[it.hash] != 0;
+    }
+    // The hash of the content selects the entry at random.
+    isNearRefusal = isNearRefusal && (isNew || features.front().hash % m_entries < SuccessSharers);
+    const auto isOfContent = [content = features.empty() ? 0 : features.front().hash](const CrashEvidence &it) {
+        return !it.isHarmless && it.record.content == content;
+    };
+    const bool isLate = std::any_of(m_own.begin(), m_own.end(), [&isOfContent, sentAt](const CrashEvidence &it) {
+        return isOfContent(it) && it.latest > sentAt;
+    });
+    auto removed = isLate ? std::vector<CrashRecord>() : removeOwn(isOfContent);
+    if (isNearRefusal) {
+        add({{0, ++m_serial}, cleared, 0, now, now, true});
+    }
+    if (isNew || isNearRefusal || !removed.empty()) {
+        attribute(now);
+    }
+    return removed;
 }
 
-std::vector<std::uint64_t> CrashTracker::updateShared(const std::vector<std::uint64_t> &contents)
+std::vector<AttributedFeature> CrashTracker::updateShared(std::vector<CrashEvidence> records, TimePoint now)
 {
-    std::set<std::uint64_t> refusedBefore;
-    for (const auto it : contents) {
-        if (isRefused(it)) {
-            refusedBefore.insert(it);
+    m_shared = std::move(records);
+    return attribute(now);
+}
+
+std::vector<AttributedFeature> CrashTracker::attribute(TimePoint now)
+{
+    std::vector<const CrashEvidence *> crashes;
+    ClearedFeatures cleared;
+    const auto add = [&crashes, &cleared, now](const CrashEvidence &it) {
+        if (it.isHarmless) {
+            for (const auto &feature : it.features) {
+                auto &clearedAt = cleared[feature.hash];
+                clearedAt = std::max(clearedAt, it.latest);
+            }
+        } else if (it.latest + CrashRecordLifetime > now) {
+            crashes.push_back(&it);
+        }
+    };
+    std::for_each(m_own.begin(), m_own.end(), add);
+    std::for_each(m_shared.begin(), m_shared.end(), add);
+    if (crashes.size() > MaxAttributedCrashes) {
+        // What is refused stays refused while other servers end.
+        std::unordered_map<const CrashEvidence *, bool> isKnown;
+        for (const auto *it : crashes) {
+            isKnown[it] = std::any_of(it->features.begin(), it->features.end(), [this](const RequestFeature &feature) {
+                return m_refused.count(feature.hash) != 0;
+            });
         }
+        std::nth_element(crashes.begin(), crashes.begin() + MaxAttributedCrashes, crashes.end(), [&isKnown](const auto *a, const auto *b) {
+            return std::make_pair(isKnown[a], a->latest) > std::make_pair(isKnown[b], b->latest);
+        });
+        crashes.resize(MaxAttributedCrashes);
     }
-    m_sharedCounts.clear();
-    for (const auto it : contents) {
-        m_sharedCounts[it]++;
+    auto result = attributeCrashes(crashes, cleared);
+    m_sharedSuspects = result.suspects;
+    if (!m_cleared.empty()) {
+        for (const auto &[feature, clearedAt] : m_cleared) {
+            cleared[feature] = std::max(cleared[feature], clearedAt);
+        }
+        result = attributeCrashes(std::move(crashes), cleared);
     }
-    std::set<std::uint64_t> refused;
-    for (const auto it : contents) {
-        if (isRefused(it) && refusedBefore.count(it) == 0) {
-            refused.insert(it);
+    m_suspects = std::move(result.suspects);
+    std::erase_if(m_cleared, [this](const auto &it) {
+        return m_suspects.count(it.first) == 0;
+    });
+    std::vector<AttributedFeature> added;
+    std::unordered_map<std::uint64_t, AttributedFeature> refused;
+    for (const auto &it : result.refused) {
+        if (m_refused.count(it.feature.hash) == 0) {
+            added.push_back(it);
         }
+        refused.insert({it.feature.hash, it});
     }
-    return {refused.begin(), refused.end()};
+    m_refused = std::move(refused);
+    return added;
 }
 
 std::vector<CrashRecord> CrashTracker::removeExpired(TimePoint now)
 {
-    std::vector<CrashRecord> old;
-    for (auto it = m_own.begin(); it != m_own.end();) {
-        const auto own = it++;
-        if (now - own->second.lastCrash >= CrashRecordLifetime) {
-            const auto records = removeRecords(own);
-            old.insert(old.end(), records.begin(), records.end());
-        }
-    }
-    return old;
+    return removeOwn([now](const CrashEvidence &it) {
+        return now - it.latest >= CrashRecordLifetime;
+    });
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/queries/crash_tracker_query.cpp
+++ b/packages/core/src/queries/crash_tracker_query.cpp
@@ -1,5 +1,7 @@
 #include "vanillahall/core/crash_tracker_base.h"
 
+#include <algorithm>
+
 #include <xxhash.h>
 
 namespace Vanillahall::Forward {
@@ -17,9 +19,23 @@
     return XXH3_64bits_withSeed(content.data(), content.size(), hash);
 }
 
-bool CrashTracker::isRefused(std::uint64_t content) const
+const AttributedFeature *CrashTracker::refusedFeature(const RequestFeatures &features, TimePoint now) const
+{
+    if (m_refused.empty()) {
+        return nullptr;
+    }
+    for (auto it = features.rbegin(); it != features.rend(); ++it) {
+        const auto refused = m_refused.find(it->hash);
+        if (refused != m_refused.end() && holdLeft(refused->second, now) > Duration::zero()) {
+            return &refused->second;
+        }
+    }
+    return nullptr;
+}
+
+Duration CrashTracker::holdLeft(const AttributedFeature &refused, TimePoint now) const
 {
-    return recordCount(content) >= CrashLimit;
+    return refused.newest + m_hold - now;
 }
 
 std::size_t CrashTracker::unsharedCount() const
@@ -29,9 +45,11 @@
 
 std::size_t CrashTracker::recordCount(std::uint64_t content) const
 {
-    const auto own = m_own.find(content);
-    const auto others = m_sharedCounts.find(content);
-    return (own == m_own.end() ? 0 : own->second.serials.size()) + (others == m_sharedCounts.end() ? 0 : others->second);
+    const auto isOfContent = [content](const CrashEvidence &it) {
+        return !it.isHarmless && it.record.content == content;
+    };
+    return static_cast<std::size_t>(std::count_if(m_own.begin(), m_own.end(), isOfContent)
+                                    + std::count_if(m_shared.begin(), m_shared.end(), isOfContent));
 }
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -159,15 +159,25 @@
     return choice ? std::optional(choice->server.software()) : std::nullopt;
 }
 
+std::optional<Refusal> Exchange::quarantineRefusal() const
+{
+    const auto *refused = m_proxy.crashes.refusedFeature(m_features, now());
+    if (refused == nullptr) {
+        return std::nullopt;
+    }
+    return Refusal{StatusUnavailable, m_proxy.crashes.holdLeft(*refused, now()), Outcome::ContentQuarantined};
+}
+
 bool Exchange::refuseQuarantined()
 {
-    if (!m_proxy.crashes.isRefused(content())) {
+    const auto refusal = quarantineRefusal();
+    if (!refusal) {
         return false;
     }
     if (m_mayHaveRun != 0) {
-        answer(StatusBadGateway, std::nullopt, Outcome::ContentQuarantined);
+        answer(StatusBadGateway, std::nullopt, refusal->outcome);
     } else {
-        answer(StatusUnavailable, CrashRecordLifetime, Outcome::ContentQuarantined);
+        answer(refusal->status, refusal->retryAfter, refusal->outcome);
     }
     return true;
 }
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -8,7 +8,7 @@
 #include "server_connection.h"
 
 #include "vanillahall/core/budget/outage_share_base.h"
-#include "vanillahall/core/crash/request_feature_type.h"
+#include "vanillahall/core/crash/crash_evidence_type.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
@@ -130,7 +130,7 @@
     Duration nextStoreRetryDelay();
     void waitForStore();
     void setStoreTimer(Duration span);
-    /** Refuses the request if its content has crashed too many servers. @return True if it was refused. */
+    /** Refuses the request if such requests have crashed too many servers. @return True if it was refused. */
     bool refuseQuarantined();
     /**
      * Determines from the program's row which version began the stream that the client resumes.
@@ -175,6 +175,10 @@
     void endAttempt(bool isComplete);
     /** @return Hash of the request's content; 0 before checkContent(). */
     [[nodiscard]] std::uint64_t content() const;
+    /** @return The current attempt, as far as it counts if its server ends. */
+    [[nodiscard]] CrashedAttempt crashedAttempt() const;
+    /** @return Refusal because such requests have crashed servers; nothing if the request may go on. */
+    [[nodiscard]] std::optional<Refusal> quarantineRefusal() const;
     /** @return What the choice of a server depends on, for servers of any software version. */
     [[nodiscard]] ChoiceRequest choiceRequest() const;
     /** @return Fields of the log line about the expected course of the request. */
@@ -225,6 +229,7 @@
     [[nodiscard]] bool isBehindOthers() const;
     /** The same for a state of the service. */
     [[nodiscard]] bool isBehindOthers(const SaturationView &saturation) const;
+    void explainQuarantine(RequestExplanation &explanation) const;
     void explainAdmission(RequestExplanation &explanation);
     void explainPermit(RequestExplanation &explanation) const;
     void explainStoreSteps(RequestExplanation &explanation);
--- a/packages/proxy/src/exchange_answer.cpp
+++ b/packages/proxy/src/exchange_answer.cpp
@@ -270,7 +270,7 @@
     }
     // Neither an error nor a response that ends with its connection shows that the server has survived the request.
     if (isSuccess(m_head.status) && !m_endsWithConnection) {
-        m_proxy.recordContentSuccess(content(), m_attemptStartedAt);
+        m_proxy.recordHarmless(m_features, m_attemptStartedAt);
     }
     recordTurnEnd();
     endAttempt(isSuccess(m_head.status) && !m_continuesAnswer);
--- a/packages/proxy/src/exchange_customer.cpp
+++ b/packages/proxy/src/exchange_customer.cpp
@@ -170,8 +170,8 @@
     }
     m_features
         = requestFeatures({m_request.method, m_request.target, attributes.program, m_request.body, m_ownerPrefix, &attributes.promptParts});
-    if (m_proxy.crashes.isRefused(content())) {
-        return Refusal{StatusUnavailable, CrashRecordLifetime, Outcome::ContentQuarantined};
+    if (auto refusal = quarantineRefusal()) {
+        return refusal;
     }
     if (isResumed()) {
         m_origin = m_proxy.streamOrigins.find(keyOf(attributes.resumedRequest));
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -7,6 +7,8 @@
 
 #include <sstream>
 
+#include <xxhash.h>
+
 namespace Vanillahall::Forward {
 
 namespace {
@@ -38,7 +40,7 @@
 {
     m_proxy.servers.recordFailure(m_choice.server.id, now());
     if (m_failure == AttemptFailure::Broken) {
-        m_proxy.recordContentFailure(content());
+        m_proxy.recordCrash(crashedAttempt());
     } else {
         recordAbandoned("answer_rejected");
     }
@@ -180,9 +182,15 @@
     endAttempt(false);
 }
 
+CrashedAttempt Exchange::crashedAttempt() const
+{
+    const auto &server = m_choice.server.id;
+    return {m_features, XXH3_64bits(server.data(), server.size()), m_attemptStartedAt};
+}
+
 void Exchange::recordAbandoned(std::string_view why)
 {
-    m_proxy.recordAbandonedAttempt(m_choice.server, content(), m_limitAt);
+    m_proxy.recordAbandonedAttempt(m_choice.server, crashedAttempt(), m_limitAt);
     std::ostringstream line;
     line << "request=" << m_request.attributes.requestId << " server=" << m_choice.server.id << " content=" << content()
          << " crash_records=" << m_proxy.crashes.recordCount(content()) << " features=" << featureText(m_features)
--- a/packages/proxy/src/exchange_explain.cpp
+++ b/packages/proxy/src/exchange_explain.cpp
@@ -39,6 +39,14 @@
     }
 }
 
+void Exchange::explainQuarantine(RequestExplanation &explanation) const
+{
+    if (const auto *refused = m_proxy.crashes.refusedFeature(m_features, now())) {
+        explanation.reason += " It is " + featureText({refused->feature}) + ", with " + std::to_string(refused->crashes) + " crashes of "
+            + std::to_string(refused->contents) + " contents.";
+    }
+}
+
 RequestExplanation Exchange::explain()
 {
     RequestExplanation explanation;
@@ -61,9 +69,10 @@
     }
     if (const auto found = checkContent()) {
         explanation.refuse(*found);
+        explainQuarantine(explanation);
     }
     if (!m_request.body.empty()) {
-        explanation.notes.emplace_back("quarantine isn't checked, since it depends on the content of the body");
+        explanation.notes.emplace_back("quarantine by the body isn't checked, since its content isn't known");
     }
     explainAdmission(explanation);
     explainPermit(explanation);
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -93,8 +93,16 @@
     m_configWatcher = std::make_shared<TableWatcher>(*this, TableCalls{readConfig, Platform::watchConfigCall, MaxConfigAge / 2}, onConfig);
     m_serverWatcher = std::make_shared<TableWatcher>(
         *this, TableCalls{Platform::readServersCall, Platform::watchServersCall, Duration::max()}, onServers);
+    const auto onCrashes = [this](const TableReplica &table, bool hasChanged) {
+        if (hasChanged) {
+            applyCrashes(table);
+        }
+    };
+    m_crashWatcher = std::make_shared<TableWatcher>(
+        *this, TableCalls{Platform::readCrashesCall, Platform::watchCrashesCall, Duration::max()}, onCrashes);
     m_configWatcher->start();
     m_serverWatcher->start();
+    m_crashWatcher->start();
 }
 
 void ProxyState::runPeriodicTasks()
@@ -104,9 +112,6 @@
     }
     sendHeartbeat();
     shareCrashes();
-    if (crashes.beginRead(now())) {
-        readCrashes();
-    }
     removeExpiredRows();
     sweepTurns();
     outage.runPeriodicTasks();
@@ -145,6 +150,7 @@
     members.update(list, now());
     grantor.onMembers(members.alive(now()), readAt, now());
     servers.setProxies(members.count(now()), members.rank(now()));
+    crashes.setEntries(members.count(now()));
     auto expired = members.expired(now());
     if (!expired.empty() && claimCleaningRound()) {
         expired.resize(std::min(expired.size(), Platform::MaxRemovedRows));
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -289,28 +289,35 @@
     }
 }
 
-void ProxyState::recordContentFailure(std::uint64_t content)
+void ProxyState::recordCrash(const CrashedAttempt &attempt)
 {
-    const bool wasRefused = crashes.isRefused(content);
-    crashes.recordCrash(content, now());
+    logQuarantine(crashes.recordCrash(attempt, now()));
     shareCrashes();
-    if (!wasRefused && crashes.isRefused(content)) {
-        logQuarantine(content);
-    }
 }
 
 void ProxyState::shareCrashes()
 {
     const auto batch = crashes.beginShare(now());
-    if (!batch) {
+    if (batch.empty()) {
         return;
     }
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - batch->newestAt);
-    const auto madeAtMs = storeNowMs() - std::min(storeNowMs(), static_cast<std::uint64_t>(age.count()));
-    store.call(Platform::writeCrashesCall(m_processName, batch->records, madeAtMs),
+    std::vector<Platform::SharedCrash> records;
+    records.reserve(batch.size());
+    for (const auto &it : batch) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - it.latest);
+        const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(it.latest - it.earliest);
+        const std::chrono::milliseconds clock(storeNowMs());
+        auto features = it.features;
+        std::erase_if(features, [](const RequestFeature &feature) {
+            // The key of the row names it.
+            return feature.kind == FeatureKind::Content;
+        });
+        records.push_back({it.record, m_processName, clock - std::min(clock, age), span, it.server, std::move(features), it.isHarmless});
+    }
+    store.call(Platform::writeCrashesCall(records),
                StoreTimeout,
                false,
-               [weak = weak_from_this(), n = batch->records.size()](const auto &reply, const Error &reason) {
+               [weak = weak_from_this(), n = batch.size()](const auto &reply, const Error &reason) {
                    if (const auto self = weak.lock()) {
                        self->onCrashesShared(n, reply, reason);
                    }
@@ -332,16 +339,20 @@
     shareCrashes();
 }
 
-void ProxyState::logQuarantine(std::uint64_t content)
+void ProxyState::logQuarantine(const std::vector<AttributedFeature> &refused)
 {
-    log(LogLevel::Warning,
-        EventNumber::ContentQuarantined,
-        "content=" + std::to_string(content) + " records=" + std::to_string(crashes.recordCount(content)));
+    for (const auto &it : refused) {
+        std::ostringstream line;
+        line << featureName(it.feature.kind) << '=' << it.feature.hash << " records=" << it.crashes << " contents=" << it.contents
+             << " newest_ms_ago=" << std::chrono::duration_cast<std::chrono::milliseconds>(now() - it.newest).count();
+        log(LogLevel::Warning, EventNumber::ContentQuarantined, line.str());
+    }
 }
 
-void ProxyState::recordContentSuccess(std::uint64_t content, TimePoint sentAt)
+void ProxyState::recordHarmless(const RequestFeatures &features, TimePoint sentAt)
 {
-    removeCrashRecords(crashes.recordSuccess(content, sentAt));
+    removeCrashRecords(crashes.recordSuccess(features, sentAt, now()));
+    shareCrashes();
 }
 
 void ProxyState::removeCrashRecords(const std::vector<CrashRecord> &records)
@@ -378,38 +389,31 @@
         });
 }
 
-void ProxyState::readCrashes()
-{
-    readAll(Platform::readCrashesCall, false, [this](const auto &rows) {
-        if (rows) {
-            applyCrashes(*rows);
-        } else {
-            crashes.onReadFailed(now());
-        }
-    });
-}
-
-void ProxyState::applyCrashes(const Platform::StoreRows &rows)
+void ProxyState::applyCrashes(const TableReplica &table)
 {
-    constexpr auto Life = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(CrashRecordLifetime).count());
     m_areCrashesRead = true;
-    std::vector<std::uint64_t> contents;
+    const auto present = now();
+    const std::chrono::milliseconds clock(storeNowMs());
+    std::vector<CrashEvidence> records;
     std::vector<std::string> expiredKeys;
-    for (const auto &it : rows.rows) {
+    for (const auto &[key, row] : table.rows()) {
         Error ec;
-        const auto crash = Platform::decodeCrash(it, ec);
+        auto crash = Platform::decodeCrash(row, ec);
         if (!crash) {
-            reportInvalidRow(ec, it.version);
+            reportInvalidRow(ec, row.version);
         }
-        if (!crash || crash->atMs + Life < rows.nowMs) {
-            expiredKeys.push_back(it.key);
+        if (!crash || crash->at + CrashRecordLifetime < clock) {
+            expiredKeys.push_back(key);
         } else if (crash->process != m_processName) {
-            contents.push_back(crash->content);
+            const auto latest = present - (clock - crash->at);
+            auto features = std::move(crash->features);
+            if (!crash->isHarmless) {
+                features.insert(features.begin(), {FeatureKind::Content, crash->record.content});
+            }
+            records.push_back({crash->record, std::move(features), crash->server, latest - crash->span, latest, crash->isHarmless});
         }
     }
-    for (const auto it : crashes.updateShared(contents)) {
-        logQuarantine(it);
-    }
+    logQuarantine(crashes.updateShared(std::move(records), present));
     if (!expiredKeys.empty() && claimCleaningRound()) {
         removeCrashRows(expiredKeys);
     }
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -19,6 +19,7 @@
 constexpr Duration AcceptRetryDelay
     = std::chrono::milliseconds(50); ///< Delay after a failed accept, for example if no file descriptor is free.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50); ///< Interval between checks whether a stop is complete.
+constexpr std::uint64_t CrashHoldSteps = 60;                          ///< Proxies try refused requests again at that many different times.
 constexpr Duration MaxCrashReadWait
     = std::chrono::seconds(3);                ///< A proxy reports ready without the crash records if it can't read them for this time.
 constexpr std::size_t MaxIdleConnections = 6; ///< Limit on idle connections to one server.
@@ -104,6 +105,8 @@
 
 bool ProxyState::start(Error &reason)
 {
+    const auto step = std::hash<std::string>()(m_processName) % CrashHoldSteps;
+    crashes.setHold(MinCrashHold + (CrashRecordLifetime - MinCrashHold) * static_cast<std::int64_t>(step) / CrashHoldSteps);
     if (!openAcceptor(clientAcceptor, settings.listen, reason) || !readinessServer.listen(settings.readyListen, reason)) {
         return false;
     }
@@ -414,7 +417,7 @@
     metricsServer.close();
     peerServer.close();
     operatorListener.close();
-    for (const auto &it : {m_configWatcher, m_serverWatcher}) {
+    for (const auto &it : {m_configWatcher, m_serverWatcher, m_crashWatcher}) {
         if (it) {
             it->stop();
         }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -96,18 +96,18 @@
     void addQuotaWaiter(const std::string &customer, const std::shared_ptr<Exchange> &exchange);
     /** Counts and logs a request that was refused because of its customer's rate limit. */
     void recordQuotaRefusal(const std::string &customer, Duration retryAfter);
-    /** Records an attempt with this content that broke the connection, and shares the record with the other proxies. */
-    void recordContentFailure(std::uint64_t content);
+    /** Records an attempt whose server has ended, and shares the record with the other proxies. */
+    void recordCrash(const CrashedAttempt &attempt);
     /**
-     * Records an attempt with this content that succeeded, and with a response whose end is framed.
+     * Records an attempt that succeeded, with a response whose end is framed.
      * @param sentAt When the attempt was sent.
      */
-    void recordContentSuccess(std::uint64_t content, TimePoint sentAt);
+    void recordHarmless(const RequestFeatures &features, TimePoint sentAt);
     /**
      * Records an attempt that has ended for the proxy while its server may still run it, and watches the server.
      * @param runsUntil Deadline that the server was given.
      */
-    void recordAbandonedAttempt(const Server &server, std::uint64_t content, TimePoint runsUntil);
+    void recordAbandonedAttempt(const Server &server, CrashedAttempt attempt, TimePoint runsUntil);
     /** Handles the result of a connection attempt to a server. */
     void onServerConnect(const std::string &server, ConnectResult result);
     /** Removes the exchange of a session after its end. */
@@ -196,7 +196,6 @@
     void applyServerRows(const TableReplica &table);
     /** @param readAt When the read was requested. */
     void applyMembers(const std::optional<Platform::StoreRows> &rows, TimePoint readAt);
-    void readCrashes();
     void acceptClients();
     /** @return An idle connection to a server, or null. */
     std::shared_ptr<ServerConnection> popIdleConnection(const std::string &server);
@@ -215,7 +214,7 @@
     void setClientGauges();
     void answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
     void sendHeartbeat();
-    void applyCrashes(const Platform::StoreRows &rows);
+    void applyCrashes(const TableReplica &table);
     void removeCrashRecords(const std::vector<CrashRecord> &records);
     /** Writes the crash records that wait for it to the store. */
     void shareCrashes();
@@ -223,12 +222,12 @@
     /** Keeps a connection open to each server with abandoned attempts, so that its end is noticed. */
     void watchServers();
     void openWatch(const Server &server);
-    /** Counts the end of servers against the contents that they may have been running. */
+    /** Counts the end of servers against the attempts that they may have been running. */
     void recordEndedServers(const std::vector<EndedServer> &ended);
     /** @return A new connection to a server. */
     std::shared_ptr<ServerConnection> newConnection(const Server &server);
-    /** Logs that a content is refused from now on. */
-    void logQuarantine(std::uint64_t content);
+    /** Logs the features that are refused from now on. */
+    void logQuarantine(const std::vector<AttributedFeature> &refused);
     /**
      * Spreads the removal of expired rows over the proxies, since each of them finds the same rows.
      * @return True if this proxy has to remove them this time; with n proxies that is every nth call.
@@ -340,6 +339,7 @@
     std::function<void()> m_onStopped;                   ///< Called when the stop is complete.
     std::shared_ptr<TableWatcher> m_configWatcher;       ///< Watches the configuration table.
     std::shared_ptr<TableWatcher> m_serverWatcher;       ///< Watches the server table.
+    std::shared_ptr<TableWatcher> m_crashWatcher;        ///< Watches the crash records of all proxies.
     std::vector<Server> m_serverList;                    ///< Server list as last read.
     std::optional<TimePoint> m_acceptFailureLoggedAt;    ///< When a failed accept was last logged.
     std::optional<TimePoint> m_rejectionLoggedAt;        ///< When rejected clients were last logged.
--- a/packages/proxy/src/proxy_watch.cpp
+++ b/packages/proxy/src/proxy_watch.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-void ProxyState::recordAbandonedAttempt(const Server &server, std::uint64_t content, TimePoint runsUntil)
+void ProxyState::recordAbandonedAttempt(const Server &server, CrashedAttempt attempt, TimePoint runsUntil)
 {
     const bool wasEmpty = abandoned.size() == 0;
-    abandoned.record(server, content, runsUntil);
+    abandoned.record(server, std::move(attempt), runsUntil);
     if (wasEmpty) {
         watchServers();
     }
@@ -63,10 +63,10 @@
 {
     for (const auto &it : ended) {
         std::ostringstream line;
-        line << "server=" << it.server << " how=" << serverEndName(it.end) << " abandoned=" << it.contents.size() << " contents=";
-        for (const auto content : it.contents) {
-            line << content << ',';
-            recordContentFailure(content);
+        line << "server=" << it.server << " how=" << serverEndName(it.end) << " abandoned=" << it.attempts.size() << " contents=";
+        for (const auto &attempt : it.attempts) {
+            line << (attempt.features.empty() ? 0 : attempt.features.front().hash) << ',';
+            recordCrash(attempt);
         }
         log(LogLevel::Warning, EventNumber::ServerEnded, line.str());
         metrics.count("vanillahall_servers_ended_total", {"how", std::string(serverEndName(it.end))});
--- a/tests/core/abandoned_attempts_test.cpp
+++ b/tests/core/abandoned_attempts_test.cpp
@@ -1,5 +1,7 @@
 #include "vanillahall/core/abandoned_attempts_base.h"
 
+#include "crash_records.h"
+
 #include <functional>
 
 #include <gtest/gtest.h>
@@ -41,11 +43,11 @@
 TEST_P(AbandonedEnd, CountsForAttemptsThatMayHaveBeenRunning)
 {
     AbandonedAttempts attempts;
-    attempts.record(server(), Content, Start + Deadline);
+    attempts.record(server(), crashOf(Content, Start), Start + Deadline);
     std::size_t counted = 0;
     for (const auto &it : GetParam().observe(attempts)) {
         EXPECT_EQ(it.server, "s1");
-        counted += it.contents.size();
+        counted += it.attempts.size();
     }
     EXPECT_EQ(counted, GetParam().counted);
 }
@@ -146,7 +148,7 @@
 TEST(AbandonedAttempts, AnEndCountsOnce)
 {
     AbandonedAttempts attempts;
-    attempts.record(server(), Content, Start + Deadline);
+    attempts.record(server(), crashOf(Content, Start), Start + Deadline);
     EXPECT_EQ(attempts.onConnectResult("s1", ConnectResult::Refused, Start).size(), 1U);
     EXPECT_TRUE(attempts.onConnectResult("s1", ConnectResult::Refused, Start).empty());
     EXPECT_TRUE(attempts.onServerList({server(2000)}, Start).empty());
@@ -155,7 +157,7 @@
 TEST(AbandonedAttempts, ServersAreWatchedAsLongAsTheyMayRunAnAttempt)
 {
     AbandonedAttempts attempts;
-    attempts.record(server(), Content, Start + Deadline);
+    attempts.record(server(), crashOf(Content, Start), Start + Deadline);
     attempts.removeExpired(Start + Deadline + ListDelay);
     EXPECT_EQ(attempts.serversToWatch(false).size(), 1U);
     attempts.onServerList({}, Start + 1s);
@@ -170,12 +172,12 @@
 {
     AbandonedAttempts attempts;
     for (std::uint64_t n = 0; n < MaxAbandonedPerServer + 5; n++) {
-        attempts.record(server(), n, Start + Deadline);
+        attempts.record(server(), crashOf(n, Start), Start + Deadline);
     }
     EXPECT_EQ(attempts.size(), MaxAbandonedPerServer);
     const auto ended = attempts.onConnectResult("s1", ConnectResult::Refused, Start);
     ASSERT_EQ(ended.size(), 1U);
-    EXPECT_EQ(ended.front().contents.front(), 5U);
+    EXPECT_EQ(ended.front().attempts.front().features.front().hash, 5U);
 }
 
 } // namespace Vanillahall::Forward
--- a/tests/core/crash_sharing_test.cpp
+++ b/tests/core/crash_sharing_test.cpp
@@ -1,5 +1,5 @@
 /** Contents that crash servers, sent through many proxies while the store is in trouble; in made-up time. */
-#include "vanillahall/core/crash_tracker_base.h"
+#include "crash_records.h"
 
 #include <map>
 #include <random>
@@ -40,6 +40,8 @@
     static constexpr Duration Tick = 100ms;
     static constexpr Duration FaultFrom = 1s;
     static constexpr Duration FaultTo = 6s;
+    static constexpr Duration ReadInterval = 2s;     ///< Slowest delivery of the records; usually a change arrives at once.
+    static constexpr Duration RetryInterval = 400ms; ///< The same after a failed read.
 
     /** @return True if the store executes a call; `isAnswered` tells whether the reply arrives. */
     bool executes(TimePoint now, bool &isAnswered)
@@ -57,33 +59,35 @@
     {
         auto &tracker = m_trackers[n];
         bool isAnswered = false;
-        while (const auto batch = tracker.beginShare(now)) {
+        for (auto batch = tracker.beginShare(now); !batch.empty(); batch = tracker.beginShare(now)) {
             if (executes(now, isAnswered)) {
-                for (const auto &it : batch->records) {
-                    m_records[{n, it.serial}] = it.content;
+                for (const auto &it : batch) {
+                    m_records[{n, it.record.serial}] = it;
                 }
             }
             tracker.endShare(isAnswered, now);
         }
-        if (!tracker.beginRead(now)) {
+        auto &nextReadAt = m_nextReadAt[n];
+        if (now < nextReadAt) {
             return;
         }
         executes(now, isAnswered);
+        nextReadAt = now + (isAnswered ? ReadInterval : RetryInterval);
         if (!isAnswered) {
-            tracker.onReadFailed(now);
             return;
         }
-        std::vector<std::uint64_t> contents;
-        for (const auto &[key, content] : m_records) {
+        std::vector<CrashEvidence> records;
+        for (const auto &[key, record] : m_records) {
             if (key.first != n) {
-                contents.push_back(content);
+                records.push_back(record);
             }
         }
-        tracker.updateShared(contents);
+        tracker.updateShared(std::move(records), now);
     }
 
     std::map<std::size_t, CrashTracker> m_trackers;
-    std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> m_records; ///< Content by proxy and serial number.
+    std::map<std::pair<std::size_t, std::uint64_t>, CrashEvidence> m_records; ///< By proxy and serial number.
+    std::map<std::size_t, TimePoint> m_nextReadAt;                            ///< When a proxy reads the records next.
     std::size_t m_calls = 0;
 };
 
@@ -108,9 +112,10 @@
             // A new process has another name, and records of the old one count as those of another process.
             const auto old = restarted++;
             m_trackers.erase(old);
-            std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> renamed;
-            for (const auto &[key, content] : m_records) {
-                renamed[{key.first == old ? old + param.proxies : key.first, key.second}] = content;
+            m_nextReadAt.erase(old);
+            std::map<std::pair<std::size_t, std::uint64_t>, CrashEvidence> renamed;
+            for (const auto &[key, record] : m_records) {
+                renamed[{key.first == old ? old + param.proxies : key.first, key.second}] = record;
             }
             m_records = renamed;
         }
@@ -119,13 +124,13 @@
         }
         nextRequestAt = now + param.requestGap;
         const std::size_t n = random() % param.proxies;
-        if (m_trackers[n].isRefused(Content)) {
+        if (isRefused(m_trackers[n], Content, now)) {
             continue;
         }
         sent++;
         const bool isSettled = param.fault == StoreFault::None || now >= Start + FaultTo + Settled;
         sentLater += thirdCrashAt != TimePoint::max() && now > thirdCrashAt + Settled && isSettled ? 1 : 0;
-        m_trackers[n].recordCrash(Content, now);
+        m_trackers[n].recordCrash(crashOf(Content, now), now);
         thirdCrashAt = sent == CrashLimit ? now : thirdCrashAt;
         runProxy(n, now);
     }
@@ -153,16 +158,14 @@
 {
     CrashTracker tracker;
     constexpr std::uint64_t Requests = 60;
-    tracker.recordCrash(0, Start);
-    ASSERT_TRUE(tracker.beginShare(Start));
-    for (std::uint64_t n = 1; n < Requests; n++) {
-        tracker.recordCrash(n, Start);
-        EXPECT_FALSE(tracker.beginShare(Start)) << "only one write at a time";
+    tracker.recordCrash(crashOf(1, Start), Start);
+    ASSERT_FALSE(tracker.beginShare(Start).empty());
+    for (std::uint64_t n = 2; n <= Requests; n++) {
+        tracker.recordCrash(crashOf(n, Start), Start);
+        EXPECT_TRUE(tracker.beginShare(Start).empty()) << "only one write at a time";
     }
     tracker.endShare(true, Start);
-    const auto batch = tracker.beginShare(Start);
-    ASSERT_TRUE(batch);
-    EXPECT_EQ(batch->records.size(), Requests - 1);
+    EXPECT_EQ(tracker.beginShare(Start).size(), Requests - 1);
     tracker.endShare(true, Start);
     EXPECT_EQ(tracker.unsharedCount(), 0U);
 }
@@ -171,52 +174,39 @@
 {
     CrashTracker tracker;
     for (std::uint64_t n = 0; n < MaxUnsharedCrashes + 50; n++) {
-        tracker.recordCrash(n, Start);
+        tracker.recordCrash(crashOf(n + 1, Start), Start);
     }
     EXPECT_EQ(tracker.unsharedCount(), MaxUnsharedCrashes);
     const auto batch = tracker.beginShare(Start);
-    ASSERT_TRUE(batch);
-    EXPECT_EQ(batch->records.size(), MaxSharedCrashes);
-    EXPECT_EQ(batch->records.front().content, 50U);
+    ASSERT_EQ(batch.size(), MaxSharedCrashes);
+    EXPECT_EQ(batch.front().record.content, 51U);
 }
 
 TEST(CrashSharingWrite, IsRepeatedAfterAFailureAndAtOnceWhenTheStoreIsBack)
 {
     CrashTracker tracker;
-    const auto record = tracker.recordCrash(7, Start);
-    ASSERT_TRUE(tracker.beginShare(Start));
+    tracker.recordCrash(crashOf(7, Start), Start);
+    ASSERT_FALSE(tracker.beginShare(Start).empty());
     tracker.endShare(false, Start);
-    EXPECT_FALSE(tracker.beginShare(Start + CrashRetryInterval - 1ms));
+    EXPECT_TRUE(tracker.beginShare(Start + CrashRetryInterval - 1ms).empty());
     tracker.onStoreBack(Start + 1ms);
     const auto batch = tracker.beginShare(Start + 1ms);
-    ASSERT_TRUE(batch);
-    EXPECT_EQ(batch->records, std::vector<CrashRecord>{record});
-    EXPECT_EQ(batch->newestAt, Start);
+    ASSERT_EQ(batch.size(), 1U);
+    EXPECT_EQ(batch.front().record, (CrashRecord{7, 1}));
+    EXPECT_EQ(batch.front().latest, Start);
 }
 
 TEST(CrashSharingWrite, OfAContentThatIsHarmlessIsTakenBack)
 {
     CrashTracker tracker;
-    const auto written = tracker.recordCrash(7, Start);
-    ASSERT_TRUE(tracker.beginShare(Start));
-    const auto waiting = tracker.recordCrash(7, Start);
+    tracker.recordCrash(crashOf(7, Start), Start);
+    ASSERT_FALSE(tracker.beginShare(Start).empty());
+    tracker.recordCrash(crashOf(7, Start), Start);
     // The removal of a record whose write is under way has to come after that write.
-    EXPECT_EQ(tracker.recordSuccess(7, Start), std::vector<CrashRecord>{waiting});
-    EXPECT_EQ(tracker.endShare(false, Start), std::vector<CrashRecord>{written});
+    EXPECT_EQ(tracker.recordSuccess({{FeatureKind::Content, 7}}, Start, Start), (std::vector<CrashRecord>{{7, 2}}));
+    EXPECT_EQ(tracker.endShare(false, Start), (std::vector<CrashRecord>{{7, 1}}));
     EXPECT_EQ(tracker.unsharedCount(), 0U);
     EXPECT_EQ(tracker.recordCount(7), 0U);
 }
 
-TEST(CrashSharingRead, FollowsAFailedReadAndTheReturnOfTheStoreSoon)
-{
-    CrashTracker tracker;
-    EXPECT_TRUE(tracker.beginRead(Start));
-    EXPECT_FALSE(tracker.beginRead(Start + CrashReadInterval - 1ms));
-    tracker.onReadFailed(Start + 100ms);
-    EXPECT_TRUE(tracker.beginRead(Start + 100ms + CrashRetryInterval));
-    tracker.onStoreBack(Start + 600ms);
-    EXPECT_FALSE(tracker.beginRead(Start + 600ms));
-    EXPECT_TRUE(tracker.beginRead(Start + 600ms + CrashRetryInterval));
-}
-
 } // namespace Vanillahall::Forward
--- a/tests/core/crash_tracker_test.cpp
+++ b/tests/core/crash_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "vanillahall/core/crash_tracker_base.h"
+#include "crash_records.h"
 
 #include <gtest/gtest.h>
 
@@ -15,48 +15,50 @@
 TEST(CrashTracker, RefusesAContentAfterBrokenAttemptsAtAnyEntry)
 {
     CrashTracker tracker;
-    tracker.recordCrash(7, Start);
-    EXPECT_FALSE(tracker.isRefused(7));
-    tracker.updateShared({7, 7, 8, 8});
-    EXPECT_TRUE(tracker.isRefused(7));
-    EXPECT_FALSE(tracker.isRefused(8));
-    tracker.recordCrash(8, Start);
-    EXPECT_TRUE(tracker.isRefused(8));
-    EXPECT_FALSE(tracker.isRefused(9));
+    tracker.recordCrash(crashOf(7, Start), Start);
+    EXPECT_FALSE(isRefused(tracker, 7, Start));
+    tracker.updateShared(sharedCrashes({7, 7, 8, 8}, Start), Start);
+    EXPECT_TRUE(isRefused(tracker, 7, Start));
+    EXPECT_FALSE(isRefused(tracker, 8, Start));
+    tracker.recordCrash(crashOf(8, Start), Start);
+    EXPECT_TRUE(isRefused(tracker, 8, Start));
+    EXPECT_FALSE(isRefused(tracker, 9, Start));
 }
 
 TEST(CrashTracker, AResponseClearsTheCount)
 {
     CrashTracker tracker;
-    const auto first = tracker.recordCrash(7, Start);
-    const auto second = tracker.recordCrash(7, Start);
-    EXPECT_EQ(tracker.recordSuccess(7, Start), (std::vector<CrashRecord>{first, second}));
-    EXPECT_TRUE(tracker.recordSuccess(7, Start).empty());
+    const RequestFeatures content{{FeatureKind::Content, 7}};
+    tracker.recordCrash(crashOf(7, Start), Start);
+    tracker.recordCrash(crashOf(7, Start), Start);
+    const std::vector<CrashRecord> both{{7, 1}, {7, 2}};
+    EXPECT_EQ(tracker.recordSuccess(content, Start, Start), both);
+    EXPECT_TRUE(tracker.recordSuccess(content, Start, Start).empty());
     // A new record differs from the removed ones, so that a late removal of these doesn't remove it too.
-    const auto third = tracker.recordCrash(7, Start);
-    EXPECT_NE(third, first);
-    EXPECT_NE(third, second);
-    EXPECT_FALSE(tracker.isRefused(7));
+    tracker.recordCrash(crashOf(7, Start), Start);
+    EXPECT_EQ(tracker.removeExpired(Start + CrashRecordLifetime), (std::vector<CrashRecord>{{7, 3}}));
+    EXPECT_FALSE(isRefused(tracker, 7, Start));
 }
 
 // A long stream that began before the crashes took their records back when it ended.
 TEST(CrashTracker, AResponseToAnAttemptFromBeforeTheLastCrashClearsNothing)
 {
     CrashTracker tracker;
-    tracker.updateShared({7, 7});
-    const auto record = tracker.recordCrash(7, Start + 1s);
-    EXPECT_TRUE(tracker.recordSuccess(7, Start).empty());
-    EXPECT_TRUE(tracker.isRefused(7));
-    EXPECT_EQ(tracker.recordSuccess(7, Start + 2s), std::vector<CrashRecord>{record});
+    const RequestFeatures content{{FeatureKind::Content, 7}};
+    tracker.updateShared(sharedCrashes({7, 7}, Start), Start);
+    tracker.recordCrash(crashOf(7, Start + 1s), Start + 1s);
+    EXPECT_TRUE(tracker.recordSuccess(content, Start, Start + 2s).empty());
+    EXPECT_TRUE(isRefused(tracker, 7, Start + 2s));
+    EXPECT_EQ(tracker.recordSuccess(content, Start + 2s, Start + 2s), (std::vector<CrashRecord>{{7, 1}}));
     EXPECT_EQ(tracker.recordCount(7), 2U) << "only the proxies that made them take the other records back";
 }
 
 TEST(CrashTracker, ExpiredRecordsAreRemoved)
 {
     CrashTracker tracker;
-    const auto record = tracker.recordCrash(7, Start);
+    tracker.recordCrash(crashOf(7, Start), Start);
     EXPECT_TRUE(tracker.removeExpired(Start + CrashRecordLifetime - 1s).empty());
-    EXPECT_EQ(tracker.removeExpired(Start + CrashRecordLifetime), std::vector<CrashRecord>{record});
+    EXPECT_EQ(tracker.removeExpired(Start + CrashRecordLifetime), (std::vector<CrashRecord>{{7, 1}}));
 }
 
 /** Second request, and whether its content equals that of the first one. */
--- a/tests/platform/fixed_wire_test.cpp
+++ b/tests/platform/fixed_wire_test.cpp
@@ -72,7 +72,7 @@
     expectWrite(removeMembersCall("eu", {member}),
                 R"({"expect":[{"key":"vm-1","part":"eu","table":"proxies","ver":9}],"remove":[{"key":"vm-1","part":"eu",)"
                 R"("table":"proxies"}],"writes":[]})");
-    expectWrite(writeCrashesCall("vm-1/42", {{0xabc, 7}}, 5000),
+    expectWrite(writeCrashesCall({{{0xabc, 7}, "vm-1/42", std::chrono::milliseconds(5000)}}),
                 R"({"expect":[],"remove":[],"writes":[{"key":"abc/vm-1/42/7","part":"","table":"broken_contents",)"
                 R"("value":"eyJhdCI6NTAwMH0="}]})");
     expectWrite(removeCrashesCall({"abc/vm-1/42/7"}),
@@ -155,8 +155,13 @@
     EXPECT_EQ(begun, std::vector<Forward::SoftwareVersion>(1));
     const auto crash = decodeCrash(stored("abc/vm-1/42/7", R"({"at":5000})"), reason);
     ASSERT_TRUE(crash) << reason.message;
-    const auto &[content, process, at] = *crash;
-    EXPECT_EQ(std::tie(content, process, at), std::make_tuple(0xabcU, "vm-1/42", 5000U));
+    const auto &[record, process, at, span, crashedServer, features, isHarmless] = *crash;
+    EXPECT_EQ(std::tie(record, process), std::make_tuple(Forward::CrashRecord{0xabc, 7}, "vm-1/42"));
+    EXPECT_EQ(at, std::chrono::milliseconds(5000));
+    // Rows of older releases name neither server nor features.
+    EXPECT_EQ(std::tie(crashedServer, isHarmless), std::make_tuple(0U, false));
+    EXPECT_EQ(span, std::chrono::milliseconds(0));
+    EXPECT_TRUE(features.empty());
     EXPECT_EQ(Forward::contentHash("POST", "/a", "p1", "body"), 1594979948787348623U);
 }
 
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -534,16 +534,31 @@
 
 TEST(StoreCalls, CrashRecordsAreDecodedAsWritten)
 {
+    using namespace std::chrono_literals;
     const Forward::CrashRecord record{0xabc, 7};
-    const auto call = writeCrashesCall("vm-1/42", {record}, 5000);
+    const Forward::RequestFeatures features{{Forward::FeatureKind::Caller, 5}, {Forward::FeatureKind::Path, 0xffffffffffffffff}};
+    const auto call = writeCrashesCall({{record, "vm-1/42", 5000ms, 250ms, 0xfffffffffffffffe, features, true}});
     const auto written = nlohmann::json::parse(call.body)["writes"][0];
     EXPECT_EQ(written["key"], crashKey("vm-1/42", record));
     Error reason;
-    const auto crash = decodeCrash({written["key"], R"({"at":5000})", 3}, reason);
+    const auto value = decodeRows(R"({"ver":3,"nowMs":1,"hasMore":false,"rows":[{"key":"k","ver":3,"value":")"
+                                      + written["value"].get<std::string>() + R"("}]})",
+                                  reason);
+    ASSERT_TRUE(value) << reason.message;
+    const auto crash = decodeCrash({written["key"], value->rows.front().value, 3}, reason);
     ASSERT_TRUE(crash) << reason.message;
-    EXPECT_EQ(crash->content, 0xabcU);
+    EXPECT_EQ(crash->record, record);
     EXPECT_EQ(crash->process, "vm-1/42");
-    EXPECT_EQ(crash->atMs, 5000U);
+    EXPECT_EQ(crash->at, 5000ms);
+    EXPECT_EQ(crash->span, 250ms);
+    EXPECT_EQ(crash->server, 0xfffffffffffffffe);
+    EXPECT_EQ(crash->features, features);
+    EXPECT_TRUE(crash->isHarmless);
+    for (const auto *text : {R"({"at":5000,"features":[[1]]})", R"({"at":5000,"features":[["1",2]]})", R"({"at":5000,"features":[1]})"}) {
+        EXPECT_FALSE(decodeCrash({written["key"], text, 3}, reason)) << text;
+    }
+    EXPECT_TRUE(decodeCrash({written["key"], R"({"at":5000,"features":[[99,2]]})", 3}, reason)->features.empty())
+        << "kind of a newer version";
     for (const auto *key : {"abc", "abc/7", "x/vm-1/42/7", "/vm-1/42/7"}) {
         EXPECT_FALSE(decodeCrash({key, R"({"at":5000})", 3}, reason)) << key;
     }
--- a/tests/proxy/proxy_store_test.cpp
+++ b/tests/proxy/proxy_store_test.cpp
@@ -1,6 +1,8 @@
 /** A proxy and the store: configuration, servers, token budgets, and the graceful stop. */
 #include "proxy_world.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace Vanillahall::Forward {
@@ -238,6 +240,15 @@
     std::size_t fullReads;                ///< Least number of full reads of the list after the change.
 };
 
+/** @return True if the store has received a call about a table. @param since Number of earlier calls. */
+bool isAskedFor(const ProxyWorld &world, const std::string &table, std::size_t since)
+{
+    const auto &calls = world.store.requests;
+    return std::any_of(calls.begin() + static_cast<std::ptrdiff_t>(since), calls.end(), [&table](const std::string &it) {
+        return it.find(table) != std::string::npos;
+    });
+}
+
 class ProxyWatch : public ::testing::TestWithParam<WatchCase>
 {
 };
@@ -258,7 +269,7 @@
     GetParam().startFault(world.rows);
     const auto calls = world.store.requests.size();
     ASSERT_TRUE(world.run([&world, calls] {
-        return world.store.requests.size() > calls + 1;
+        return isAskedFor(world, "table=op", calls) && isAskedFor(world, "table=servers", calls);
     }));
     const auto before = world.rows.fullReads;
     GetParam().endFault(world.rows);
@@ -289,7 +300,7 @@
                                                      1},
                                            WatchCase{"watchesUnanswered",
                                                      [](StoreModel &rows) {
-                                                         rows.unansweredWatches = 2;
+                                                         rows.unansweredWatches = 3; // One of each watched table.
                                                      },
                                                      [](StoreModel &) {},
                                                      1},
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -69,6 +69,7 @@
     }
     recordChanges(m_config, config.empty() ? std::map<std::string, std::string>() : std::map<std::string, std::string>{{"config", config}});
     recordChanges(m_servers, servers);
+    recordChanges(m_crashes, crashRecords);
     if (request.find("GET /api/rows-get?table=op") == 0) {
         return wholeTable(m_config);
     }
@@ -87,11 +88,10 @@
         if (refusesCrashReads) {
             return {json(Json::object(), 503)};
         }
-        Json list = Json::array();
-        for (const auto &[key, value] : crashRecords) {
-            list.push_back({{"key", key}, {"value", base64(value)}, {"ver", version}});
-        }
-        return {json({{"rows", list}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
+        return wholeTable(m_crashes);
+    }
+    if (request.find("GET /api/rows-feed?table=broken_contents") == 0) {
+        return changes(m_crashes, request);
     }
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -83,6 +83,7 @@
 
     Table m_config;
     Table m_servers;
+    Table m_crashes;
     Script writeTokens(const std::string &key, int expected, const std::string &value);
 };
 
