Responses with a status that HTTP doesn't define are failures of the server

Cause: everything below 200 was taken for an interim response, and nothing bounded the status above.

Change: statuses outside 100 to 599 end the attempt as a bad answer, at once. Bytes that are no response are no sign of the server's end any more: such an attempt counts as given up, so that only a server that does end is held against the request.

The test of requests that crash servers marked them by ids that begin with "bad", as one in 4,096 random ids does; the mark is no hexadecimal text now. ProxyCut sent all its broken responses to one path, which is refused after three of them; each has a path of its own, and the test checks that it was sent.

--- a/packages/core/include/vanillahall/core/crash/crash_attribution_func.h
+++ b/packages/core/include/vanillahall/core/crash/crash_attribution_func.h
@@ -12,8 +12,9 @@
 
 namespace Vanillahall::Forward {
 
-inline constexpr std::uint32_t CrashLimit = 3; ///< Independent crashes until a feature is refused, twice as many while most crashes have
-                                               ///< other causes; fewer can happen by chance.
+inline constexpr std::uint32_t CrashLimit = 3;             ///< Independent crashes until a feature is refused; fewer can happen by chance.
+inline constexpr std::uint32_t CrashLimitBesideOthers = 6; ///< The same while most crashes have other causes.
+                                                           ///< other causes; fewer can happen by chance.
 inline constexpr Duration SameCrashSpan
     = std::chrono::seconds(1); ///< Broken attempts at one server within this time belong to one crash; a server needs longer to start.
 
--- a/packages/core/src/crash/crash_attribution.cpp
+++ b/packages/core/src/crash/crash_attribution.cpp
@@ -124,7 +124,7 @@
         if (found.count < CrashLimit) {
             return false;
         }
-        if (suspect.feature.kind == FeatureKind::Content || found.count >= 2 * CrashLimit) {
+        if (suspect.feature.kind == FeatureKind::Content || found.count >= CrashLimitBesideOthers) {
             return true;
         }
         // While servers end for other reasons too, a feature that many requests share is among their crashes by chance.
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -33,6 +33,9 @@
         onAttemptFailed(AttemptFailure::NoConnection, failure.message);
         return;
     }
+    if (failure.isResponseInvalid) {
+        m_failure = AttemptFailure::BadAnswer;
+    }
     onAttemptBroken(failure.message);
 }
 
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -25,7 +25,9 @@
 constexpr Duration DefaultKeepAlive = std::chrono::seconds(2); ///< Keep-alive time assumed for a server that doesn't announce one.
 constexpr Duration KeepAliveMargin
     = std::chrono::milliseconds(700);      ///< Subtracted from the announced keep-alive time for a round trip and late timers.
+constexpr unsigned FirstStatus = 100;      ///< Lower statuses are invalid.
 constexpr unsigned FirstFinalStatus = 200; ///< Lower statuses are interim responses.
+constexpr unsigned StatusEnd = 600;        ///< End (exclusive) of the valid statuses.
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
@@ -196,7 +198,7 @@
     parse();
     // An element that needs more bytes to be parsed, such as a chunk extension or a trailer, may not be longer than a head.
     if (m_listener != nullptr && !m_isPaused && m_in.size() > MaxResponseHeadBytes) {
-        fail("response: unparsed bytes exceed the limit");
+        rejectResponse("unparsed bytes exceed the limit");
     }
     read();
 }
@@ -236,22 +238,26 @@
     const auto n = m_parser->put(boost::asio::buffer(m_in), ec);
     m_in.erase(0, n);
     if (ec && ec != Http::error::need_more && ec != Http::error::need_buffer) {
-        fail("response: " + ec.message());
+        rejectResponse(ec.message());
         return false;
     }
     m_skippedBytes += n;
     if (m_skippedBytes > MaxSkippedBytes) {
-        fail("response: too many bytes of interim responses and responses to other requests");
+        rejectResponse("too many bytes of interim responses and responses to other requests");
         return false;
     }
     if (!m_parser->is_header_done()) {
         if (m_in.size() > MaxResponseHeadBytes) {
-            fail("response: head too large");
+            rejectResponse("head too large");
         }
         return false;
     }
     const auto &head = m_parser->get();
     m_head.status = head.result_int();
+    if (m_head.status < FirstStatus || m_head.status >= StatusEnd) {
+        rejectResponse("invalid status " + std::to_string(m_head.status));
+        return false;
+    }
     m_head.reason = std::string(toStringView(head.reason()));
     const std::string connection(toStringView(head[Http::field::connection]));
     for (const auto &it : head) {
@@ -270,7 +276,7 @@
     m_head.endsWithConnection = m_parser->need_eof();
     m_isStale = m_head.status < FirstFinalStatus || (m_head.attributes.requestId && *m_head.attributes.requestId != m_requestId);
     if (m_isStale && m_parser->need_eof() && m_head.status >= FirstFinalStatus) {
-        fail("response to another request without Content-Length");
+        rejectResponse("belongs to another request and has no Content-Length");
         return false;
     }
     if (m_head.attributes.keepAlive) {
@@ -297,12 +303,12 @@
         m_in.erase(0, n);
         m_skippedBytes += m_isStale ? n : 0;
         if (m_skippedBytes > MaxSkippedBytes) {
-            fail("response: too many bytes of interim responses and responses to other requests");
+            rejectResponse("too many bytes of interim responses and responses to other requests");
             return false;
         }
         const std::size_t got = piece.size() - m_parser->get().body().size;
         if (ec && ec != Http::error::need_buffer && ec != Http::error::need_more) {
-            fail("response: " + ec.message());
+            rejectResponse(ec.message());
             return false;
         }
         const bool isWanted = got != 0 && !m_isStale && m_listener != nullptr;
@@ -356,6 +362,12 @@
     read();
 }
 
+void ServerConnection::rejectResponse(const std::string &why)
+{
+    m_isResponseInvalid = true;
+    fail("response: " + why);
+}
+
 void ServerConnection::fail(const std::string &message)
 {
     if (m_isClosed) {
@@ -363,7 +375,7 @@
     }
     const auto self = shared_from_this();
     auto *listener = std::exchange(m_listener, nullptr);
-    const ServerConnectionFailure failure{m_wasSent, m_wasRefused, message};
+    const ServerConnectionFailure failure{m_wasSent, m_wasRefused, message, m_isResponseInvalid};
     release(false);
     if (listener != nullptr) {
         listener->onConnectionFailure(failure);
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -29,9 +29,10 @@
 /** Describes a connection that ended before the response was complete. */
 struct ServerConnectionFailure
 {
-    bool wasSent = false;    ///< True if any byte of the request may have reached the server.
-    bool wasRefused = false; ///< True if no process listens at the server's port.
-    std::string message;     ///< Error text for the log.
+    bool wasSent = false;           ///< True if any byte of the request may have reached the server.
+    bool wasRefused = false;        ///< True if no process listens at the server's port.
+    std::string message;            ///< Error text for the log.
+    bool isResponseInvalid = false; ///< True if the server sent what is no response, and the proxy closed the connection.
 };
 
 /** How to proceed after a piece of a body. */
@@ -116,6 +117,8 @@
     bool parseBody();
     void beginAnswer();
     void finishAnswer();
+    /** Ends the connection because the server sends what is no response to the request. */
+    void rejectResponse(const std::string &why);
     void fail(const std::string &message);
     void release(bool isReusable);
     void closeSocket();
@@ -143,6 +146,7 @@
     std::size_t m_requests = 0;                     ///< Requests sent so far.
     bool m_wasSent = false;                         ///< True if any byte of the request may have been sent.
     bool m_wasRefused = false;                      ///< True if the server has refused the connection.
+    bool m_isResponseInvalid = false;               ///< True if rejectResponse() has ended the connection.
     bool m_isStale = false;                         ///< True while a response to another request is skipped.
     bool m_isDone = false;                          ///< True between the end of a response and the next request.
     bool m_isParsing = false;                       ///< True inside parse(); guards against recursion from callbacks.
--- a/tests/crashes/crashes_test.py
+++ b/tests/crashes/crashes_test.py
@@ -29,7 +29,7 @@
 BACK_S = 1.5       # Time until a server that has crashed is back.
 PROXIES = 3
 SERVERS = 10
-MARK = "bad"       # Beginning of the ids of requests that crash servers.
+MARK = "deadly-"   # Beginning of the ids of requests that crash servers.
 
 
 def turn(program, parts="a1:500"):
--- a/tests/proxy/proxy_stream_test.cpp
+++ b/tests/proxy/proxy_stream_test.cpp
@@ -146,9 +146,10 @@
     });
     ASSERT_TRUE(world.start());
     for (cut = 0; cut < GetParam().answer.size(); cut++) {
-        // Different contents, since each of them breaks a connection.
+        // Different paths, since each of them breaks a connection.
         const auto id = "r" + std::to_string(cut);
-        const auto answer = world.ask(ProxyWorld::request("POST", GetParam().path, id, {}, id));
+        const auto answer = world.ask(ProxyWorld::request("POST", GetParam().path + id, id, {}, id));
+        EXPECT_TRUE(world.first.countWithId(id) + world.second.countWithId(id) != 0) << "not sent";
         const bool isSuccess = statusOf(answer) == 200;
         const bool isComplete = answer.find("\r\n0\r\n\r\n") != std::string::npos || answer.find("Content-Length") != std::string::npos;
         EXPECT_FALSE(isSuccess && isComplete) << "cut after " << cut << " bytes: " << answer;
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -240,6 +240,7 @@
     ("a success isn't shared", CORE + "commands/crash_tracker_cmd.cpp", "    if (isNearRefusal) {\n", "    if (false) {\n", "core_test", "*CrashReplay*"),
     ("records are read once", PROXY + "proxy_poll.cpp", "    m_crashWatcher->start();\n", "", "proxy_test", "*ProxyCrash*"),
     ("a path includes the program", CORE + "crash/request_feature.cpp", "contentHash(source.method, source.target, {}, {}, source.owner)", "contentHash(source.method, source.target, source.program, {}, source.owner)", "proxy_test", "*ProxyCrashVariation*"),
+    ("an invalid status is a crash", PROXY + "exchange_end.cpp", "        m_failure = AttemptFailure::BadAnswer;\n    }\n    onAttemptBroken(failure.message);", "    }\n    onAttemptBroken(failure.message);", "proxy_test", "*ProxyStatus*"),
     ("a key of two customers", "platform/src/wire_customer.cpp", "expected.empty() && owner != n", "false", "platform_test", "*Customers*"),
     ("line breaks in names", "platform/src/wire_customer.cpp", " && !hasControl", "", "platform_test", "*Customers*"),
     ("one of two keys counts", PROXY + "exchange_customer.cpp", "attributes.keyHeaders == 1 ?", "attributes.keyHeaders != 0 ?", "proxy_test", "*ProxyKey*:ProxyCustomer*"),
