Tests of crashes follow the linter

Cause: names of constants and a loop in the new tests failed clang-tidy. Change: the cases are constexpr; no check changes.

--- a/tests/core/crash_attribution_test.cpp
+++ b/tests/core/crash_attribution_test.cpp
@@ -1,6 +1,7 @@
 /** Attribution of crashes to features of the requests that ran. */
 #include "vanillahall/core/crash/crash_attribution_func.h"
 
+#include <algorithm>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -45,16 +46,17 @@
 TEST_P(Attribution, NamesTheNarrowestFeatureThatExplainsTheCrashes)
 {
     std::vector<CrashEvidence> records;
+    records.reserve(GetParam().runs.size());
     for (const auto &it : GetParam().runs) {
         const RequestFeatures features{
             {FeatureKind::Content, it.content}, {FeatureKind::Caller, Callers + it.caller}, {FeatureKind::Path, Paths + it.path}};
         const auto at = Start + it.endedAt;
         records.push_back({{it.content, records.size()}, features, it.server, at - it.uncertainty, at});
     }
-    std::vector<const CrashEvidence *> crashes;
-    for (const auto &it : records) {
-        crashes.push_back(&it);
-    }
+    std::vector<const CrashEvidence *> crashes(records.size());
+    std::transform(records.begin(), records.end(), crashes.begin(), [](const auto &it) {
+        return &it;
+    });
     std::set<std::uint64_t> refused;
     for (const auto &it : attributeCrashes(crashes, GetParam().cleared).refused) {
         refused.insert(it.feature.hash);
--- a/tests/core/crash_replay_test.cpp
+++ b/tests/core/crash_replay_test.cpp
@@ -38,15 +38,15 @@
     Duration harmlessGap = 20ms;   ///< Interval between two harmless requests.
 };
 
-const ReplayCase SameBytes{"sameBytes", Shared::Content};
-const ReplayCase Beginning{"beginning", Shared::Beginning};
-const ReplayCase Caller{"caller", Shared::Caller};
-const ReplayCase OnePath{"path", Shared::Path};
-const ReplayCase PathSlowRecords{"pathSlowRecords", Shared::Path, 9, 200ms, 2s};
-const ReplayCase CallerBesideRacks{"callerBesideRacks", Shared::Caller, 9, 200ms, 100ms, 1};
-const ReplayCase ServersEnd{"serversEnd", Shared::Nothing, 9, 200ms, 100ms, 1};
-const ReplayCase RacksEnd{"racksEnd", Shared::Nothing, 9, 200ms, 100ms, 4};
-const ReplayCase RacksEndWithFewRequests{"racksEndWithFewRequests", Shared::Nothing, 9, 200ms, 100ms, 4, 200ms};
+constexpr ReplayCase SameBytes{"sameBytes", Shared::Content};
+constexpr ReplayCase Beginning{"beginning", Shared::Beginning};
+constexpr ReplayCase Caller{"caller", Shared::Caller};
+constexpr ReplayCase OnePath{"path", Shared::Path};
+constexpr ReplayCase PathSlowRecords{"pathSlowRecords", Shared::Path, 9, 200ms, 2s};
+constexpr ReplayCase CallerBesideRacks{"callerBesideRacks", Shared::Caller, 9, 200ms, 100ms, 1};
+constexpr ReplayCase ServersEnd{"serversEnd", Shared::Nothing, 9, 200ms, 100ms, 1};
+constexpr ReplayCase RacksEnd{"racksEnd", Shared::Nothing, 9, 200ms, 100ms, 4};
+constexpr ReplayCase RacksEndWithFewRequests{"racksEndWithFewRequests", Shared::Nothing, 9, 200ms, 100ms, 4, 200ms};
 
 /** A request at a server. */
 struct Running
--- a/tests/proxy/proxy_crash_variation_test.cpp
+++ b/tests/proxy/proxy_crash_variation_test.cpp
@@ -39,23 +39,23 @@
     return ProxyWorld::request("POST", "/call/1", (body[0] == 'p' ? "r" : "n") + std::to_string(n), headers, body);
 }
 
-const Variation OtherBody{"otherBody",
-                          [](int n) {
-                              return post(n, program(1), poison(n));
-                          },
-                          [](int n) {
-                              return post(n, program(1), harmless(n));
-                          },
-                          "beginning="};
-const Variation OtherProgramAndBody{"otherProgramAndBody",
-                                    [](int n) {
-                                        return post(n, program(n), poison(n));
-                                    },
-                                    [](int n) {
-                                        return post(n, program(n), harmless(n));
-                                    },
-                                    "beginning="};
-const Variation OtherPromptEnd{
+constexpr Variation OtherBody{"otherBody",
+                              [](int n) {
+                                  return post(n, program(1), poison(n));
+                              },
+                              [](int n) {
+                                  return post(n, program(1), harmless(n));
+                              },
+                              "beginning="};
+constexpr Variation OtherProgramAndBody{"otherProgramAndBody",
+                                        [](int n) {
+                                            return post(n, program(n), poison(n));
+                                        },
+                                        [](int n) {
+                                            return post(n, program(n), harmless(n));
+                                        },
+                                        "beginning="};
+constexpr Variation OtherPromptEnd{
     "otherPromptEnd",
     [](int n) {
         return post(n, program(n) + "Prompt-Prefix: a:100,b:50,c" + std::to_string(n) + ":10\r\n", "p" + std::to_string(n));
@@ -64,22 +64,22 @@
         return post(n, program(n) + "Prompt-Prefix: a:100,d:50\r\n", harmless(n));
     },
     "prompt="};
-const Variation ShortBodyOfOneProgram{"shortBodyOfOneProgram",
-                                      [](int n) {
-                                          return post(n, program(1), "p" + std::to_string(n));
-                                      },
-                                      [](int n) {
-                                          return post(n, program(2), harmless(n));
-                                      },
-                                      "caller="};
-const Variation NoBodyOtherProgram{"noBodyOtherProgram",
-                                   [](int n) {
-                                       return ProxyWorld::request("GET", "/call/poison", "r" + std::to_string(n), program(n));
-                                   },
-                                   [](int n) {
-                                       return ProxyWorld::request("GET", "/call/1", "n" + std::to_string(n), program(n));
-                                   },
-                                   "path="};
+constexpr Variation ShortBodyOfOneProgram{"shortBodyOfOneProgram",
+                                          [](int n) {
+                                              return post(n, program(1), "p" + std::to_string(n));
+                                          },
+                                          [](int n) {
+                                              return post(n, program(2), harmless(n));
+                                          },
+                                          "caller="};
+constexpr Variation NoBodyOtherProgram{"noBodyOtherProgram",
+                                       [](int n) {
+                                           return ProxyWorld::request("GET", "/call/poison", "r" + std::to_string(n), program(n));
+                                       },
+                                       [](int n) {
+                                           return ProxyWorld::request("GET", "/call/1", "n" + std::to_string(n), program(n));
+                                       },
+                                       "path="};
 
 class ProxyCrashVariation : public ::testing::TestWithParam<Variation>
 {
