Mutant of endless bytes follows the renamed call

Cause: its text no longer applied after the change of invalid responses. Change: tools/mutants.py. The new mutants were not run.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -169,7 +169,7 @@
      "proxy_test", "ProxyConversation*"),
     ("an unfinished turn stays", PROXY + "conversation.cpp", "if (m_isComplete || m_writes == 0 || m_openWrites != 0) {", "if (true) {", "proxy_test", "ProxyConversation*"),
     ("turns that were written again are removed", "platform/src/wire_turn.cpp", "        expected.push_back(std::move(condition));\n", "", "proxy_test", "ProxyConversation*"),
-    ("endless bytes of a server are kept", PROXY + "server_connection.cpp", "m_in.size() > MaxResponseHeadBytes) {\n        fail(\"response: unparsed", "false) {\n        fail(\"response: unparsed",
+    ("endless bytes of a server are kept", PROXY + "server_connection.cpp", "m_in.size() > MaxResponseHeadBytes) {\n        rejectResponse(\"unparsed", "false) {\n        rejectResponse(\"unparsed",
      "proxy_test", "*ProxyEndless*"),
     ("endless interim heads are read", PROXY + "server_connection.cpp", "    m_skippedBytes += n;\n", "", "proxy_test", "*ProxyEndless*"),
     ("a server's rate limit is not kept", CORE + "queries/server_registry_query.cpp", "return state.rateLimit.nextSlot(m_position, now) <= now ? std::string_view() : \"rate_limit\";", "return {};", "core_test", "*ServerRateLimits*"),
