--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -563,6 +563,7 @@
         EXPECT_FALSE(decodeCrash({key, R"({"at":5000})", 3}, reason)) << key;
     }
     EXPECT_FALSE(decodeCrash({written["key"], R"({"breaks":1})", 3}, reason));
+    EXPECT_FALSE(decodeCrash({written["key"], R"({"at":18446744073709551615})", 3}, reason)) << "would overflow";
     const auto removed = nlohmann::json::parse(removeCrashesCall({crashKey("vm-1/42", record)}).body)["remove"];
     EXPECT_EQ(removed[0]["key"], written["key"]);
 }
