The rarest of equal explanations is refused; what ran beside more waits

A request was refused although another one, not refused yet, was at all of its crashes and more.

Change: of features at equally many ends of servers the one with the fewest attempts goes first. A feature waits while another request's feature was at all of its ends and at more, or at as many up to the limit.

--- a/packages/core/include/vanillahall/core/crash/crash_attribution_func.h
+++ b/packages/core/include/vanillahall/core/crash/crash_attribution_func.h
@@ -37,9 +37,9 @@
 using ClearedFeatures = std::unordered_map<std::uint64_t, TimePoint>;
 
 /**
- * Selects the features that explain the crashes: the one that ran at most of the servers that ended first, and the narrowest of these.
- * Other requests that ran on the same servers at the time of its crashes are explained by it. If two requests ran together in all of three
- * crashes, the next crash decides.
+ * Selects the features that explain the crashes: the one that ran at most of the servers that ended first, of several the rarest one. Other
+ * requests that ran on the same servers at the time of its crashes are explained by it. What always ran beside another request that may
+ * explain the crashes as well isn't selected before the next one.
  * @param crashes Records of crashes, in any order.
  * @param cleared Features are cleared of crashes up to these times. A content is cleared only by removing its records.
  */
--- a/packages/core/src/crash/crash_attribution.cpp
+++ b/packages/core/src/crash/crash_attribution.cpp
@@ -61,7 +61,7 @@
                 candidates.push_back(&suspect);
             }
         }
-        removeAmbiguous(candidates, all);
+        removeAmbiguous(candidates);
         while (const auto *culprit = strongest(candidates)) {
             result.refused.push_back(describe(*culprit));
             explain(*culprit);
@@ -168,45 +168,48 @@
         return events;
     }
 
-    /** @return True if requests with feature `a` always ran beside other ones with feature `b`, so that either may be the cause. */
-    [[nodiscard]] bool isAlwaysBeside(const Suspect &a, const Suspect &b) const
+    /** @return True if no attempt has both features. */
+    static bool areDifferentRequests(const Suspect &a, const Suspect &b)
     {
-        const bool isOneRequest
-            = std::find_first_of(a.crashes.begin(), a.crashes.end(), b.crashes.begin(), b.crashes.end()) != a.crashes.end();
-        const auto events = unexplainedEvents(a);
-        const auto others = unexplainedEvents(b);
-        return !isOneRequest && std::includes(others.begin(), others.end(), events.begin(), events.end());
+        return std::find_first_of(a.crashes.begin(), a.crashes.end(), b.crashes.begin(), b.crashes.end()) == a.crashes.end();
     }
 
-    /** Removes the features of requests that ran together as long as there are no more crashes than the limit. */
-    void removeAmbiguous(std::vector<const Suspect *> &candidates, const std::vector<TimePoint> &all) const
+    /**
+     * Removes features whose requests always ran beside others that explain more, even if these aren't refused yet, or as much as long as
+     * there are no more ends of servers than the limit. The next crash decides.
+     */
+    void removeAmbiguous(std::vector<const Suspect *> &candidates) const
     {
-        std::vector<const Suspect *> weak;
-        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(weak), [this, &all](const Suspect *it) {
-            return unexplained(*it, all).count == CrashLimit;
-        });
-        std::erase_if(candidates, [this, &weak, &all](const Suspect *it) {
-            return unexplained(*it, all).count == CrashLimit && std::any_of(weak.begin(), weak.end(), [this, it](const Suspect *other) {
-                       return isAlwaysBeside(*it, *other);
-                   });
+        std::vector<std::pair<const Suspect *, std::set<std::size_t>>> suspects;
+        for (const auto &[hash, suspect] : m_suspects) {
+            if (suspect.crashes.size() >= CrashLimit) {
+                suspects.emplace_back(&suspect, unexplainedEvents(suspect));
+            }
+        }
+        std::erase_if(candidates, [this, &suspects](const Suspect *it) {
+            const auto events = unexplainedEvents(*it);
+            return std::any_of(suspects.begin(), suspects.end(), [it, &events](const auto &other) {
+                const auto &others = other.second;
+                const bool mayExplain = others.size() > events.size() || (others.size() == events.size() && events.size() <= CrashLimit);
+                return mayExplain && std::includes(others.begin(), others.end(), events.begin(), events.end())
+                    && areDifferentRequests(*it, *other.first);
+            });
         });
     }
 
+    /** @return The feature that explains most of what isn't explained; of several the rarest one, then the narrowest. */
     [[nodiscard]] const Suspect *strongest(const std::vector<const Suspect *> &candidates) const
     {
         const auto all = unexplainedTimes();
+        const auto rank = [this](const Suspect &it) {
+            // What many requests share is at the ends of servers by chance.
+            return std::tuple(
+                -static_cast<std::ptrdiff_t>(unexplainedEvents(it).size()), it.crashes.size(), it.feature.kind, it.feature.hash);
+        };
         const Suspect *best = nullptr;
-        std::size_t most = 0;
         for (const auto *it : candidates) {
-            const auto n = unexplainedEvents(*it).size();
-            if (n < most || !unexplained(*it, all).areEnough) {
-                continue;
-            }
-            const bool isNarrower
-                = best == nullptr || std::tie(it->feature.kind, it->feature.hash) < std::tie(best->feature.kind, best->feature.hash);
-            if (n > most || isNarrower) {
+            if (unexplained(*it, all).areEnough && (best == nullptr || rank(*it) < rank(*best))) {
                 best = it;
-                most = n;
             }
         }
         return best;
