The hash of a content stands with the other features; features of one crash cost less

Cause: read again, the hash was defined with CrashTracker's queries, so that the features depended on the tracker; a header with functions was named _type. Each attribution examined every feature in full, though most belong to one request.

Change: contentHash moves to crash/request_feature_func.h (before request_feature_type.h), unchanged. Features with at most one crash are counted by their size, which only clearing uses.

--- a/packages/core/include/vanillahall/core/crash/crash_evidence_type.h
+++ b/packages/core/include/vanillahall/core/crash/crash_evidence_type.h
@@ -1,7 +1,7 @@
 /** What is known about attempts that ended together with their servers. */
 #pragma once
 
-#include "vanillahall/core/crash/request_feature_type.h"
+#include "vanillahall/core/crash/request_feature_func.h"
 
 #include <cstdint>
 
--- a/packages/core/include/vanillahall/core/crash/request_feature_type.h
+++ b/packages/core/include/vanillahall/core/crash/request_feature_func.h
@@ -51,6 +51,13 @@
     const std::vector<PromptPart> *promptParts{}; ///< Parts of the prompt; may be null.
 };
 
+/**
+ * @param target Path of the request; its query, if any, doesn't count.
+ * @return Hash that identifies the content of a request: method, path and body, or the program instead of an empty body.
+ */
+std::uint64_t
+contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body, std::string_view owner = {});
+
 /** @return Features of a request, from narrow to broad. */
 RequestFeatures requestFeatures(const FeatureSource &source);
 
--- a/packages/core/include/vanillahall/core/crash_tracker_base.h
+++ b/packages/core/include/vanillahall/core/crash_tracker_base.h
@@ -29,13 +29,6 @@
 inline constexpr std::size_t MaxAttributedCrashes
     = 400; ///< Records that are attributed; beyond that the oldest of harmless requests don't count.
 
-/**
- * @param target Path of the request; its query, if any, doesn't count.
- * @return Hash that identifies the content of a request: method, path and body, or the program instead of an empty body.
- */
-std::uint64_t
-contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body, std::string_view owner = {});
-
 /** Counts broken attempts of this entry and of the other entries. */
 class CrashTracker
 {
--- a/packages/core/src/crash/crash_attribution.cpp
+++ b/packages/core/src/crash/crash_attribution.cpp
@@ -55,6 +55,11 @@
         std::vector<const Suspect *> candidates;
         const auto all = unexplainedTimes();
         for (const auto &[hash, suspect] : m_suspects) {
+            if (suspect.crashes.size() <= 1) {
+                // Most features are those of single requests.
+                result.suspects[hash] = suspect.crashes.size();
+                continue;
+            }
             const auto found = unexplained(suspect, all);
             result.suspects[hash] = found.count;
             if (found.areEnough) {
--- a/packages/core/src/crash/request_feature.cpp
+++ b/packages/core/src/crash/request_feature.cpp
@@ -1,6 +1,4 @@
-#include "vanillahall/core/crash/request_feature_type.h"
-
-#include "vanillahall/core/crash_tracker_base.h"
+#include "vanillahall/core/crash/request_feature_func.h"
 
 #include <algorithm>
 #include <array>
@@ -38,6 +36,19 @@
 
 } // namespace
 
+std::uint64_t
+contentHash(std::string_view method, std::string_view target, std::string_view program, std::string_view body, std::string_view owner)
+{
+    const auto path = target.substr(0, target.find('?'));
+    // A seed of 0 gives the hash without a seed.
+    const auto seed = owner.empty() ? 0 : XXH3_64bits(owner.data(), owner.size());
+    auto hash = XXH3_64bits_withSeed(method.data(), method.size(), seed);
+    hash = XXH3_64bits_withSeed(path.data(), path.size(), hash);
+    // A body identifies a content by itself; requests without a body differ only by their program.
+    const auto &content = body.empty() ? program : body;
+    return XXH3_64bits_withSeed(content.data(), content.size(), hash);
+}
+
 std::string_view featureName(FeatureKind kind)
 {
     return Names.at(static_cast<std::size_t>(kind));
