--- a/review/9/case.py
+++ b/review/9/case.py
@@ -48,6 +48,7 @@
 async def work(server, message, writer):
     request_id = message.get("Request-Id")
     server.ran.append(request_id)
+    server.record.write(f"server {server.id} runs {request_id}")
     writer.write(stream_head(request_id))
     for number in range(1, EVENTS + 1):
         writer.write(event(number, f"{request_id}-{number}"))
@@ -103,7 +104,9 @@
 
 
 async def play(world):
-    rng = random.Random(int(time.time()))
+    seed = int(time.time())
+    rng = random.Random(seed)
+    world.record.write(f"seed {seed}")
     world.store = LossyStore(world.record)
     await world.start_store()
     engine = {"slots": SLOTS, "kvCapacity": 174325, "tokensPerEvent": PER_EVENT, "models": [{"name": "m"}]}
