Peers that acknowledge bytes without reading them keep their connections

Cause: TCP_USER_TIMEOUT also ends a connection whose peer keeps its receive window closed, and the linger time closed sockets with untaken bytes. SendProgress switches the option off while the window is closed and ends the connection if window probes stay unanswered; slow peers are ended by the idle time, the deadline, the grace of a stop or the account of memory.

--- a/packages/proxy/src/client_session.cpp
+++ b/packages/proxy/src/client_session.cpp
@@ -7,6 +7,9 @@
 #include "socket_option_func.h"
 #include "timer_func.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <boost/asio/write.hpp>
 
 namespace Vanillahall::Forward {
@@ -34,6 +37,8 @@
 ClientSession::ClientSession(boost::asio::ip::tcp::socket socket, RequestHandler &handler, std::uint64_t number)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_sendTimer(m_socket.get_executor())
+    , m_sendProgress(m_socket)
     , m_handler(handler)
     , m_number(number)
     , m_heldConnection(handler.account(), Holding::Connection)
@@ -101,11 +106,7 @@
 void ClientSession::onRead(const boost::system::error_code &ec, std::size_t n)
 {
     if (ec) {
-        if (m_isAnswering) {
-            m_isAnswering = false;
-            m_handler.onClientDisconnected(shared_from_this());
-        }
-        close();
+        disconnect();
         return;
     }
     if (!m_isClosing) {
@@ -165,6 +166,9 @@
     if (m_isClosed) {
         return true;
     }
+    if (unsentBytes() == 0) {
+        m_progressAt = now();
+    }
     m_out.append(bytes);
     send();
     if (!bytes.empty()) {
@@ -180,6 +184,7 @@
         return;
     }
     m_sending.swap(m_out);
+    watchSending();
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_sending), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             self->m_sending.clear();
@@ -188,7 +193,7 @@
                 return;
             }
             if (ec) {
-                self->onRead(ec, 0);
+                self->disconnect();
                 return;
             }
             self->m_progressAt = now();
@@ -211,6 +216,43 @@
         });
 }
 
+void ClientSession::watchSending()
+{
+    if (m_isSendWatched) {
+        return;
+    }
+    m_isSendWatched = true;
+    runAfter(m_sendTimer, SendCheckInterval, *this, [](ClientSession &self) {
+        self.m_isSendWatched = false;
+        self.checkSending();
+    });
+}
+
+void ClientSession::checkSending()
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto state = m_sendProgress.update(now());
+    m_progressAt = std::max(m_progressAt, m_sendProgress.advancedAt().value_or(m_progressAt));
+    const bool isPending = state == SendState::Pending || unsentBytes() != 0;
+    // Outside of requests, m_timer limits the time without progress.
+    const bool isStalled = isPending && m_isAnswering && now() - m_progressAt >= m_handler.limits().idleTimeout;
+    if (state == SendState::Unreachable || isStalled) {
+        disconnect();
+    } else if (isPending) {
+        watchSending();
+    }
+}
+
+void ClientSession::disconnect()
+{
+    if (std::exchange(m_isAnswering, false)) {
+        m_handler.onClientDisconnected(shared_from_this());
+    }
+    close();
+}
+
 void ClientSession::finish(bool keepsAlive)
 {
     if (m_isClosed) {
@@ -221,7 +263,9 @@
     m_reservedBodyBytes = 0;
     m_headBytes = 0;
     m_heldSince = now();
-    m_progressAt = m_heldSince;
+    if (unsentBytes() == 0) {
+        m_progressAt = m_heldSince;
+    }
     // The client may not know that the proxy is stopping, if its response began before that.
     if (!keepsAlive || (m_in.empty() && !m_handler.keepsConnections())) {
         beginClose();
@@ -256,14 +300,19 @@
     if (m_sending.empty()) {
         closeGracefully();
     } else {
-        setTimer(m_handler.limits().idleTimeout);
+        setTimer(std::max(m_progressAt + m_handler.limits().idleTimeout - now(), Duration::zero()));
     }
 }
 
 void ClientSession::closeIfIdle()
 {
-    if (!isBusy()) {
+    if (isBusy()) {
+        return;
+    }
+    if (m_sendProgress.update(now()) == SendState::Delivered) {
         close();
+    } else {
+        beginClose();
     }
 }
 
@@ -292,7 +341,7 @@
 void ClientSession::onTimeout()
 {
     // A client that sends a body or reads a response has the whole time again after each progress.
-    const bool isMoving = unsentBytes() != 0 || m_reader.hasHead();
+    const bool isMoving = unsentBytes() != 0 || m_sendProgress.state() == SendState::Pending || m_reader.hasHead();
     const auto &limits = m_handler.limits();
     const auto left = m_progressAt + (m_reader.hasBegun() ? limits.headerTimeout : limits.idleTimeout) - now();
     if (isMoving && left > Duration::zero()) {
@@ -309,10 +358,24 @@
     // Closing with unread bytes would send a reset, which may discard the response at the client. So the input is drained first.
     boost::system::error_code ec;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    linger();
+    read();
+}
+
+void ClientSession::linger()
+{
     runAfter(m_timer, LingerTimeout, *this, [](ClientSession &self) {
-        self.close();
+        self.checkSending();
+        const bool isRead = self.m_sendProgress.state() == SendState::Delivered;
+        if (self.m_isClosed) {
+            return;
+        }
+        if (isRead || now() - self.m_progressAt >= self.m_handler.limits().idleTimeout) {
+            self.close();
+        } else {
+            self.linger();
+        }
     });
-    read();
 }
 
 void ClientSession::close()
@@ -323,6 +386,7 @@
     m_isClosed = true;
     releaseHeldBytes();
     stopTimer(m_timer);
+    stopTimer(m_sendTimer);
     boost::system::error_code ec;
     m_socket.close(ec);
     m_handler.onSessionClosed(shared_from_this());
--- a/packages/proxy/src/client_session.h
+++ b/packages/proxy/src/client_session.h
@@ -3,6 +3,7 @@
 
 #include "client_account.h"
 #include "request_reader.h"
+#include "send_progress.h"
 
 #include <memory>
 #include <string>
@@ -63,7 +64,7 @@
      * @param isCloseDelimited True if the end of the connection marks the end of the body.
      */
     void abortResponse(bool isCloseDelimited);
-    /** Closes the connection if no request is in progress. */
+    /** Closes the connection if no request is in progress, once the client has read its responses. */
     void closeIfIdle();
     /** Closes the connection at once. */
     void close();
@@ -80,6 +81,8 @@
     [[nodiscard]] std::optional<ClosableClient> closableState() const;
     /** @return State of the connection while its request waits; nothing if its response has begun or no request is complete. */
     [[nodiscard]] std::optional<ClosableClient> waitingState() const;
+    /** @return State of the connection while its request is answered and the client doesn't read the response. */
+    [[nodiscard]] std::optional<ClosableClient> unreadState() const;
 
 private:
     void read();
@@ -97,15 +100,24 @@
     void updateHeldBytes();
     void releaseInput();
     void releaseHeldBytes();
+    /** Checks at intervals whether the client takes the bytes sent, until it has. */
+    void watchSending();
+    void checkSending();
+    /** Closes the connection because the client can't be reached. */
+    void disconnect();
     void setTimer();
     void setTimer(Duration span);
     void onTimeout();
     void refuse(const RequestError &error);
     void beginClose();
     void closeGracefully();
+    /** Waits for the client to read the last response and to close its side. */
+    void linger();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_sendTimer; ///< Next check of the bytes that were sent.
+    SendProgress m_sendProgress;
     RequestHandler &m_handler;
     std::uint64_t m_number;
     RequestReader m_reader;
@@ -126,6 +138,7 @@
     bool m_isClosing = false;
     bool m_isClosed = false;
     bool m_isSendBufferFull = false;
+    bool m_isSendWatched = false; ///< True while m_sendTimer is set.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/client_session_memory.cpp
+++ b/packages/proxy/src/client_session_memory.cpp
@@ -1,7 +1,9 @@
 #include "client_session.h"
 
 #include "http_status.h"
+#include "proxy_clock.h"
 #include "response_text_func.h"
+#include "socket_option_func.h"
 
 namespace Vanillahall::Forward {
 
@@ -28,6 +30,12 @@
     return m_isAnswering && !m_isClosed && unsentBytes() == 0 ? std::optional(state()) : std::nullopt;
 }
 
+std::optional<ClosableClient> ClientSession::unreadState() const
+{
+    const bool isUnread = unsentBytes() != 0 && now() - m_progressAt >= UnacknowledgedLimit;
+    return m_isAnswering && !m_isClosed && isUnread ? std::optional(state()) : std::nullopt;
+}
+
 std::size_t ClientSession::unsentBytes() const
 {
     return m_out.size() + m_sending.size();
@@ -65,6 +73,10 @@
 
 void ClientSession::evict()
 {
+    if (m_isAnswering) {
+        disconnect();
+        return;
+    }
     if (m_isClosing || !m_reader.hasBegun() || unsentBytes() != 0) {
         close();
         return;
--- a/packages/proxy/src/proxy_clients.cpp
+++ b/packages/proxy/src/proxy_clients.cpp
@@ -79,7 +79,10 @@
     auto clients = closableClients();
     for (const auto &[number, exchange] : m_exchanges) {
         const auto session = m_sessions.find(number);
-        const auto state = session != m_sessions.end() && exchange->canBeRefused() ? session->second->waitingState() : std::nullopt;
+        if (session == m_sessions.end()) {
+            continue;
+        }
+        const auto state = exchange->canBeRefused() ? session->second->waitingState() : session->second->unreadState();
         if (state) {
             clients.push_back(*state);
         }
@@ -95,7 +98,7 @@
         if (it != m_sessions.end()) {
             const auto session = it->second;
             const auto waiting = m_exchanges.find(number);
-            if (waiting != m_exchanges.end()) {
+            if (waiting != m_exchanges.end() && waiting->second->canBeRefused()) {
                 const auto exchange = waiting->second;
                 exchange->refuseForMemory();
             } else {
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -41,6 +41,8 @@
 ServerConnection::ServerConnection(boost::asio::io_context &loop, Server server, ReleasedHandler released)
     : m_socket(loop)
     , m_connectTimer(loop)
+    , m_sendTimer(loop)
+    , m_sendProgress(m_socket)
     , m_server(std::move(server))
     , m_releasedHandler(std::move(released))
 {
@@ -130,6 +132,7 @@
 {
     m_wasSent = true;
     m_isWriting = true;
+    watchSending();
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             self->m_isWriting = false;
@@ -148,6 +151,18 @@
         });
 }
 
+void ServerConnection::watchSending()
+{
+    runAfter(m_sendTimer, SendCheckInterval, *this, [](ServerConnection &self) {
+        const auto state = self.m_sendProgress.update(now());
+        if (state == SendState::Unreachable) {
+            self.fail("write: the server's system doesn't answer");
+        } else if (state == SendState::Pending || self.m_isWriting) {
+            self.watchSending();
+        }
+    });
+}
+
 void ServerConnection::read()
 {
     if (m_isReading || m_isPaused || m_isClosed) {
@@ -338,6 +353,10 @@
     const bool isReusable = m_parser->keep_alive() && !m_parser->need_eof() && m_in.empty();
     const auto self = shared_from_this();
     m_isDone = true;
+    // The timer of an early response goes on, since the server may still read the request.
+    if (!m_isWriting) {
+        stopTimer(m_sendTimer);
+    }
     auto *listener = std::exchange(m_listener, nullptr);
     if (listener != nullptr) {
         listener->onResponseComplete();
@@ -410,6 +429,7 @@
 {
     m_isClosed = true;
     stopTimer(m_connectTimer);
+    stopTimer(m_sendTimer);
     boost::system::error_code ec;
     m_socket.close(ec);
 }
--- a/packages/proxy/src/server_connection.h
+++ b/packages/proxy/src/server_connection.h
@@ -1,6 +1,8 @@
 /** HTTP connection to a backend server; carries one request at a time. */
 #pragma once
 
+#include "send_progress.h"
+
 #include "vanillahall/core/abandoned_attempts_base.h"
 #include "vanillahall/core/forward_type.h"
 
@@ -109,6 +111,8 @@
 
     void connect();
     void write();
+    /** Checks at intervals whether the server takes the request, until it has. */
+    void watchSending();
     void read();
     void onReadable(boost::system::error_code ec);
     void onRead(const boost::system::error_code &ec, std::size_t n);
@@ -125,6 +129,8 @@
 
     boost::asio::ip::tcp::socket m_socket;          ///< Socket of the connection.
     boost::asio::steady_timer m_connectTimer;       ///< Limits the time for connecting.
+    boost::asio::steady_timer m_sendTimer;          ///< Next check of the bytes that were sent.
+    SendProgress m_sendProgress;                    ///< Whether the server has taken the request.
     Server m_server;                                ///< Server as listed when the connection was created.
     ReleasedHandler m_releasedHandler;              ///< Called when the connection becomes idle or closed.
     OpenedHandler m_openedHandler;                  ///< Receives the result of open(); null once called.
--- a/packages/proxy/src/socket_option.cpp
+++ b/packages/proxy/src/socket_option.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int UserTimeoutMs = 2000;         ///< A connection is closed if sent bytes stay unacknowledged for this time.
 constexpr int KeepAliveIdleSeconds = 2;     ///< Idle time before the first keep-alive probe.
 constexpr int KeepAliveIntervalSeconds = 1; ///< Interval between probes.
 constexpr int KeepAliveProbes = 2;          ///< A connection is closed after this number of unanswered probes.
@@ -21,12 +20,19 @@
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
     socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
     const int fd = socket.native_handle();
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof(UserTimeoutMs));
+    setUnacknowledgedLimit(socket, UnacknowledgedLimit);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof(KeepAliveIdleSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds, sizeof(KeepAliveIntervalSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(KeepAliveProbes));
 }
 
+void setUnacknowledgedLimit(boost::asio::ip::tcp::socket &socket, std::optional<Duration> limit)
+{
+    const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(limit.value_or(Duration::zero()));
+    const auto ms = static_cast<unsigned>(span.count());
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 void connectTo(boost::asio::ip::tcp::socket &socket,
                const std::string &address,
                std::uint16_t port,
--- a/packages/proxy/src/store_caller.cpp
+++ b/packages/proxy/src/store_caller.cpp
@@ -1,5 +1,7 @@
 #include "store_caller.h"
 
+#include "proxy_clock.h"
+#include "send_progress.h"
 #include "socket_option_func.h"
 #include "timer_func.h"
 
@@ -28,6 +30,8 @@
     StoreConnection(boost::asio::io_context &loop, ProxyAddress store)
         : m_socket(loop)
         , m_timer(loop)
+        , m_sendTimer(loop)
+        , m_sendProgress(m_socket)
         , m_store(std::move(store))
     {
     }
@@ -80,6 +84,7 @@
         m_isClosed = true;
         m_isOpen = false;
         stopTimer(m_timer);
+        stopTimer(m_sendTimer);
         boost::system::error_code ec;
         m_socket.close(ec);
     }
@@ -103,6 +108,7 @@
     void write()
     {
         m_wasSent = true;
+        watchSending();
         Http::async_write(m_socket, m_request, [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
             if (self->m_isClosed) {
                 return;
@@ -115,6 +121,18 @@
         });
     }
 
+    void watchSending()
+    {
+        runAfter(m_sendTimer, SendCheckInterval, *this, [](StoreConnection &self) {
+            const auto state = self.m_sendProgress.update(now());
+            if (state == SendState::Unreachable) {
+                self.fail("write: the peer's system doesn't answer");
+            } else if (state == SendState::Pending) {
+                self.watchSending();
+            }
+        });
+    }
+
     void read()
     {
         m_parser = std::make_unique<Http::response_parser<Http::string_body>>();
@@ -134,6 +152,7 @@
     void finish()
     {
         stopTimer(m_timer);
+        stopTimer(m_sendTimer);
         StoreReply reply{m_parser->get().result_int(), std::move(m_parser->get().body())};
         if (!m_parser->keep_alive() || m_buffer.size() != 0 || m_isRetired) {
             close();
@@ -163,6 +182,8 @@
 
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_sendTimer;
+    SendProgress m_sendProgress;
     ProxyAddress m_store;
     StoreCaller::Handler m_handler;
     Http::request<Http::string_body> m_request;
--- a/tests/proxy/proxy_world.cpp
+++ b/tests/proxy/proxy_world.cpp
@@ -97,6 +97,12 @@
     accept();
 }
 
+void ScriptedPeer::readSlowly(std::chrono::milliseconds delay)
+{
+    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(SmallReceiveBuffer));
+    m_readDelay = delay;
+}
+
 void ScriptedPeer::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &ec, tcp::socket socket) {
@@ -106,7 +112,14 @@
         opened++;
         const auto connection = std::make_shared<Connection>(std::move(socket));
         m_connections.push_back(connection);
-        read(connection);
+        if (m_readDelay == std::chrono::milliseconds::zero()) {
+            read(connection);
+        } else {
+            const auto timer = std::make_shared<boost::asio::steady_timer>(m_acceptor.get_executor(), m_readDelay);
+            timer->async_wait([this, connection, timer](const boost::system::error_code &) {
+                read(connection);
+            });
+        }
         accept();
     });
 }
@@ -159,9 +172,12 @@
                              });
 }
 
-TestClient::TestClient(boost::asio::io_context &loop, std::uint16_t port)
-    : m_socket(loop)
+TestClient::TestClient(boost::asio::io_context &loop, std::uint16_t port, int receiveBuffer)
+    : m_socket(loop, tcp::v4())
 {
+    if (receiveBuffer != 0) {
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
+    }
     m_socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
     read();
 }
@@ -183,6 +199,11 @@
     m_socket.cancel();
 }
 
+void TestClient::continueReading()
+{
+    read();
+}
+
 void TestClient::close()
 {
     m_socket.close();
@@ -195,6 +216,9 @@
                                  if (alive.expired()) {
                                      return;
                                  }
+                                 if (ec == boost::asio::error::operation_aborted && m_socket.is_open()) {
+                                     return;
+                                 }
                                  if (ec) {
                                      isClosed = true;
                                      isReset = ec == boost::asio::error::connection_reset;
--- a/tests/proxy/proxy_world.h
+++ b/tests/proxy/proxy_world.h
@@ -18,6 +18,9 @@
 
 using boost::asio::ip::tcp;
 
+/** Receive buffer of a peer on a poor link, in bytes. */
+inline constexpr int SmallReceiveBuffer = 2304;
+
 /** An HTTP server that computes its responses with a function. */
 class ScriptedPeer
 {
@@ -35,6 +38,8 @@
     void sendMore(const std::string &bytes);
     /** Listens at the same port again after crash(). */
     void restart();
+    /** Reads from further connections through a small window, and only after a delay. */
+    void readSlowly(std::chrono::milliseconds delay);
 
     std::vector<std::string> requests; ///< Requests received so far.
     std::size_t opened = 0;            ///< Connections accepted so far.
@@ -50,6 +55,7 @@
     tcp::acceptor m_acceptor;
     tcp::endpoint m_endpoint;
     std::vector<std::weak_ptr<Connection>> m_connections; ///< Connections accepted so far.
+    std::chrono::milliseconds m_readDelay{};              ///< Delay before the first read of a connection.
     Answer m_answer;
 };
 
@@ -57,7 +63,8 @@
 class TestClient
 {
 public:
-    TestClient(boost::asio::io_context &loop, std::uint16_t port);
+    /** @param receiveBuffer Size of the socket's receive buffer in bytes; 0 for the system's default. */
+    TestClient(boost::asio::io_context &loop, std::uint16_t port, int receiveBuffer = 0);
 
     void send(const std::string &bytes);
     /** Sends bytes asynchronously; for more than a socket buffer holds. */
@@ -65,6 +72,8 @@
     void close();
     /** Stops reading; further bytes stay in the socket buffer. */
     void stopReading();
+    /** Reads again after stopReading(). */
+    void continueReading();
 
     std::string received;  ///< All bytes received so far.
     bool isReset = false;  ///< True if the proxy has reset the connection.
