The cost of a head doesn't grow with the product of tokens and fields

Cause: the Connection list was searched from its start for each field, for requests and for responses of servers. ConnectionTokens sorts the tokens of all Connection fields once; the splitter of event streams no longer searches its buffer anew for each event.

--- a/packages/proxy/src/event_splitter.cpp
+++ b/packages/proxy/src/event_splitter.cpp
@@ -4,20 +4,28 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace Vanillahall::Forward {
 
 namespace {
 
-/** @return Length of the first event in the text, including its empty line, or nothing if it is incomplete. */
-std::optional<std::size_t> eventLength(std::string_view text)
+/**
+ * @param text Begins with an event.
+ * @param from Position from which the end of the event is searched.
+ * @return Length of the event, including its empty line; nothing if it is incomplete.
+ */
+std::optional<std::size_t> eventLength(std::string_view text, std::size_t from)
 {
-    const auto lf = text.find("\n\n");
-    const auto crlf = text.find("\r\n\r\n");
-    if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-        return std::nullopt;
+    for (auto at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        if (text.substr(at + 1, 1) == "\n") {
+            return at + 2;
+        }
+        if (at != 0 && text[at - 1] == '\r' && text.substr(at + 1, 2) == "\r\n") {
+            return at + 3;
+        }
     }
-    return lf < crlf ? lf + 2 : crlf + 4;
+    return std::nullopt;
 }
 
 std::optional<std::uint64_t> eventId(std::string_view event)
@@ -65,11 +73,14 @@
 
 CompleteEvents EventSplitter::append(std::string_view bytes, std::optional<std::uint64_t> after)
 {
+    // The end of an event has up to three bytes after its first line end.
+    constexpr std::size_t MaxEndBytes = 3;
+    std::size_t searchFrom = m_partialEvent.size() - std::min(m_partialEvent.size(), MaxEndBytes);
     m_partialEvent.append(bytes);
     CompleteEvents events;
     std::size_t begin = 0;
     const std::string_view text = m_partialEvent;
-    while (const auto length = eventLength(text.substr(begin))) {
+    while (const auto length = eventLength(text.substr(begin), std::exchange(searchFrom, 0))) {
         const auto event = text.substr(begin, *length);
         begin += *length;
         const auto id = eventId(event);
--- a/packages/proxy/src/request_reader.cpp
+++ b/packages/proxy/src/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "request_reader.h"
 
+#include "connection_tokens.h"
 #include "http_status.h"
 
 #include "vanillahall/platform/wire_header_func.h"
@@ -41,16 +42,6 @@
     return nullptr;
 }
 
-bool containsToken(std::string_view list, std::string_view name)
-{
-    for (const auto &it : Http::token_list(boost::beast::string_view(list.data(), list.size()))) {
-        if (boost::beast::iequals(it, boost::beast::string_view(name.data(), name.size()))) {
-            return true;
-        }
-    }
-    return false;
-}
-
 std::string_view toStringView(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -135,14 +126,14 @@
     m_request.isHttp10 = head.version() == HttpVersion10;
     m_request.hasBody = m_parser->chunked() || m_parser->content_length().has_value();
     m_expectsContinue = boost::beast::iequals(head[Http::field::expect], "100-continue");
-    const std::string connection(toStringView(head[Http::field::connection]));
+    const ConnectionTokens tokens(head);
     for (const auto &it : head) {
         const auto name = toStringView(it.name_string());
         const auto value = toStringView(it.value());
         Platform::readRequestHeader(m_request.attributes, name, value);
         const auto policy = Platform::requestHeaderPolicy(name);
         const bool isForwarded = policy == Platform::HeaderPolicy::Forward || policy == Platform::HeaderPolicy::Customer;
-        if (!isForwarded || (!connection.empty() && containsToken(connection, name) && !Platform::isRequestId(name))) {
+        if (!isForwarded || (tokens.contains(name) && !Platform::isRequestId(name))) {
             continue;
         }
         auto &lines = policy == Platform::HeaderPolicy::Customer ? m_request.attributes.customerHeaders : m_request.headers;
--- a/packages/proxy/src/server_connection.cpp
+++ b/packages/proxy/src/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "server_connection.h"
 
+#include "connection_tokens.h"
 #include "proxy_clock.h"
 #include "read_buffer_func.h"
 #include "socket_option_func.h"
@@ -274,12 +275,11 @@
         return false;
     }
     m_head.reason = std::string(toStringView(head.reason()));
-    const std::string connection(toStringView(head[Http::field::connection]));
+    const ConnectionTokens tokens(head);
     for (const auto &it : head) {
         const auto name = toStringView(it.name_string());
         Platform::readResponseHeader(m_head.attributes, name, toStringView(it.value()));
-        const bool isListed = !connection.empty() && Http::token_list(connection).exists(it.name_string());
-        if (Platform::responseHeaderPolicy(name) == Platform::HeaderPolicy::Forward && !isListed) {
+        if (Platform::responseHeaderPolicy(name) == Platform::HeaderPolicy::Forward && !tokens.contains(name)) {
             m_head.headers.append(name).append(": ").append(toStringView(it.value())).append("\r\n");
         }
     }
--- a/tests/proxy/request_reader_test.cpp
+++ b/tests/proxy/request_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "connection_tokens.h"
 #include "event_splitter.h"
 #include "request_reader.h"
 
@@ -111,4 +112,74 @@
     EXPECT_EQ(splitter.takePartialEvent(), "torn");
 }
 
+/** A head with Connection fields. */
+struct ConnectionFieldCase
+{
+    const char *name;    ///< For the test's name.
+    const char *fields;  ///< Fields besides Host and the request id.
+    const char *headers; ///< Expected fields to forward, besides Host and the request id.
+};
+
+class ConnectionField : public ::testing::TestWithParam<ConnectionFieldCase>
+{
+};
+
+// Only the first Connection field was read, so that fields named by others were forwarded to the server.
+TEST_P(ConnectionField, FieldsItNamesAreNotForwarded)
+{
+    const auto &param = GetParam();
+    bool isInvalid = false;
+    const auto requests = readAll("GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n" + std::string(param.fields) + "\r\n", {}, isInvalid);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].headers, "Host: h\r\nRequest-Id: r\r\n" + std::string(param.headers));
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ConnectionField,
+                         ::testing::Values(ConnectionFieldCase{"none", "a: 1\r\n", "a: 1\r\n"},
+                                           ConnectionFieldCase{"one", "Connection: A, b\r\na: 1\r\nb: 2\r\nc: 3\r\n", "c: 3\r\n"},
+                                           ConnectionFieldCase{
+                                               "several", "Connection: a\r\nc: 3\r\nB: 2\r\nConnection: close, b\r\na: 1\r\n", "c: 3\r\n"},
+                                           ConnectionFieldCase{"requestId", "Connection: Request-Id\r\n", ""}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
+namespace {
+
+/** Counts comparisons of names. */
+struct CountingLess
+{
+    bool operator()(boost::beast::string_view left, boost::beast::string_view right) const
+    {
+        ++*count;
+        return NameLess()(left, right);
+    }
+
+    std::size_t *count;
+};
+
+} // namespace
+
+// A head with many tokens and many fields took time that grew with the product of both, and a few of them blocked the process.
+TEST(ConnectionTokens, ComparisonsGrowWithTheSizeOfTheHead)
+{
+    constexpr std::size_t Tokens = 3900;
+    constexpr std::size_t Fields = 1900;
+    constexpr std::size_t ComparisonsPerName = 40; // Twice the binary logarithm of Tokens and more, for sorting and for searching.
+    boost::beast::http::fields head;
+    std::string list = "x";
+    for (std::size_t n = 1; n < Tokens; n++) {
+        list += "," + std::to_string(n * 7919 % Tokens);
+    }
+    head.insert(boost::beast::http::field::connection, list);
+    std::size_t count = 0;
+    const ConnectionTokens tokens(head, CountingLess{&count});
+    for (std::size_t n = 0; n < Fields; n++) {
+        EXPECT_FALSE(tokens.contains("b"));
+    }
+    EXPECT_TRUE(tokens.contains("X"));
+    EXPECT_LT(count, ComparisonsPerName * (Tokens + Fields));
+}
+
 } // namespace Vanillahall::Forward
