Successors of owners know the grants of former ones, so budgets are whole soon after restarts

Cause: a successor has to know which grants are in use before it closes a second share, and was told by nobody; it waited until all programs had ended. Now an owner's row records its grants at each renewal and give-up, a restarted process claims the rows of its former one at once, and a successor asks the proxies that obtained grants since.

--- a/packages/core/include/vanillahall/core/budget/outage_share_base.h
+++ b/packages/core/include/vanillahall/core/budget/outage_share_base.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -36,6 +37,26 @@
     std::uint64_t used{}; ///< Tokens delivered.
 };
 
+/** A turn with granted tokens, as other proxies are told about it. */
+struct OutageTurnRecord
+{
+    std::string program;                               ///< Key of the program.
+    std::string turn;                                  ///< Name of the turn.
+    std::uint64_t tokens{};                            ///< Tokens granted; those delivered once it is reported.
+    Duration timeLeft{};                               ///< Time after which the turn has ended, also without a report.
+    bool isReported = false;                           ///< True if the turn has ended.
+    std::optional<SoftwareVersion> streamVersion = {}; ///< Version at which the turn's stream began, if it can be resumed.
+};
+
+/** Grants of a partition as far as its owner has recorded them in its row. */
+struct OutageLedger
+{
+    bool isComplete = false;     ///< True if no other grant was in use when it was recorded, of this owner or a former one.
+    bool hasWitnesses = false;   ///< True if every grant since then is known to another proxy than the owner.
+    std::uint64_t seenVersion{}; ///< Version of the owner's row that this record replaces; the owner wrote it before.
+    std::vector<OutageTurnRecord> turns = {};
+};
+
 /** The tokens are granted. */
 struct OutageGranted
 {
@@ -65,7 +86,8 @@
 enum class OwnerRight : std::uint8_t {
     None,        ///< It isn't the owner, or its lease has ended.
     Quarantined, ///< It is the owner, but a former owner may have granted tokens to programs in progress.
-    Full,        ///< It knows all grants of the partition.
+    Settled,     ///< It knows all grants, but not which shares a former owner has closed: it closes shares and grants nothing.
+    Full,        ///< It knows all grants and closings of the partition.
 };
 
 /** Programs with grants that an owner remembers at most; about 6 MB. */
@@ -77,6 +99,8 @@
 inline constexpr Duration OutageProgramLifetime = std::chrono::hours(1);
 /** If the table is full, programs without a request for this long are forgotten: they have ended. */
 inline constexpr Duration OutageProgramMinLifetime = std::chrono::seconds(150);
+/** Turns of one partition that its owner's row names at most; with the longest names they have 14 KB. */
+inline constexpr std::size_t MaxLedgerTurns = 48;
 /** The report of a turn may arrive this long after the turn has ended. */
 inline constexpr Duration OutageReportGrace = std::chrono::seconds(2);
 
@@ -98,6 +122,8 @@
     void report(const OutageReport &report, TimePoint now);
     /** Ends the grants to a program. */
     OutageCloseAnswer close(const std::string &program, OwnerRight right, TimePoint now);
+    /** Adds grants that another proxy has recorded. @return False if there is no room for all. */
+    bool adopt(const std::vector<OutageTurnRecord> &turns, TimePoint now);
     /** Forgets programs that have ended. */
     void removeIdle(TimePoint now);
 
@@ -108,6 +134,8 @@
      * @param right Right of this proxy for the partition of the program, now.
      */
     [[nodiscard]] std::optional<std::vector<SoftwareVersion>> streamVersions(const std::string &program, OwnerRight right) const;
+    /** @return Turns of a partition's programs that may be in progress; nothing if there are more than MaxLedgerTurns. */
+    [[nodiscard]] std::optional<std::vector<OutageTurnRecord>> turns(std::uint32_t partition, TimePoint now) const;
     /** @return Number of remembered programs. */
     [[nodiscard]] std::size_t size() const;
 
@@ -119,6 +147,7 @@
         TimePoint endsBy{};     ///< The turn has ended at this time, also without a report.
         bool isGranted = false; ///< False if it was reported before it was requested.
         bool isReported = false;
+        std::optional<SoftwareVersion> streamVersion = {}; ///< Version at which its stream began, if it can be resumed.
     };
     /** One program. */
     struct Program
@@ -133,9 +162,11 @@
     /** @return Program, added if there is room; else null. */
     Program *findOrAdd(const std::string &program, TimePoint now);
     static std::uint64_t tokens(const Program &program);
+    static void addVersion(Program &program, const std::optional<SoftwareVersion> &version);
 
     std::uint32_t m_percent;
     std::unordered_map<std::string, Program> m_programs;
+    std::set<std::string> m_withTurns; ///< Keys of the programs that have turns; most have only a closed share.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/core/src/budget/budget_owners.cpp
+++ b/packages/core/src/budget/budget_owners.cpp
@@ -46,6 +46,11 @@
     return row.owner == m_self && row.incarnation == m_incarnation;
 }
 
+bool BudgetOwners::isFormerOwnRow(const BudgetOwnerRow &row) const
+{
+    return row.owner == m_self && row.incarnation != m_incarnation;
+}
+
 void BudgetOwners::onRowsRead(const std::vector<BudgetOwnerRow> &rows, TimePoint endedAt)
 {
     m_wasRead = true;
@@ -94,6 +99,8 @@
     partition.leaseStart = pending->startedAt;
     if (pending->isClaim) {
         partition.quarantineEnd = pending->isQuarantined ? shownAt + OutageShareQuarantine : TimePoint();
+        partition.areGrantsKnown = false;
+        m_claims.push_back(pending->claim);
     }
 }
 
@@ -115,15 +122,27 @@
         // Its owner may still grant another share; by then, the programs that got tokens have ended, too.
         return now - partition.shownAt >= BudgetTakeoverTime + OutageShareQuarantine;
     }
-    return row.owner.empty() || now - partition.shownAt >= BudgetTakeoverTime;
+    return row.owner.empty() || isFormerOwnRow(row) || now - partition.shownAt >= BudgetTakeoverTime;
+}
+
+OutageLedger BudgetOwners::makeLedger(const Partition &partition, const OutageShare &share, TimePoint now) const
+{
+    auto turns = share.turns(partition.row.partition, now);
+    const bool isKnown = partition.areGrantsKnown || now >= partition.quarantineEnd;
+    if (!isKnown || !turns) {
+        return {false, m_hasOthers, partition.row.version};
+    }
+    return {true, m_hasOthers, partition.row.version, std::move(*turns)};
 }
 
-void BudgetOwners::beginRenewal(Partition &partition, TimePoint now) const
+void BudgetOwners::beginRenewal(Partition &partition, const OutageShare &share, TimePoint now) const
 {
     if (!partition.pending) {
         auto row = partition.row;
         row.renewals++;
+        row.ledger = makeLedger(partition, share, now);
         partition.pending = PendingWrite{std::move(row), now, false, false};
+        partition.urgentRenewals -= std::min(partition.urgentRenewals, 1U);
     }
     partition.renewedAt = now;
 }
@@ -133,18 +152,26 @@
     if (!partition.pending) {
         auto row = partition.row;
         const bool isFirst = row.version == 0 && !partition.wasSeen;
-        const bool isHandedOver = row.owner.empty() && row.isClean && row.sharePercent == m_sharePercent;
+        const bool isGivenUp = row.owner.empty() && row.sharePercent == m_sharePercent;
+        const bool isHandedOver = isGivenUp && row.isClean;
+        ClaimedPartition claim{row.partition, row.term + 1, row.owner, row.ledger, isFirst || isHandedOver};
+        claim.areGrantsKnown = claim.areGrantsKnown || (isGivenUp && row.ledger.isComplete);
+        claim.formerLedger.isComplete = row.ledger.isComplete && row.sharePercent == m_sharePercent;
+        // Until the share of this process knows them, the row keeps the grants.
+        row.ledger.isComplete = claim.areGrantsKnown;
+        row.ledger.hasWitnesses = m_hasOthers;
+        row.ledger.seenVersion = row.version;
         row.owner = m_self;
         row.incarnation = m_incarnation;
         row.term++;
         row.renewals++;
         row.isClean = false;
         row.sharePercent = m_sharePercent;
-        partition.pending = PendingWrite{std::move(row), now, true, !isFirst && !isHandedOver};
+        partition.pending = PendingWrite{std::move(row), now, true, !isFirst && !isHandedOver, std::move(claim)};
     }
 }
 
-void BudgetOwners::beginGiveUp(Partition &partition, TimePoint now) const
+void BudgetOwners::beginGiveUp(Partition &partition, const OutageShare &share, TimePoint now) const
 {
     // A renewal whose outcome is unknown is resolved first.
     if (!partition.pending) {
@@ -152,6 +179,7 @@
         row.owner.clear();
         row.renewals++;
         row.isClean = isClean(partition, now);
+        row.ledger = makeLedger(partition, share, now);
         partition.pending = PendingWrite{std::move(row), now, false, false};
     }
     partition.isGivingUp = true;
@@ -166,11 +194,16 @@
     }
 }
 
-std::vector<BudgetOwnerRow> BudgetOwners::beginWrite(const std::vector<std::string> &live, TimePoint now)
+std::vector<BudgetOwnerRow> BudgetOwners::beginWrite(const std::vector<std::string> &live, const OutageShare &share, TimePoint now)
 {
     if (m_isWriting) {
         return {};
     }
+    const bool isListed = std::any_of(live.begin(), live.end(), [this](const auto &it) {
+        return it != m_self;
+    });
+    m_wasGreeted = m_wasGreeted && !isListed;
+    m_hasOthers = isListed || m_wasGreeted;
     m_written.clear();
     for (std::uint32_t n = 0; n < BudgetPartitions && m_written.size() < MaxOwnerRowsPerWrite; n++) {
         auto &partition = m_partitions[n];
@@ -181,17 +214,17 @@
         const auto &since = partition.otherPreferredAt;
         const bool isHandedOver = since && now - *since >= BudgetHandOverDelay && isClean(partition, now);
         if (m_isStopping || partition.isGivingUp || isHandedOver) {
-            beginGiveUp(partition, now);
+            beginGiveUp(partition, share, now);
             m_written.push_back(n);
-        } else if (now - partition.renewedAt >= BudgetRenewInterval) {
-            beginRenewal(partition, now);
+        } else if (partition.urgentRenewals != 0 || now - partition.renewedAt >= BudgetRenewInterval) {
+            beginRenewal(partition, share, now);
             m_written.push_back(n);
         }
     }
     // Claims are refused more often, so they don't share a transaction with renewals.
     for (std::uint32_t n = 0; m_written.empty() && n < BudgetPartitions; n++) {
         auto &partition = m_partitions[n];
-        if (canClaim(partition, now) && preferredOwner(n, live) == m_self) {
+        if (canClaim(partition, now) && (isFormerOwnRow(partition.row) || preferredOwner(n, live) == m_self)) {
             beginClaim(partition, now);
         }
     }
@@ -259,6 +292,29 @@
     m_isStopping = true;
 }
 
+void BudgetOwners::renewSoon()
+{
+    constexpr unsigned Renewals = 2;
+    m_wasGreeted = true;
+    for (auto &it : m_partitions) {
+        it.urgentRenewals = it.isOwned ? Renewals : 0;
+    }
+}
+
+std::vector<ClaimedPartition> BudgetOwners::takeClaims()
+{
+    return std::exchange(m_claims, {});
+}
+
+void BudgetOwners::recordGrantsKnown(const ClaimedPartition &claim)
+{
+    auto &partition = m_partitions.at(claim.partition);
+    if (partition.isOwned && partition.row.term == claim.term) {
+        partition.areGrantsKnown = true;
+        partition.urgentRenewals = std::max(partition.urgentRenewals, 1U);
+    }
+}
+
 OwnerRight BudgetOwners::right(std::uint32_t partition, TimePoint now) const
 {
     const auto &state = m_partitions.at(partition);
@@ -266,7 +322,16 @@
     if (!state.isOwned || state.isGivingUp || m_isStopping || !isValid) {
         return OwnerRight::None;
     }
-    return now < state.quarantineEnd ? OwnerRight::Quarantined : OwnerRight::Full;
+    if (now >= state.quarantineEnd) {
+        return OwnerRight::Full;
+    }
+    return state.areGrantsKnown ? OwnerRight::Settled : OwnerRight::Quarantined;
+}
+
+bool BudgetOwners::needsWitness(std::uint32_t partition) const
+{
+    const auto &state = m_partitions.at(partition);
+    return state.row.ledger.hasWitnesses || (state.pending && state.pending->row.ledger.hasWitnesses);
 }
 
 std::string BudgetOwners::owner(std::uint32_t partition) const
@@ -275,6 +340,24 @@
     return row.sharePercent == m_sharePercent ? row.owner : std::string();
 }
 
+bool BudgetOwners::hasUrgentRenewals() const
+{
+    return std::any_of(m_partitions.begin(), m_partitions.end(), [](const auto &it) {
+        return it.isOwned && it.urgentRenewals != 0;
+    });
+}
+
+std::set<std::string> BudgetOwners::owners() const
+{
+    std::set<std::string> names;
+    for (std::uint32_t n = 0; n < BudgetPartitions; n++) {
+        if (auto name = owner(n); !name.empty()) {
+            names.insert(std::move(name));
+        }
+    }
+    return names;
+}
+
 std::size_t BudgetOwners::ownedCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_partitions.begin(), m_partitions.end(), [](const auto &it) {
--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -17,11 +17,15 @@
 constexpr Duration FirstReadInterval = std::chrono::seconds(1);       ///< The same while partitions have no owner.
 constexpr Duration EarlyReadInterval
     = std::chrono::seconds(3); ///< The same in the early time, while partitions are handed over to proxies that start.
-constexpr Duration EarlyTime = std::chrono::seconds(40);     ///< Time after the start in which that is likely.
-constexpr Duration ReportInterval = std::chrono::seconds(1); ///< Interval between attempts to send a report.
-constexpr std::size_t MaxReports = 20000;                    ///< Reports that wait for their confirmation at most; about 6 MB.
-constexpr std::size_t MaxRepeatedReports = 50;               ///< Reports repeated at a time.
-constexpr Duration CleanInterval = std::chrono::seconds(60); ///< Interval between searches for programs that have ended.
+constexpr Duration EarlyTime = std::chrono::seconds(40);      ///< Time after the start in which that is likely.
+constexpr Duration ReportInterval = std::chrono::seconds(1);  ///< Interval between attempts to send a report.
+constexpr std::size_t MaxReports = 20000;                     ///< Reports that wait for their confirmation at most; about 6 MB.
+constexpr std::size_t MaxRepeatedReports = 50;                ///< Reports repeated at a time.
+constexpr Duration InquiryInterval = std::chrono::seconds(1); ///< Interval between attempts to ask a proxy for the grants that it knows.
+constexpr Duration GreetingTime = std::chrono::seconds(10);   ///< Time after the start in which owners are told of it.
+constexpr Duration GreetingInterval = std::chrono::milliseconds(300); ///< Interval between attempts to tell them.
+constexpr unsigned WitnessAttempts = 2;                               ///< Proxies that are asked at most to witness a grant.
+constexpr Duration CleanInterval = std::chrono::seconds(60);          ///< Interval between searches for programs that have ended.
 
 /** Name of an answer for logs and metrics. */
 struct AnswerName
@@ -132,6 +136,11 @@
     if (present >= m_nextCleanAt) {
         m_nextCleanAt = present + CleanInterval;
         m_share.removeIdle(present);
+        m_obtained.removeExpired(present);
+    }
+    continueInquiries();
+    if (present < *m_startedAt + GreetingTime && present >= m_nextGreetingAt) {
+        greetOwners();
     }
     if (!m_proxy.isStoreReachable()) {
         return;
@@ -159,9 +168,15 @@
     return list;
 }
 
+void OutageControl::readSoon()
+{
+    m_nextReadAt = std::min(m_nextReadAt, m_readAt + FirstReadInterval);
+}
+
 void OutageControl::readOwners()
 {
     m_isReading = true;
+    m_readAt = now();
     const bool isEarly = m_startedAt && now() - *m_startedAt < EarlyTime;
     const auto usual = isEarly ? EarlyReadInterval : OwnerReadInterval;
     m_nextReadAt = now() + (m_owners.ownerlessCount() == 0 ? usual : FirstReadInterval);
@@ -170,22 +185,26 @@
         if (!rows) {
             return;
         }
+        m_obtained.recordVersion(rows->version);
         m_owners.onRowsRead(decodeOwners(rows->rows), now());
+        handleClaims();
     });
 }
 
 void OutageControl::writeOwners()
 {
-    // Other proxies couldn't ask one without an address. The first claims wait until proxies that start together know each other.
-    const bool canOwn = m_proxy.settings.peerListen.has_value();
-    if (!canOwn || !m_startedAt || now() - *m_startedAt < m_proxy.settings.budgetClaimDelay) {
+    // Other proxies couldn't ask one without an address.
+    if (!m_proxy.settings.peerListen || !m_startedAt) {
         return;
     }
     auto live = m_proxy.members.alive(now());
-    if (std::find(live.begin(), live.end(), m_proxy.settings.name) == live.end()) {
+    std::erase(live, m_proxy.settings.name);
+    // The first claims wait until proxies that start together know each other. Partitions of the former process of this VM are claimed at
+    // once, since the proxies that know its grants may be restarted next.
+    if (now() - *m_startedAt >= m_proxy.settings.budgetClaimDelay) {
         live.push_back(m_proxy.settings.name);
     }
-    const auto rows = m_owners.beginWrite(live, now());
+    const auto rows = m_owners.beginWrite(live, m_share, now());
     if (rows.empty()) {
         return;
     }
@@ -204,6 +223,7 @@
     Error ec = reason;
     const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
     const char *outcome = "failed";
+    bool isDone = false;
     if (!answer) {
         m_proxy.onStoreFailure(ec.message);
         m_owners.onWriteFailed();
@@ -212,6 +232,7 @@
     } else if (const auto *done = std::get_if<Platform::TransactionDone>(&*answer)) {
         outcome = "written";
         m_owners.onWritten(done->version, now());
+        isDone = true;
     } else {
         outcome = "changed_by_another";
         m_owners.onConflict(decodeOwners(std::get<Platform::TransactionRefused>(*answer).rows), now());
@@ -222,7 +243,11 @@
                     EventNumber::OwnersChanged,
                     "rows=" + std::to_string(rows.size()) + " outcome=" + outcome + " why=\"" + ec.message + '"');
     }
+    handleClaims();
     logOwned();
+    if (isDone && m_owners.hasUrgentRenewals()) {
+        writeOwners();
+    }
 }
 
 void OutageControl::logOwned()
@@ -244,6 +269,157 @@
     runPeriodicTasks();
 }
 
+void OutageControl::greetOwners()
+{
+    const auto names = m_owners.owners();
+    for (const auto &it : names) {
+        if (it == m_proxy.settings.name || m_greeted.contains(it)) {
+            continue;
+        }
+        m_nextGreetingAt = now() + GreetingInterval;
+        callOwner(it, OwnerHelloPath, {}, [this, weak = m_proxy.weak_from_this(), it](const auto &reply, const Error &) {
+            const auto proxy = weak.lock();
+            if (proxy && reply && reply->status == StatusNoContent) {
+                m_greeted.insert(it);
+            }
+        });
+    }
+}
+
+void OutageControl::handleClaims()
+{
+    std::vector<ClaimedPartition> lost;
+    for (auto &it : m_owners.takeClaims()) {
+        const bool isAdopted = m_share.adopt(it.formerLedger.turns, now());
+        if (isAdopted && it.areGrantsKnown) {
+            m_owners.recordGrantsKnown(it);
+        } else if (isAdopted && it.formerLedger.isComplete && it.formerLedger.hasWitnesses) {
+            lost.push_back(std::move(it));
+        }
+    }
+    if (lost.empty()) {
+        return;
+    }
+    // A proxy whose row isn't in this read has obtained no grant before the claim.
+    m_proxy.readAll(
+        [region = m_proxy.settings.region](const std::string &after) {
+            return Platform::readMembersCall(region, after);
+        },
+        false,
+        [this, lost = std::move(lost)](const auto &rows) {
+            if (!rows) {
+                return;
+            }
+            std::vector<std::string> members;
+            for (const auto &it : rows->rows) {
+                members.push_back(it.key);
+            }
+            startInquiries(lost, members);
+        });
+}
+
+void OutageControl::startInquiries(std::vector<ClaimedPartition> claims, const std::vector<std::string> &members)
+{
+    std::map<std::string, std::vector<ClaimedPartition>> byOwner;
+    for (auto &it : claims) {
+        byOwner[it.formerOwner].push_back(std::move(it));
+    }
+    for (auto &[owner, list] : byOwner) {
+        auto asked = members;
+        asked.push_back(m_proxy.settings.name);
+        // Other proxies have witnessed what the former owner granted itself.
+        std::erase(asked, owner);
+        m_inquiries.push_back(
+            std::make_shared<OpenInquiry>(OpenInquiry{GrantInquiry(std::move(list), asked), {}, now() + OutageShareQuarantine}));
+    }
+    continueInquiries();
+}
+
+void OutageControl::continueInquiries()
+{
+    const auto present = now();
+    for (const auto &it : m_inquiries) {
+        if (present < it->nextRoundAt) {
+            continue;
+        }
+        it->nextRoundAt = present + InquiryInterval;
+        const auto waiting = it->inquiry.waiting();
+        for (const auto &member : waiting) {
+            ask(it, member);
+        }
+    }
+    std::erase_if(m_inquiries, [present](const auto &it) {
+        return it->inquiry.waiting().empty() || present >= it->endsAt;
+    });
+}
+
+void OutageControl::ask(const std::shared_ptr<OpenInquiry> &open, const std::string &member)
+{
+    if (member == m_proxy.settings.name) {
+        if (const auto testimony = m_obtained.testify(open->inquiry.partitions(), now())) {
+            applyTestimony(*open, member, *testimony);
+        }
+        return;
+    }
+    callOwner(member,
+              GrantInquiryPath,
+              Platform::encodeGrantsQuery(open->inquiry.partitions()),
+              [this, weak = m_proxy.weak_from_this(), open, member](const auto &reply, const Error &) {
+                  const auto proxy = weak.lock();
+                  const auto testimony
+                      = proxy && reply && reply->status == StatusOk ? Platform::decodeTestimony(reply->body) : std::nullopt;
+                  if (testimony) {
+                      applyTestimony(*open, member, *testimony);
+                  }
+              });
+}
+
+void OutageControl::applyTestimony(OpenInquiry &open, const std::string &member, const GrantTestimony &testimony)
+{
+    if (!open.inquiry.waiting().contains(member) || !m_share.adopt(testimony.turns, now())) {
+        return;
+    }
+    open.inquiry.onTestimony(member, testimony.since);
+    if (!open.inquiry.waiting().empty()) {
+        return;
+    }
+    const auto settled = open.inquiry.settled();
+    for (const auto &it : settled) {
+        m_owners.recordGrantsKnown(it);
+    }
+    writeOwners();
+    m_proxy.log(LogLevel::Info,
+                EventNumber::OwnersChanged,
+                "inquired=" + std::to_string(open.inquiry.partitions().size()) + " settled=" + std::to_string(settled.size()));
+}
+
+void OutageControl::findWitness(const OutageGrantRequest &request, unsigned attempts, const std::function<void(bool isKnown)> &known)
+{
+    const auto partition = budgetPartition(request.program);
+    if (!m_owners.needsWitness(partition)) {
+        known(true);
+        return;
+    }
+    const auto *member = attempts == 0 ? nullptr : m_proxy.members.pick(m_nextWitness++, now());
+    if (member == nullptr) {
+        known(false);
+        return;
+    }
+    const auto answered = [this, weak = m_proxy.weak_from_this(), request, attempts, known, partition](const auto &reply, const Error &) {
+        const auto proxy = weak.lock();
+        if (!proxy) {
+            return;
+        }
+        if (!reply || reply->status != StatusNoContent) {
+            findWitness(request, attempts - 1, known);
+            return;
+        }
+        known(m_owners.right(partition, now()) == OwnerRight::Full);
+    };
+    const auto body = Platform::encodeOutageGrant(request, m_proxy.settings.outageBudgetPercent);
+    m_proxy.store.callMember(*member, {"POST", std::string(GrantWitnessPath), body}, OwnerCallTimeout, answered);
+}
+
 bool OutageControl::callOwner(const std::string &owner, std::string_view path, std::string body, const StoreCaller::Handler &handler)
 {
     const auto *member = m_proxy.members.find(owner);
@@ -264,11 +440,20 @@
 bool OutageControl::requestGrant(const OutageGrantRequest &request, GrantHandler handler)
 {
     const auto owner = m_owners.owner(budgetPartition(request.program));
-    if (owner.empty()) {
+    // The successor of the owner asks the proxies that the store lists for the grants that they have obtained.
+    const bool isListed = m_proxy.members.find(m_proxy.settings.name) != nullptr;
+    if (owner.empty() || !isListed) {
         return false;
     }
-    const auto done = [proxy = &m_proxy, owner, request, handler = std::move(handler)](const std::optional<OutageAnswer> &answer,
-                                                                                       const std::string &why) {
+    const auto askedAt = now();
+    const auto done = [this, proxy = &m_proxy, owner, request, askedAt, handler = std::move(handler)](std::optional<OutageAnswer> answer,
+                                                                                                      const std::string &why) {
+        if (m_obtained.isFenced(budgetPartition(request.program), askedAt)) {
+            answer.reset();
+        }
+        if (answer && std::holds_alternative<OutageGranted>(*answer) && owner != proxy->settings.name) {
+            m_obtained.add(request, now());
+        }
         proxy->log(LogLevel::Info,
                    EventNumber::OutageTokens,
                    "program=" + proxy->clientId(request.program) + " turn=" + request.turn + " owner=" + owner
@@ -277,10 +462,18 @@
         handler(owner, answer);
     };
     if (owner == m_proxy.settings.name) {
-        done(grant(request), {});
+        const auto answer = grant(request);
+        if (!std::holds_alternative<OutageGranted>(answer)) {
+            done(answer, {});
+            return true;
+        }
+        findWitness(request, WitnessAttempts, [done, answer, askedAt](bool isKnown) {
+            const bool isInTime = now() - askedAt < 2 * OwnerCallTimeout;
+            done(isKnown && isInTime ? std::optional(answer) : std::nullopt, "no witness");
+        });
         return true;
     }
-    const auto answered = [weak = m_proxy.weak_from_this(), askedAt = now(), done](const auto &reply, const Error &reason) {
+    const auto answered = [weak = m_proxy.weak_from_this(), askedAt, done](const auto &reply, const Error &reason) {
         if (const auto proxy = weak.lock()) {
             // A reply that is handled late, after this process was frozen, may be older than the lease of its owner.
             done(now() - askedAt < 2 * OwnerCallTimeout ? toAnswer(reply) : std::nullopt, reason.message);
@@ -291,6 +484,7 @@
 
 void OutageControl::report(const std::string &owner, const OutageReport &report)
 {
+    m_obtained.report(report);
     if (owner == m_proxy.settings.name) {
         m_share.report(report, now());
         return;
@@ -310,7 +504,9 @@
 {
     pending.sentAt = now();
     const auto turn = pending.report.turn;
-    callOwner(pending.owner,
+    // A successor has adopted the grants of the proxy that made them.
+    const auto successor = m_owners.owner(budgetPartition(pending.report.program));
+    callOwner(successor.empty() ? pending.owner : successor,
               OutageReportPath,
               Platform::encodeOutageReport(pending.report),
               [this, weak = m_proxy.weak_from_this(), turn](const auto &reply, const Error &) {
@@ -346,12 +542,15 @@
 void OutageControl::close(const std::string &program, CloseHandler handler)
 {
     const auto owner = m_owners.owner(budgetPartition(program));
-    const auto done = [proxy = &m_proxy, program, owner, handler = std::move(handler)](std::optional<std::uint64_t> tokens) {
+    const auto done = [this, proxy = &m_proxy, program, owner, handler = std::move(handler)](std::optional<std::uint64_t> tokens) {
         proxy->metrics.count("vanillahall_outage_closings_total", {"outcome", tokens ? "closed" : "failed"});
         proxy->log(LogLevel::Info,
                    EventNumber::OutageTokens,
                    "program=" + proxy->clientId(program) + " owner=" + owner
                        + " outcome=" + (tokens ? "closed tokens=" + std::to_string(*tokens) : std::string("not_closed")));
+        if (!tokens) {
+            readSoon();
+        }
         handler(tokens);
     };
     if (owner == m_proxy.settings.name) {
@@ -405,6 +604,28 @@
         answer({wanted ? std::visit(AnswerStatus(), grant(*wanted)) : StatusNotFound, {}, {}});
         return true;
     }
+    if (request.target == GrantWitnessPath) {
+        const auto granted = Platform::decodeOutageGrant(request.body, percent);
+        if (granted) {
+            m_obtained.add(*granted, now());
+        }
+        answer({granted ? StatusNoContent : StatusBadRequest, {}, {}});
+        return true;
+    }
+    if (request.target == GrantInquiryPath) {
+        const auto partitions = Platform::decodeGrantsQuery(request.body);
+        const auto testimony = partitions ? m_obtained.testify(*partitions, now()) : std::nullopt;
+        answer(testimony ? MessageReply{StatusOk, "application/json", Platform::encodeTestimony(*testimony)}
+                         : MessageReply{StatusUnavailable, {}, {}});
+        return true;
+    }
+    if (request.target == OwnerHelloPath) {
+        m_owners.renewSoon();
+        writeOwners();
+        m_proxy.readMembers();
+        answer({StatusNoContent, {}, {}});
+        return true;
+    }
     if (request.target == OutageReportPath) {
         const auto report = Platform::decodeOutageReport(request.body);
         if (report) {
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -9,10 +9,12 @@
 #include "store_caller.h"
 
 #include "vanillahall/core/budget/budget_owners_base.h"
+#include "vanillahall/core/budget/obtained_grants_base.h"
 #include "vanillahall/core/budget/outage_share_base.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <unordered_map>
 
 namespace Vanillahall::Forward {
@@ -24,6 +26,9 @@
 inline constexpr std::string_view ShareClosePath = "/budget/close";    ///< Path at which an owner closes the share of a program.
 inline constexpr std::string_view ShareVersionsPath
     = "/budget/versions"; ///< Path at which an owner tells the versions at which streams of a program began.
+inline constexpr std::string_view GrantWitnessPath = "/budget/witness";  ///< Path at which a proxy is told what another granted itself.
+inline constexpr std::string_view GrantInquiryPath = "/budget/obtained"; ///< Path at which a proxy tells the grants that it knows.
+inline constexpr std::string_view OwnerHelloPath = "/budget/hello";      ///< Path at which an owner is told that a proxy has started.
 
 /** Makes the calls for the second shares of token budgets. */
 class OutageControl
@@ -75,13 +80,34 @@
         TimePoint sentAt{};
     };
 
+    /** Partitions of a lost owner, and the proxies that are asked about them. */
+    struct OpenInquiry
+    {
+        GrantInquiry inquiry;
+        TimePoint nextRoundAt{};
+        TimePoint endsAt{}; ///< From then on, former grants don't matter any more.
+    };
+
     /** @return Rows; one that can't be decoded counts as that of an unknown owner, which may still grant. */
     std::vector<BudgetOwnerRow> decodeOwners(const std::vector<Platform::StoreRow> &rows);
     void readOwners();
+    /** Reads the owners again before their time, because one that is asked isn't the owner any more. */
+    void readSoon();
     void writeOwners();
     void onOwnersWritten(const std::vector<BudgetOwnerRow> &rows, const std::optional<StoreReply> &reply, const Error &reason);
     /** Calls an owner. @return False if its address isn't known. */
     bool callOwner(const std::string &owner, std::string_view path, std::string body, const StoreCaller::Handler &handler);
+    /** Tells the owners that this process has started. */
+    void greetOwners();
+    /** Starts inquiries about claimed partitions whose former owner was lost. */
+    void handleClaims();
+    void startInquiries(std::vector<ClaimedPartition> claims, const std::vector<std::string> &members);
+    /** Asks the proxies that haven't replied, and ends inquiries. */
+    void continueInquiries();
+    void ask(const std::shared_ptr<OpenInquiry> &open, const std::string &member);
+    void applyTestimony(OpenInquiry &open, const std::string &member, const GrantTestimony &testimony);
+    /** Makes a grant to this proxy known to another one. @param known Called with false if there is none. */
+    void findWitness(const OutageGrantRequest &request, unsigned attempts, const std::function<void(bool isKnown)> &known);
     void sendReport(PendingReport &pending);
     void repeatReports();
     OutageAnswer grant(const OutageGrantRequest &request);
@@ -91,12 +117,18 @@
     ProxyState &m_proxy; ///< The proxy; owns this object.
     BudgetOwners m_owners;
     OutageShare m_share;
+    ObtainedGrants m_obtained;
+    std::vector<std::shared_ptr<OpenInquiry>> m_inquiries;
     std::unordered_map<std::string, PendingReport> m_reports; ///< Reports by turn.
     std::optional<TimePoint> m_startedAt;                     ///< Time of the first runPeriodicTasks().
+    TimePoint m_readAt{};                                     ///< When the owners were last read.
     TimePoint m_nextReadAt{};
     TimePoint m_nextCleanAt{};
     std::size_t m_loggedOwned = 0; ///< Number of own partitions that was logged last.
     std::uint64_t m_turns = 0;     ///< Number of calls of nextTurn().
+    std::uint64_t m_nextWitness = 0;
+    std::set<std::string> m_greeted; ///< Owners that know that this process has started.
+    TimePoint m_nextGreetingAt{};
     bool m_isReading = false;
     bool m_isStopping = false;
 };
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -167,12 +167,17 @@
     m_nextHeartbeatAt = present + MemberHeartbeatInterval;
     const ProxyMember self{settings.name, settings.peerListen->address, peerServer.port(), 0};
     callStore(Platform::writeMemberCall(settings.region, self), "sign_of_life");
+    readMembers();
+}
+
+void ProxyState::readMembers()
+{
     readAll(
         [region = settings.region](const std::string &after) {
             return Platform::readMembersCall(region, after);
         },
         false,
-        [this, present](const auto &rows) {
+        [this, present = now()](const auto &rows) {
             applyMembers(rows, present);
         });
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -177,6 +177,8 @@
     MessageServer metricsServer;
     MessageServer peerServer;
     OperatorListener operatorListener;
+    /** Reads the rows of all proxies. */
+    void readMembers();
 
 private:
     /** State of readAll(). */
--- a/tests/proxy/proxy_outage_test.cpp
+++ b/tests/proxy/proxy_outage_test.cpp
@@ -1,6 +1,8 @@
 /** Programs with token budgets while the store is unavailable. */
 #include "proxy_world.h"
 
+#include "vanillahall/core/proxy_membership_base.h"
+
 #include <gtest/gtest.h>
 
 namespace Vanillahall::Forward {
@@ -168,6 +170,73 @@
     EXPECT_EQ(statusOf(it.ask(*first, "new", 100)), 503U);
 }
 
+/** How the owner of all partitions ends. */
+struct OwnerEndCase
+{
+    const char *name;  ///< For the test's name.
+    bool isStopped;    ///< True for a planned stop, false if it is killed.
+    bool hasGranted;   ///< True if it has granted a turn of the program that its row doesn't name.
+    bool grantsItself; ///< True if that turn ran at the owner.
+};
+
+class OwnerEnd : public ::testing::TestWithParam<OwnerEndCase>
+{
+};
+
+// After the owner had been restarted, programs got 503 beyond the first share for 150 s, since its successor didn't know its grants.
+TEST_P(OwnerEnd, ProgramsUseTheirWholeBudgetsSoonAndNoMore)
+{
+    const auto &param = GetParam();
+    OutageWorld it;
+    ASSERT_TRUE(it.start());
+    // By now the owner knows the other proxy, and has recorded that in its row.
+    it.world.pause(std::chrono::ceil<std::chrono::milliseconds>(MemberHeartbeatInterval + 1s));
+    const unsigned granted = param.hasGranted ? 1 : 0;
+    if (param.hasGranted) {
+        it.world.rows.refusesAll = true;
+        EXPECT_EQ(statusOf(it.ask(param.grantsItself ? *it.world.proxy : *it.beside, "p", 100)), 200U);
+        it.world.rows.refusesAll = false;
+    }
+    if (param.isStopped) {
+        bool isStopped = false;
+        it.world.proxy->stop([&isStopped] {
+            isStopped = true;
+        });
+        ASSERT_TRUE(it.world.run([&isStopped] {
+            return isStopped;
+        }));
+    }
+    it.world.proxy.reset();
+    const auto restarted = it.world.addProxy("proxy", "2");
+    ASSERT_TRUE(restarted);
+    for (unsigned n = granted; n < 6; n++) {
+        const auto &at = n % 2 == 0 ? *it.beside : *restarted;
+        EXPECT_TRUE(it.world.run([&it, &at] {
+            const auto status = statusOf(it.ask(at, "p", 100));
+            EXPECT_TRUE(status == 200U || status == 503U) << status;
+            return status == 200U;
+        })) << "turn "
+            << n;
+    }
+    unsigned status = 503;
+    ASSERT_TRUE(it.world.run([&it, &status] {
+        status = statusOf(it.ask(*it.beside, "p", 100));
+        return status != 503U;
+    }));
+    EXPECT_EQ(status, 402U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         OwnerEnd,
+                         ::testing::Values(OwnerEndCase{"stopped", true, false, false},
+                                           OwnerEndCase{"stoppedAfterAGrant", true, true, false},
+                                           OwnerEndCase{"killed", false, false, false},
+                                           OwnerEndCase{"killedAfterAGrant", false, true, false},
+                                           OwnerEndCase{"killedAfterAGrantToItself", false, true, true}),
+                         [](const auto &it) {
+                             return it.param.name;
+                         });
+
 // The row of a program didn't name the version of a stream that the owner had granted, so that another version continued it.
 TEST(ProxyOutage, AStreamOfTheOwnerIsResumedOnlyAtItsVersion)
 {
