Rows of budgets show their writers which writes without a reply were executed

Cause: a row named its last write only, so a write whose reply was lost and that another proxy's write followed counted as refused; its tokens stayed in the row and nobody held them. An open reservation wasn't given back on request or at a planned stop either. Each row now keeps a mark of the last write of every proxy that shares the program, and the version from which all are kept.

--- a/packages/core/include/vanillahall/core/token_ledger_base.h
+++ b/packages/core/include/vanillahall/core/token_ledger_base.h
@@ -11,6 +11,7 @@
 #include "vanillahall/core/forward_type.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -45,6 +46,11 @@
     std::vector<std::string> holders = {}; ///< Names of entries, other than that of `writer`, that may hold tokens.
     /** Tokens granted from the second share, once that is closed; see OutageShare. */
     std::optional<std::uint64_t> outageTokens = {};
+    /** Marks of the last writes of entries other than that of `writer`, by entry: they show whether a write without a reply was executed.
+     */
+    std::map<std::string, std::string> marks = {};
+    /** Each of their writes at a later version than this one has a mark; nothing if the row was written by an older release. */
+    std::optional<std::uint64_t> markedSince = 0;
 
     /** @return Tokens that entries hold or have granted. */
     [[nodiscard]] std::uint64_t outstanding() const;
@@ -53,6 +59,9 @@
 /** Versions that a row names at most; a program seldom outlives one release of its servers. */
 inline constexpr std::size_t MaxStreamVersions = 8;
 
+/** @return True if a write was made by a release that marks the writes of other entries. @param writer Name of the write. */
+[[nodiscard]] bool isMarkingWriter(const std::string &writer);
+
 /** Conditional write of a program's row. */
 struct TokenWrite
 {
@@ -150,7 +159,8 @@
     void settle(const std::string &program, std::uint64_t maxTokens, std::uint64_t used, TimePoint now);
     /**
      * Starts to give back the tokens of programs that have no turn in progress here, because this entry is stopping.
-     * @return Writes to do, each with a single attempt: if several were made, a refusal wouldn't show that none of them was executed.
+     * @return Writes to do, each with a single attempt: a refusal then shows that it wasn't executed, also without marks in the row. Those
+     * of which the outcome is unknown are repeated first.
      */
     std::vector<TokenWrite> beginReturns(TimePoint now);
     /** Starts to give back the tokens held for a program, like beginReturns(). @return Write to do; nothing if none is possible now. */
@@ -235,13 +245,30 @@
     std::string nextWriter();
     /** Starts a read of the row. */
     static TokenAnswer beginRead(Account &account, TimePoint now);
+    /** What a later version of the row shows about a write without a reply. */
+    enum class WriteOutcome {
+        Executed,
+        NotExecuted,
+        Unknown,
+    };
+
+    /** @return Outcome of the open write. @param row Row whose version differs from the one that the write expects. */
+    [[nodiscard]] WriteOutcome findOutcome(const TokenWrite &write, const TokenRow &row) const;
+    /** Ends the open write, whose condition doesn't hold any more. */
+    void resolveWrite(Account &account, const TokenRow &row);
+    /** Accounts for the tokens of the open write, which was executed, and ends it. */
+    static void applyWrite(Account &account);
+    /** Sets the marks of a row that replaces another one. */
+    void setMarks(TokenRow &row, const TokenRow &replaced) const;
     /** Replaces the known row by a newer version of it. */
     static void updateRow(Account &account, TokenRow row, TimePoint now);
     /** @return Names of other entries that may hold tokens. */
     [[nodiscard]] std::vector<std::string> otherHolders(const TokenRow &row) const;
     /** Makes the write that gives back all tokens that are available, or the one that was made before and whose outcome is unknown. */
     TokenWrite makeReturn(const std::string &program, Account &account, TimePoint now);
-    /** @return True if tokens may be given back by a write now. */
+    /** @return True if tokens are held, or the open write may have reserved some. */
+    static bool holdsTokens(const Account &account);
+    /** @return True if tokens may be given back by a write now, or a write be repeated. */
     static bool canReturn(const Account &account);
     /** @return Answer to a request for which the row has no tokens left. */
     TokenAnswer refuse(Account &account, const TokenRequest &request, TimePoint now);
--- a/packages/core/src/commands/token_ledger_cmd.cpp
+++ b/packages/core/src/commands/token_ledger_cmd.cpp
@@ -1,8 +1,12 @@
 #include "vanillahall/core/token_ledger_base.h"
 
+#include "../placement/key_hash_func.h"
+
 #include "vanillahall/core/budget/outage_share_base.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 namespace Vanillahall::Forward {
@@ -21,6 +25,8 @@
 
 namespace {
 
+constexpr char MarkingRelease = 'm'; ///< Precedes the number of a write; missing in names of older releases.
+
 bool isNamed(const std::vector<SoftwareVersion> &versions, const SoftwareVersion &version)
 {
     return std::find(versions.begin(), versions.end(), version) != versions.end();
@@ -46,8 +52,26 @@
     return writer.substr(0, incarnation);
 }
 
+/** @return Short form of the incarnation and number of a write; distinguishes the writes of one entry. */
+std::string markOf(const std::string &writer)
+{
+    const auto number = writer.rfind('/');
+    if (number == std::string::npos) {
+        return writer;
+    }
+    std::array<char, 2 * sizeof(std::uint32_t) + 1> incarnation{};
+    std::snprintf(incarnation.data(), incarnation.size(), "%08x", static_cast<std::uint32_t>(keyHash(writer.substr(0, number))));
+    return std::string(incarnation.data()) + "." + writer.substr(number + 1);
+}
+
 } // namespace
 
+bool isMarkingWriter(const std::string &writer)
+{
+    const auto number = writer.rfind('/');
+    return number != std::string::npos && writer.substr(number + 1, 1) == std::string(1, MarkingRelease);
+}
+
 TokenAnswer TokenLedger::reserve(const TokenRequest &request, TimePoint now)
 {
     auto &account = m_accounts[request.program];
@@ -99,6 +123,7 @@
     write.row.outageTokens = most.outageTokens;
     write.row.reserved += amount;
     write.row.holders = otherHolders(account.row);
+    setMarks(write.row, account.row);
     write.row.writer = nextWriter();
     if (write.row.version == 0) {
         write.row.homeZone = m_zone;
@@ -159,7 +184,7 @@
 
 std::string TokenLedger::nextWriter()
 {
-    return m_writer + "/" + std::to_string(++m_writes);
+    return m_writer + "/" + MarkingRelease + std::to_string(++m_writes);
 }
 
 TokenAnswer TokenLedger::beginRead(Account &account, TimePoint now)
@@ -215,12 +240,36 @@
     return others;
 }
 
+void TokenLedger::setMarks(TokenRow &row, const TokenRow &replaced) const
+{
+    row.markedSince = replaced.markedSince.value_or(replaced.version);
+    if (replaced.version != 0) {
+        row.marks[entryName(replaced.writer)] = markOf(replaced.writer);
+    }
+    row.marks.erase(entryName(m_writer + "/"));
+    while (row.marks.size() > MaxTokenHolders) {
+        row.marks.erase(row.marks.begin());
+        row.markedSince = replaced.version;
+    }
+}
+
+TokenLedger::WriteOutcome TokenLedger::findOutcome(const TokenWrite &write, const TokenRow &row) const
+{
+    const auto mark = row.marks.find(entryName(m_writer + "/"));
+    if (row.writer == write.row.writer || (mark != row.marks.end() && mark->second == markOf(write.row.writer))) {
+        return WriteOutcome::Executed;
+    }
+    const bool isMarked = row.markedSince && *row.markedSince <= write.row.version;
+    return isMarked ? WriteOutcome::NotExecuted : WriteOutcome::Unknown;
+}
+
 bool TokenLedger::canReturn(const Account &account)
 {
-    if (account.isWriting || account.row.version == 0) {
+    if (account.isWriting) {
         return false;
     }
-    return account.openWrite ? account.pendingReturn != 0 : account.available != 0;
+    return account.openWrite ? account.pendingReturn != 0 || account.pendingTokens != 0
+                             : account.row.version != 0 && account.available != 0;
 }
 
 bool TokenLedger::isReturnDue(const Account &account, TimePoint now)
@@ -237,6 +286,7 @@
         account.openWrite = TokenWrite{program, account.row};
         account.openWrite->row.returned += account.pendingReturn;
         account.openWrite->row.holders = otherHolders(account.row);
+        setMarks(account.openWrite->row, account.row);
         account.openWrite->row.writer = nextWriter();
     }
     account.writeRequestedAt = now;
@@ -303,8 +353,11 @@
     }
     auto &account = m_accounts[program];
     account.lastUse = std::max(account.lastUse, now);
-    // An open write is repeated unchanged, so that its outcome is recognised by its name.
-    if (account.openWrite || row.version <= account.row.version) {
+    if (row.version <= account.row.version || (account.openWrite && account.isWriting)) {
+        return;
+    }
+    if (account.openWrite) {
+        resolveWrite(account, row);
         return;
     }
     updateRow(account, row, now);
@@ -332,16 +385,38 @@
     auto &account = it->second;
     account.row = account.openWrite->row;
     account.row.version = version;
+    applyWrite(account);
+    account.isWriting = false;
+    account.writtenAt = account.writeRequestedAt;
+    account.confirmedAt = account.writeRequestedAt;
+    account.hasReadFailed = false;
+}
+
+void TokenLedger::applyWrite(Account &account)
+{
     account.available += account.pendingTokens;
     account.ownTokens += account.pendingTokens;
     account.ownTokens -= std::min(account.ownTokens, account.pendingReturn);
+    account.pendingTokens = 0;
     account.pendingReturn = 0;
     account.isReturnUncertain = false;
     account.openWrite.reset();
-    account.isWriting = false;
-    account.writtenAt = account.writeRequestedAt;
-    account.confirmedAt = account.writeRequestedAt;
-    account.hasReadFailed = false;
+}
+
+void TokenLedger::resolveWrite(Account &account, const TokenRow &row)
+{
+    const auto outcome = findOutcome(*account.openWrite, row);
+    if (outcome != WriteOutcome::Executed) {
+        // Tokens that may be back in the row mustn't be given back again.
+        if (outcome == WriteOutcome::NotExecuted || !account.isReturnUncertain) {
+            account.available += account.pendingReturn;
+        }
+        account.pendingTokens = 0;
+        account.pendingReturn = 0;
+    }
+    // Tokens of a row that was removed since don't count.
+    updateRow(account, row, account.writeRequestedAt);
+    applyWrite(account);
 }
 
 void TokenLedger::onConflict(const std::string &program, const TokenRow &row)
@@ -356,17 +431,10 @@
         return;
     }
     auto &account = it->second;
-    if (!account.isReturnUncertain) {
-        account.available += account.pendingReturn;
-    }
-    // Otherwise the tokens may be back in the row, changed by others since; giving them back again would exceed the budget.
-    account.pendingReturn = 0;
-    account.isReturnUncertain = false;
-    updateRow(account, row, account.writeRequestedAt);
+    resolveWrite(account, row);
+    account.isWriting = false;
     account.confirmedAt = account.writeRequestedAt;
     account.hasReadFailed = false;
-    account.openWrite.reset();
-    account.isWriting = false;
 }
 
 void TokenLedger::onWriteFailed(const std::string &program)
@@ -435,14 +503,19 @@
 bool TokenLedger::holdsTokens() const
 {
     return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &it) {
-        return it.second.available != 0 || it.second.pendingReturn != 0;
+        return holdsTokens(it.second);
     });
 }
 
 bool TokenLedger::holdsTokens(const std::string &program) const
 {
     const auto it = m_accounts.find(program);
-    return it != m_accounts.end() && (it->second.available != 0 || it->second.pendingReturn != 0);
+    return it != m_accounts.end() && holdsTokens(it->second);
+}
+
+bool TokenLedger::holdsTokens(const Account &account)
+{
+    return account.available != 0 || account.pendingReturn != 0 || (account.openWrite && account.pendingTokens != 0);
 }
 
 std::size_t TokenLedger::size() const
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -105,7 +105,8 @@
 void ProxyState::answerTokenReturn(const std::string &program, const MessageServer::Reply &answer, unsigned attempts)
 {
     if (!ledger.holdsTokens(program)) {
-        answer({StatusNoContent, {}, {}});
+        // After a write, also one that had been executed before, the asking proxy reads the row again.
+        answer({attempts == MaxReturnAttempts ? StatusNoContent : StatusOk, {}, {}});
         return;
     }
     const auto write = attempts != 0 && canReturnTokens() ? ledger.beginReturn(program, now()) : std::nullopt;
@@ -116,14 +117,8 @@
     store.callOnce(Platform::writeTokenRowCall(*write, storeNowMs()),
                    StoreTimeout,
                    [weak = weak_from_this(), write = *write, answer, attempts](const auto &reply, const Error &reason) {
-                       const auto self = weak.lock();
-                       if (!self) {
-                           return;
-                       }
-                       self->onTokensWritten(write, reply, reason);
-                       if (reply && reply->status == StatusOk) {
-                           answer({StatusOk, {}, {}});
-                       } else {
+                       if (const auto self = weak.lock()) {
+                           self->onTokensWritten(write, reply, reason);
                            self->answerTokenReturn(write.program, answer, attempts - 1);
                        }
                    });
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -37,7 +37,7 @@
 /** Path at which a proxy gives back the tokens of the program in the body, asked by another proxy. */
 inline constexpr std::string_view TokenReturnPath = "/tokens/return";
 /** Attempts to give tokens back; the first one is refused if another proxy has written the row since. */
-inline constexpr unsigned MaxReturnAttempts = 2;
+inline constexpr unsigned MaxReturnAttempts = 3;
 
 /** Owns the components of a proxy and connects them. */
 class ProxyState : public RequestHandler, public std::enable_shared_from_this<ProxyState>
