An inquiry about a lost owner begins anew if the members can't be read

A failed read of the member table left the partitions of a lost owner without an inquiry, so that programs waited 150 s. The claimed partitions are kept until a read succeeds.

--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -148,6 +148,7 @@
     if (present >= m_nextReadAt && !m_isReading) {
         readOwners();
     }
+    handleClaims();
     writeOwners();
 }
 
@@ -288,26 +289,28 @@
 
 void OutageControl::handleClaims()
 {
-    std::vector<ClaimedPartition> lost;
     for (auto &it : m_owners.takeClaims()) {
         const bool isAdopted = m_share.adopt(it.formerLedger.turns, now());
         if (isAdopted && it.areGrantsKnown) {
             m_owners.recordGrantsKnown(it);
         } else if (isAdopted && it.formerLedger.isComplete && it.formerLedger.hasWitnesses) {
-            lost.push_back(std::move(it));
+            m_lost.push_back(std::move(it));
         }
     }
-    if (lost.empty()) {
+    if (m_lost.empty() || m_isReadingMembers) {
         return;
     }
+    m_isReadingMembers = true;
     // A proxy whose row isn't in this read has obtained no grant before the claim.
     m_proxy.readAll(
         [region = m_proxy.settings.region](const std::string &after) {
             return Platform::readMembersCall(region, after);
         },
         false,
-        [this, lost = std::move(lost)](const auto &rows) {
+        [this, lost = std::exchange(m_lost, {})](const auto &rows) {
+            m_isReadingMembers = false;
             if (!rows) {
+                m_lost.insert(m_lost.end(), lost.begin(), lost.end());
                 return;
             }
             std::vector<std::string> members;
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -118,6 +118,7 @@
     BudgetOwners m_owners;
     OutageShare m_share;
     ObtainedGrants m_obtained;
+    std::vector<ClaimedPartition> m_lost; ///< Claimed partitions whose former owner was lost, before their inquiry.
     std::vector<std::shared_ptr<OpenInquiry>> m_inquiries;
     std::unordered_map<std::string, PendingReport> m_reports; ///< Reports by turn.
     std::optional<TimePoint> m_startedAt;                     ///< Time of the first runPeriodicTasks().
@@ -130,6 +131,7 @@
     std::set<std::string> m_greeted; ///< Owners that know that this process has started.
     TimePoint m_nextGreetingAt{};
     bool m_isReading = false;
+    bool m_isReadingMembers = false;
     bool m_isStopping = false;
 };
 
