--- a/tests/core/outage_share_test.cpp
+++ b/tests/core/outage_share_test.cpp
@@ -664,6 +664,24 @@
     EXPECT_EQ(share.streamVersions("p", OwnerRight::Quarantined), std::nullopt);
 }
 
+// A reply under way when a successor asked was used afterwards, and the successor didn't count its tokens.
+TEST(ObtainedGrants, WhatWasRequestedBeforeATestimonyIsNotUsedAfterIt)
+{
+    ObtainedGrants grants;
+    EXPECT_FALSE(grants.testify({3}, Start));
+    grants.recordVersion(5);
+    grants.recordVersion(9);
+    grants.add({"p", "t", 600, Most, 5s}, Start);
+    const auto testimony = grants.testify({budgetPartition("p")}, Start + 1s);
+    ASSERT_TRUE(testimony);
+    EXPECT_EQ(testimony->since, 5U);
+    ASSERT_EQ(testimony->turns.size(), 1U);
+    EXPECT_EQ(testimony->turns[0].timeLeft, 4s + OutageReportGrace);
+    EXPECT_TRUE(grants.isFenced(budgetPartition("p"), Start + 1s));
+    EXPECT_FALSE(grants.isFenced(budgetPartition("p"), Start + 1s + 1us));
+    EXPECT_FALSE(grants.isFenced((budgetPartition("p") + 1) % BudgetPartitions, Start));
+}
+
 // Both shares together gave a program more than its budget and one turn, or a program was refused although its budget held a turn.
 TEST(OutageShareProperty, NoInterleavingExceedsTheBudgetOrRefusesInsideIt)
 {
--- a/tests/core/token_ledger_test.cpp
+++ b/tests/core/token_ledger_test.cpp
@@ -519,6 +519,22 @@
 }
 
 /** Turns of one program go through several entries, which also restart as planned. No turn is refused while the budget holds one more. */
+// A row from another source ended a write that was under way, and the program's turns waited for its reply forever.
+TEST(TokenLedger, AMergedRowDoesNotEndAWriteThatIsUnderWay)
+{
+    RowModel rows;
+    TokenLedger ledger("a/1");
+    TokenLedger other("b/1");
+    const auto first = ledger.reserve({"p", Budget, Most}, Start);
+    ASSERT_TRUE(std::holds_alternative<TokenNeedsWrite>(first));
+    ASSERT_TRUE(isGranted(reserveWithWrites(other, rows, {"p", Budget, Most})));
+    ledger.mergeRow("p", rows.row("p"), Start);
+    EXPECT_TRUE(std::holds_alternative<TokenBusy>(ledger.reserve({"p", Budget, Most}, Start)));
+    EXPECT_FALSE(rows.write(std::get<TokenNeedsWrite>(first).write));
+    ledger.onConflict("p", rows.row("p"));
+    EXPECT_TRUE(isGranted(reserveWithWrites(ledger, rows, {"p", Budget, Most})));
+}
+
 /** What happens to a write that reserves tokens, before the row shows its outcome to its writer. */
 struct LostWriteCase
 {
