Greetings of many proxies that start together cause one renewal a second

Renewals for greetings are now at least a second apart, and members are read only if the greeting proxy isn't known.

--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -24,6 +24,7 @@
 constexpr Duration InquiryInterval = std::chrono::seconds(1); ///< Interval between attempts to ask a proxy for the grants that it knows.
 constexpr Duration GreetingTime = std::chrono::seconds(10);   ///< Time after the start in which owners are told of it.
 constexpr Duration GreetingInterval = std::chrono::milliseconds(300); ///< Interval between attempts to tell them.
+constexpr Duration GreetedInterval = std::chrono::seconds(1);         ///< Many proxies that start together cause one renewal in this time.
 constexpr unsigned WitnessAttempts = 2;                               ///< Proxies that are asked at most to witness a grant.
 constexpr Duration CleanInterval = std::chrono::seconds(60);          ///< Interval between searches for programs that have ended.
 
@@ -149,6 +150,7 @@
         readOwners();
     }
     handleClaims();
+    renewForGreetings();
     writeOwners();
 }
 
@@ -278,7 +280,7 @@
             continue;
         }
         m_nextGreetingAt = now() + GreetingInterval;
-        callOwner(it, OwnerHelloPath, {}, [this, weak = m_proxy.weak_from_this(), it](const auto &reply, const Error &) {
+        callOwner(it, OwnerHelloPath, m_proxy.settings.name, [this, weak = m_proxy.weak_from_this(), it](const auto &reply, const Error &) {
             const auto proxy = weak.lock();
             if (proxy && reply && reply->status == StatusNoContent) {
                 m_greeted.insert(it);
@@ -287,6 +289,28 @@
     }
 }
 
+void OutageControl::handleGreeting(const std::string &name)
+{
+    m_isGreeted = true;
+    renewForGreetings();
+    // It may be needed as a witness.
+    if (m_proxy.members.find(name) == nullptr && now() >= m_nextMemberReadAt) {
+        m_nextMemberReadAt = now() + GreetedInterval;
+        m_proxy.readMembers();
+    }
+}
+
+void OutageControl::renewForGreetings()
+{
+    if (!m_isGreeted || now() < m_nextGreetedRenewalAt) {
+        return;
+    }
+    m_isGreeted = false;
+    m_nextGreetedRenewalAt = now() + GreetedInterval;
+    m_owners.renewSoon();
+    writeOwners();
+}
+
 void OutageControl::handleClaims()
 {
     for (auto &it : m_owners.takeClaims()) {
@@ -623,9 +647,7 @@
         return true;
     }
     if (request.target == OwnerHelloPath) {
-        m_owners.renewSoon();
-        writeOwners();
-        m_proxy.readMembers();
+        handleGreeting(request.body);
         answer({StatusNoContent, {}, {}});
         return true;
     }
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -99,6 +99,10 @@
     bool callOwner(const std::string &owner, std::string_view path, std::string body, const StoreCaller::Handler &handler);
     /** Tells the owners that this process has started. */
     void greetOwners();
+    /** Handles the start of another proxy. @param name Name of its VM. */
+    void handleGreeting(const std::string &name);
+    /** Renews the own partitions if proxies have started since the last time. */
+    void renewForGreetings();
     /** Starts inquiries about claimed partitions whose former owner was lost. */
     void handleClaims();
     void startInquiries(std::vector<ClaimedPartition> claims, const std::vector<std::string> &members);
@@ -130,6 +134,9 @@
     std::uint64_t m_nextWitness = 0;
     std::set<std::string> m_greeted; ///< Owners that know that this process has started.
     TimePoint m_nextGreetingAt{};
+    TimePoint m_nextGreetedRenewalAt{};
+    TimePoint m_nextMemberReadAt{};
+    bool m_isGreeted = false; ///< True if a proxy has started since the last renewal for that reason.
     bool m_isReading = false;
     bool m_isReadingMembers = false;
     bool m_isStopping = false;
