Log lines tell why the version of a resumed stream isn't known

Cause: a resumed stream was refused with no_store_for_budget, and no line between the read of the row and the refusal said what was waited for.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -141,6 +141,18 @@
     return false;
 }
 
+std::string Exchange::originFields() const
+{
+    if (!isResumed()) {
+        return {};
+    }
+    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived) : std::nullopt;
+    std::string text = " origin=" + (m_origin ? m_origin->version : std::string("unknown"));
+    text += " origin_row=" + (row ? std::to_string(row->streamVersions.size()) : std::string("unread"));
+    text += " origin_owner=" + (m_outageVersions ? std::to_string(m_outageVersions->size()) : std::string("unknown"));
+    return text;
+}
+
 bool Exchange::isVersionGone() const
 {
     return m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin));
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -137,6 +137,8 @@
      * @return False if the version can't be known, so that the request has to be refused.
      */
     bool findOrigin();
+    /** @return Fields about the version of a resumed stream for a log line. */
+    [[nodiscard]] std::string originFields() const;
     /** @return True if the owner of the program has to be asked first at which versions streams began with its tokens. */
     [[nodiscard]] bool needsOutageVersions() const;
     /** @return True if no server can continue the stream. */
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -236,7 +236,7 @@
          << " conversation=" << (m_conversation ? m_conversation->turn().bodySize() : 0) << " prompt=" << attributes.promptTokens
          << " budget=" << attributes.tokenBudget.value_or(0) << " most=" << attributes.maxGenerated
          << " program_left_ms=" << (attributes.programTimeLeft ? ms(*attributes.programTimeLeft) : -1);
-    line << customerFields();
+    line << customerFields() << originFields();
     if (const auto left = m_proxy.plannedStop.timeLeft(ended)) {
         line << " stop_left_ms=" << ms(*left);
     }
--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -606,17 +606,27 @@
 void OutageControl::findVersions(const std::string &program, const VersionsHandler &handler)
 {
     const auto owner = m_owners.owner(budgetPartition(program));
+    const auto done
+        = [proxy = &m_proxy, program, owner, handler](const std::optional<std::vector<SoftwareVersion>> &versions, const std::string &why) {
+              proxy->log(
+                  LogLevel::Info,
+                  EventNumber::OutageTokens,
+                  "program=" + proxy->clientId(program) + " owner=" + owner + " outcome="
+                      + (versions ? "versions_known versions=" + std::to_string(versions->size()) : "versions_unknown why=\"" + why + '"'));
+              handler(versions);
+          };
     if (owner == m_proxy.settings.name) {
-        handler(ownVersions(program));
+        done(ownVersions(program), "grants of a former owner aren't known");
         return;
     }
-    const auto answered = [weak = m_proxy.weak_from_this(), handler](const auto &reply, const Error &) {
+    const auto answered = [weak = m_proxy.weak_from_this(), done](const auto &reply, const Error &reason) {
         if (const auto proxy = weak.lock()) {
-            handler(reply && reply->status == StatusOk ? Platform::decodeShareVersions(reply->body) : std::nullopt);
+            done(reply && reply->status == StatusOk ? Platform::decodeShareVersions(reply->body) : std::nullopt,
+                 reply ? "status " + std::to_string(reply->status) : reason.message);
         }
     };
     if (!callOwner(owner, ShareVersionsPath, Platform::encodeShareQuery(program, m_proxy.settings.outageBudgetPercent), answered)) {
-        handler(std::nullopt);
+        done(std::nullopt, owner.empty() ? "no owner" : "owner isn't listed");
     }
 }
 
