A record of versions in the store tells at any proxy where a stream may go on

Callers saw: streams that broke and were resumed at another proxy were refused until their clients gave up, although all servers had one version: with a budget after 1.2 s each (no_store_for_budget), without one at once (stream_origin_unknown). Cause: which version began a stream was known only to the proxy that had forwarded it, to the program's row, and to the owner of its second share. Without a budget there is neither row nor owner; with one, the owner is missing in the first seconds and after a loss, and was waited for. The class of fault is a choice that later requests depend on and that only processes know which may be gone; the row mended it for one kind of streams. A row of the store names all versions at which streams may have begun, written before the first one begins there. If it names one, and the program's row no other, a resumed stream goes on there. StreamVersions, StreamOriginOf, WireVersions and the new cases of ProxyResumedStream fail without the record.

--- a/packages/core/include/vanillahall/core/forward_outcome_type.h
+++ b/packages/core/include/vanillahall/core/forward_outcome_type.h
@@ -22,6 +22,7 @@
     KeyUnconfirmed,      ///< The API key is known, but the configuration hasn't been confirmed for too long.
     KeyUnknown,          ///< No customer has the API key, or there is none.
     NoConfiguration,     ///< No configuration has been received yet.
+    NoOwnerForStream,    ///< Nobody can tell at which versions the owner of the program has granted streams.
     NoOtherServer,       ///< An attempt failed and may be repeated, but no other server can take the request.
     NoRoute,             ///< No route matches.
     NoServer,            ///< The service has no server.
@@ -29,6 +30,7 @@
     NoService,           ///< The route leads to an unknown service.
     NoSuchTurn,          ///< The previous turn doesn't exist.
     NoStoreForBudget,    ///< Tokens can't be reserved because the store is unavailable.
+    NoStoreForStream,    ///< The version that began the stream can't be read from the store.
     ProgramNameTooLong,  ///< The program's id is too long for a key in the store.
     QuotaSpent,          ///< The customer is over its rate limit.
     QuotaUncertain,      ///< It isn't known whether the customer is over its rate limit, since the store is unavailable.
@@ -98,6 +100,11 @@
     {Outcome::NoConfiguration,
      "no_configuration",
      "503, not run: this process has just started and hasn't received a configuration from the store."},
+    {Outcome::NoOwnerForStream,
+     "no_owner_for_stream",
+     "503, not run: the client resumes a stream, servers of several versions may have begun it, and the owner of its program, which may "
+     "have "
+     "granted it while the store was unavailable, can't tell. See event 1131."},
     {Outcome::NoOtherServer,
      "no_other_server",
      "502: an attempt failed and the request may be repeated, but no other server can take it. See event 1103."},
@@ -113,6 +120,11 @@
     {Outcome::NoStoreForBudget,
      "no_store_for_budget",
      "503, not run: tokens must be reserved in the store, which is unavailable (event 1501) or didn't reply in time."},
+    {Outcome::NoStoreForStream,
+     "no_store_for_stream",
+     "503, not run: the client resumes a stream, and the versions that may have begun it can't be read from the store, which is "
+     "unavailable "
+     "(event 1501) or didn't reply in time."},
     {Outcome::ProgramNameTooLong,
      "program_name_too_long",
      "400, not run: the program's id is over 183 bytes long, and its key in the store contains the hash of the customer as well."},
--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -112,47 +112,6 @@
     return m_route.repetition == Repetition::Resumable && hasTokenBudget();
 }
 
-bool Exchange::needsOutageVersions() const
-{
-    return isResumed() && !m_origin && hasTokenBudget() && m_proxy.outage.isOn() && !m_outageVersions
-        && m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived);
-}
-
-bool Exchange::findOrigin()
-{
-    if (!isResumed() || m_origin) {
-        return true;
-    }
-    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived) : TokenRow();
-    if (!row) {
-        return true;
-    }
-    auto versions = row->streamVersions;
-    if (m_outageVersions) {
-        // The row doesn't name the versions of streams that began with tokens of the program's owner.
-        std::copy_if(m_outageVersions->begin(), m_outageVersions->end(), std::back_inserter(versions), [&versions](const auto &it) {
-            return std::find(versions.begin(), versions.end(), it) == versions.end();
-        });
-    }
-    if (versions.size() == 1 && !versions.front().isUnknown()) {
-        m_origin = versions.front();
-        return true;
-    }
-    return false;
-}
-
-std::string Exchange::originFields() const
-{
-    if (!isResumed()) {
-        return {};
-    }
-    const auto row = hasTokenBudget() ? m_proxy.ledger.confirmedRow(m_programKey, m_request.arrived) : std::nullopt;
-    std::string text = " origin=" + (m_origin ? m_origin->version : std::string("unknown"));
-    text += " origin_row=" + (row ? std::to_string(row->streamVersions.size()) : std::string("unread"));
-    text += " origin_owner=" + (m_outageVersions ? std::to_string(m_outageVersions->size()) : std::string("unknown"));
-    return text;
-}
-
 bool Exchange::isVersionGone() const
 {
     return m_origin && (m_origin->service != m_service || !m_proxy.servers.hasServer(*m_origin));
@@ -222,12 +181,7 @@
 
 void Exchange::requestTokens()
 {
-    if (needsOutageVersions()) {
-        findOutageVersions();
-        return;
-    }
     if (!findOrigin()) {
-        answerNotRun(Outcome::StreamOriginUnknown);
         return;
     }
     if (!hasTokenBudget()) {
@@ -292,8 +246,10 @@
 
 void Exchange::setStoreTimer(Duration span)
 {
-    runAfter(m_waitTimer, std::max(Duration::zero(), span), *this, [](Exchange &self) {
-        if (self.storeWaitLeft() <= Duration::zero()) {
+    runAfter(m_waitTimer, std::clamp(span, Duration::zero(), std::max(Duration::zero(), originWaitLeft())), *this, [](Exchange &self) {
+        if (self.originWaitLeft() <= Duration::zero()) {
+            self.refuseOrigin();
+        } else if (self.storeWaitLeft() <= Duration::zero()) {
             const bool isForBudget = !self.m_route.storesConversation || self.m_hasConversation;
             self.answer(StatusUnavailable, StoreRetryAfter, isForBudget ? Outcome::NoStoreForBudget : Outcome::ConversationAway);
         } else {
@@ -305,7 +261,7 @@
 void Exchange::onStoreUpdate(bool hasFailed)
 {
     // An owner that was asked for tokens answers soon, and a turn gets its tokens from one place only.
-    if (m_isEnded || !m_waitsForStore || !m_askedTurn.empty() || m_isAskingVersions) {
+    if (m_isEnded || !m_waitsForStore || !m_askedTurn.empty() || m_originStep != OriginStep::None) {
         return;
     }
     stopTimer(m_waitTimer);
@@ -371,6 +327,8 @@
         return choose(wanted);
     }
     if (!isVersionInRow()) {
+        const auto recorded = m_proxy.versions.recorded();
+        wanted.software = m_route.repetition == Repetition::Resumable ? &recorded : nullptr;
         return choose(wanted);
     }
     auto named = m_proxy.ledger.row(m_programKey).streamVersions;
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -15,6 +15,7 @@
 #include "vanillahall/core/forward_outcome_type.h"
 #include "vanillahall/core/retry_policy_func.h"
 #include "vanillahall/core/server_registry_base.h"
+#include "vanillahall/core/stream_versions_base.h"
 
 #include <set>
 
@@ -39,6 +40,8 @@
     void onStoreUpdate(bool hasFailed);
     /** Called after a store call about the rate limit that this request waits for. */
     void onPermitUpdate();
+    /** Called after a read of the record of versions. */
+    void onOriginUpdate();
     /** Called when the client has closed its connection. */
     void onClientDisconnected();
     /** Called when the request is still in progress at the limit of a planned stop. */
@@ -124,23 +127,29 @@
     bool requestOutageTokens();
     /** @param answer Answer of the owner; nothing if there was none. */
     void onOutageAnswer(const OutageGrantRequest &request, const std::string &owner, const std::optional<OutageAnswer> &answer);
-    /** Asks the owner of the program at which versions streams began with its tokens; queryStore() follows. */
-    void findOutageVersions();
     /** @return Delay before the next attempt; grows with each one. */
     Duration nextStoreRetryDelay();
     void waitForStore();
     void setStoreTimer(Duration span);
     /** Refuses the request if such requests have crashed too many servers. @return True if it was refused. */
     bool refuseQuarantined();
+    /** @return What is known about the version of the stream that the client resumes. */
+    [[nodiscard]] StreamOrigin streamOrigin() const;
     /**
-     * Determines from the program's row which version began the stream that the client resumes.
-     * @return False if the version can't be known, so that the request has to be refused.
+     * Determines which version began the stream that the client resumes.
+     * @return False if the request waits for what tells it, or was refused.
      */
     bool findOrigin();
+    /** Reads the record of versions; queryStore() follows. */
+    void readVersions();
+    /** Asks the owner of the program at which versions streams began with its tokens; queryStore() follows. */
+    void findOutageVersions();
+    /** Refuses the request because the version of its stream isn't known. */
+    void refuseOrigin();
+    /** @return Remaining time in which the version has to be known; unlimited if it is, or doesn't matter. */
+    [[nodiscard]] Duration originWaitLeft() const;
     /** @return Fields about the version of a resumed stream for a log line. */
     [[nodiscard]] std::string originFields() const;
-    /** @return True if the owner of the program has to be asked first at which versions streams began with its tokens. */
-    [[nodiscard]] bool needsOutageVersions() const;
     /** @return True if no server can continue the stream. */
     [[nodiscard]] bool isVersionGone() const;
     /** @return Version at which the turn's stream is to begin, if the program's row has to name it before. */
@@ -327,6 +336,13 @@
 
     // Second share of the token budget.
 
+    /** Call by which the version of a resumed stream is learnt. */
+    enum class OriginStep : std::uint8_t {
+        None,
+        ReadingRecord,
+        AskingOwner,
+    };
+
     /** Turn whose tokens the owner of the program has granted. */
     struct OutageTurn
     {
@@ -338,8 +354,9 @@
     std::string m_askedTurn;                                      ///< Name of the turn for which the owner was asked; empty if it wasn't.
     bool m_isOutageShareSpent = false;                            ///< True if the owner grants no more to the program.
     bool m_needsClosing = false;                                  ///< True while waiting for the second share of the budget to be closed.
-    bool m_isAskingVersions = false;                              ///< True while the owner is asked for versions.
     std::optional<std::vector<SoftwareVersion>> m_outageVersions; ///< Versions at which streams began with tokens of the owner.
+    bool m_isOwnerUnknown = false;                                ///< True if nobody can tell these versions now.
+    OriginStep m_originStep = OriginStep::None;                   ///< What the request waits for to learn the version of its stream.
 };
 
 } // namespace Vanillahall::Forward
--- a/packages/proxy/src/exchange_explain.cpp
+++ b/packages/proxy/src/exchange_explain.cpp
@@ -126,8 +126,13 @@
             explanation.setUnknown("conversation_unknown", "the earlier turns of the conversation have to be read from the store first");
         }
     }
-    if (!findOrigin()) {
-        explanation.refuse({StatusUnavailable, ShortRetryAfter, Outcome::StreamOriginUnknown});
+    if (isResumed() && !m_origin) {
+        const auto origin = streamOrigin();
+        if (const auto *known = std::get_if<OriginKnown>(&origin)) {
+            m_origin = known->software;
+        } else if (std::holds_alternative<OriginAmbiguous>(origin) || !hasTokenBudget()) {
+            explanation.refuse({StatusUnavailable, ShortRetryAfter, Outcome::StreamOriginUnknown});
+        }
     }
     if (!hasTokenBudget()) {
         return;
--- a/packages/proxy/src/exchange_outage.cpp
+++ b/packages/proxy/src/exchange_outage.cpp
@@ -32,7 +32,8 @@
     if (isVersionInRow()) {
         const auto choice = m_origin ? std::nullopt : chooseServer(nullptr);
         version = choice ? std::optional(choice->server.software()) : m_origin;
-        if (!version) {
+        // The row doesn't name it, so the record has to.
+        if (!version || !m_proxy.versions.isRecorded(*version)) {
             return false;
         }
     }
@@ -76,35 +77,15 @@
     setStoreTimer(std::min(nextStoreRetryDelay(), storeWaitLeft()));
 }
 
-void Exchange::findOutageVersions()
-{
-    if (std::exchange(m_isAskingVersions, true)) {
-        return;
-    }
-    m_waitsForStore = true;
-    setStoreTimer(storeWaitLeft());
-    m_proxy.outage.findVersions(m_programKey, [self = shared_from_this(), program = m_programKey](const auto &versions) {
-        self->m_isAskingVersions = false;
-        if (self->m_isEnded || self->m_programKey != program) {
-            return;
-        }
-        if (versions) {
-            self->m_outageVersions = versions;
-            self->queryStore();
-        } else {
-            self->setStoreTimer(std::min(self->nextStoreRetryDelay(), self->storeWaitLeft()));
-        }
-    });
-}
-
 void Exchange::settleTokens()
 {
     const std::uint64_t used = m_forwardedEvents * m_tokensPerEvent;
     // A reply that arrives from now on is reported as unused.
     m_askedTurn.clear();
     m_isOutageShareSpent = false;
-    m_isAskingVersions = false;
+    m_originStep = OriginStep::None;
     m_outageVersions.reset();
+    m_isOwnerUnknown = false;
     if (const auto turn = std::exchange(m_outageTurn, std::nullopt)) {
         m_proxy.outage.report(turn->owner, {turn->request.program, turn->request.turn, used});
     }
--- a/packages/proxy/src/proxy_poll.cpp
+++ b/packages/proxy/src/proxy_poll.cpp
@@ -115,6 +115,7 @@
     removeExpiredRows();
     sweepTurns();
     outage.runPeriodicTasks();
+    versions.runPeriodicTasks();
     runAfter(m_periodicTimer, settings.pollInterval, *this, [](ProxyState &self) {
         self.runPeriodicTasks();
     });
@@ -263,6 +264,7 @@
     m_serversFirstReadAt = m_serversFirstReadAt.value_or(present);
     recordEndedServers(abandoned.onServerList(m_serverList, present));
     updateServers(wasUnavailable);
+    versions.onServerList(m_serverList);
     if (wasUnavailable) {
         runAfter(m_expiryTimer, ListingGrace, *this, [](ProxyState &self) {
             // Servers are removed only by a current list; an outdated one may lack servers that are listed again by now.
--- a/packages/proxy/src/proxy_state.cpp
+++ b/packages/proxy/src/proxy_state.cpp
@@ -53,6 +53,7 @@
     , plannedStop(settings.stop)
     , store(ioLoop, settings.store, members)
     , outage(*this)
+    , versions(*this)
     , clientAcceptor(ioLoop)
     , readinessServer(
           ioLoop,
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -10,6 +10,7 @@
 #include "server_connection.h"
 #include "server_request_bytes.h"
 #include "store_router.h"
+#include "stream_version_control.h"
 #include "table_watcher.h"
 
 #include "vanillahall/core/abandoned_attempts_base.h"
@@ -172,6 +173,7 @@
     PlannedStop plannedStop;
     StoreRouter store;
     OutageControl outage;
+    StreamVersionControl versions;
     boost::asio::ip::tcp::acceptor clientAcceptor;
     MessageServer readinessServer;
     MessageServer metricsServer;
--- /dev/null
+++ b/packages/proxy/src/stream_version_control.cpp
@@ -0,0 +1,139 @@
+#include "stream_version_control.h"
+
+#include "exchange.h"
+#include "proxy_clock.h"
+#include "proxy_state.h"
+
+#include "vanillahall/platform/wire_versions_func.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Vanillahall::Forward {
+
+StreamVersionControl::StreamVersionControl(ProxyState &proxy)
+    : m_proxy(proxy)
+{
+}
+
+void StreamVersionControl::runPeriodicTasks()
+{
+    if (m_proxy.isStoreReachable() && now() >= m_nextReadAt) {
+        read();
+    }
+    write();
+}
+
+void StreamVersionControl::onServerList(const std::vector<Server> &servers)
+{
+    std::set<std::string> services;
+    for (const auto &route : m_proxy.routes.config().routes) {
+        for (const auto &it : route.targets) {
+            if (route.repetition == Repetition::Resumable) {
+                services.insert(it.service);
+            }
+        }
+    }
+    std::vector<SoftwareVersion> listed;
+    for (const auto &it : servers) {
+        const auto software = it.software();
+        if (services.contains(it.service) && std::find(listed.begin(), listed.end(), software) == listed.end()) {
+            listed.push_back(software);
+        }
+    }
+    m_versions.onListed(listed, now());
+    runPeriodicTasks();
+}
+
+void StreamVersionControl::confirm(const std::shared_ptr<Exchange> &waiter)
+{
+    m_waiters.push_back(waiter);
+    read();
+}
+
+void StreamVersionControl::read()
+{
+    if (std::exchange(m_isReading, true)) {
+        return;
+    }
+    m_nextReadAt = now() + StreamVersionReadInterval;
+    m_proxy.readAll(Platform::readStreamVersionsCall, false, [this, requestedAt = now()](const auto &rows) {
+        m_isReading = false;
+        Error ec;
+        const auto row = rows ? Platform::decodeStreamVersions(rows->rows, ec) : std::nullopt;
+        if (row) {
+            m_versions.onRowRead(*row, requestedAt);
+        } else if (rows) {
+            m_proxy.reportInvalidRow(ec, rows->rows.front().version);
+        }
+        write();
+        for (const auto &it : std::exchange(m_waiters, {})) {
+            if (const auto exchange = it.lock()) {
+                exchange->onOriginUpdate();
+            }
+        }
+    });
+}
+
+void StreamVersionControl::write()
+{
+    if (!m_proxy.isStoreReachable()) {
+        return;
+    }
+    const auto row = m_versions.beginWrite(std::chrono::milliseconds(m_proxy.storeNowMs()), m_proxy.members.rank(now()) == 0, now());
+    if (!row) {
+        return;
+    }
+    m_proxy.store.call(Platform::writeStreamVersionsCall(*row),
+                       StoreTimeout,
+                       false,
+                       [this, weak = m_proxy.weak_from_this()](const auto &reply, const Error &reason) {
+                           if (const auto proxy = weak.lock()) {
+                               onWritten(reply, reason);
+                           }
+                       });
+}
+
+void StreamVersionControl::onWritten(const std::optional<StoreReply> &reply, const Error &reason)
+{
+    Error ec = reason;
+    const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
+    if (!answer) {
+        m_versions.onWriteFailed();
+        m_proxy.onStoreFailure(ec.message);
+        m_proxy.log(LogLevel::Warning, EventNumber::DependencyLost, "peer=store call=write_versions why=\"" + ec.message + '"');
+        return;
+    }
+    if (const auto *done = std::get_if<Platform::TransactionDone>(&*answer)) {
+        m_versions.onWritten(done->version);
+        return;
+    }
+    const auto row = Platform::decodeStreamVersions(std::get<Platform::TransactionRefused>(*answer).rows, ec);
+    if (row) {
+        m_versions.onConflict(*row);
+    } else {
+        m_versions.onWriteFailed();
+    }
+    write();
+}
+
+bool StreamVersionControl::isRecorded(const SoftwareVersion &software) const
+{
+    return m_versions.isRecorded(software);
+}
+
+std::vector<SoftwareVersion> StreamVersionControl::recorded() const
+{
+    return m_versions.recorded();
+}
+
+std::optional<std::vector<SoftwareVersion>> StreamVersionControl::possibleSince(TimePoint since) const
+{
+    if (!m_versions.isConfirmedSince(since)) {
+        return std::nullopt;
+    }
+    return m_versions.possible(std::chrono::milliseconds(m_proxy.storeNowMs()));
+}
+
+} // namespace Vanillahall::Forward
--- a/tests/proxy/proxy_stream_version_test.cpp
+++ b/tests/proxy/proxy_stream_version_test.cpp
@@ -22,7 +22,7 @@
 class StreamWorld
 {
 public:
-    explicit StreamWorld(bool hasProgram = true)
+    explicit StreamWorld(bool hasProgram = true, const std::string &secondVersion = "v2")
         : world([this](const std::string &request) {
             const bool isResumed = request.find("\r\nLast-Event-Id: ") != std::string::npos;
             if (isHealthy || isResumed) {
@@ -33,7 +33,7 @@
         , m_headers(hasProgram ? ProgramHeaders : "")
     {
         setVersion(world.rows, "s1", "v1");
-        setVersion(world.rows, "s2", "v2");
+        setVersion(world.rows, "s2", secondVersion);
     }
 
     /** Begins a stream that breaks off. @return The server that began it. */
@@ -146,6 +146,43 @@
                              return it.param.name;
                          });
 
+// Streams without a budget never went on at other proxies, although all servers had one version.
+TEST_P(ProxyResumedStream, GoesOnAtAnyServerIfAllHaveOneVersion)
+{
+    const auto &param = GetParam();
+    StreamWorld streams(param.hasProgram, "v1");
+    auto &world = streams.world;
+    ASSERT_TRUE(world.start());
+    const auto beside = streams.addProxy("beside");
+    ASSERT_NE(beside, nullptr);
+    auto &began = streams.begin("r0");
+    if (param.hasLeft) {
+        streams.remove(began);
+    }
+    const auto restarted = streams.addProxy("restarted");
+    ASSERT_NE(restarted, nullptr);
+    const auto &proxy = param.at == ResumeAt::SameProxy ? *world.proxy : (param.at == ResumeAt::OtherProxy ? *beside : *restarted);
+    const auto answer = streams.resume(proxy, "r1", "");
+    EXPECT_EQ(statusOf(answer), 200U);
+    EXPECT_NE(answer.find("id: 2"), std::string::npos);
+}
+
+// A stream that no row of a program names began at a version that other proxies didn't know of.
+TEST(ProxyStreamVersion, IsRecordedBeforeTheFirstStreamBeginsThere)
+{
+    StreamWorld streams(false, "v1");
+    auto &world = streams.world;
+    world.rows.refusesWrites = true;
+    ASSERT_TRUE(world.start());
+    EXPECT_EQ(statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r0"))), 503U);
+    EXPECT_EQ(world.first.requests.size() + world.second.requests.size(), 0U);
+    world.rows.refusesWrites = false;
+    EXPECT_TRUE(world.run([&world] {
+        return statusOf(world.ask(ProxyWorld::request("POST", "/stream/1", "r1"))) == 200U;
+    }));
+    EXPECT_EQ(world.rows.streamVersions.size(), 1U);
+}
+
 TEST(ProxyResume, OfAProgramWithStreamsOfTwoVersionsNeedsTheProxyThatKnows)
 {
     StreamWorld streams;
--- a/tests/proxy/store_model.cpp
+++ b/tests/proxy/store_model.cpp
@@ -96,8 +96,10 @@
     if (auto turnsAnswer = answerTurns(request)) {
         return *turnsAnswer;
     }
-    if (auto ownersAnswer = answerBudgetOwners(request)) {
-        return *ownersAnswer;
+    for (auto *table : {&budgetOwners, &streamVersions}) {
+        if (auto tableAnswer = answerTable(request, table == &budgetOwners ? "budget_owners" : "stream_versions", *table)) {
+            return *tableAnswer;
+        }
     }
     const bool isTokenRead = request.find("GET /api/rows-get?table=token_budgets") == 0 && request.find("&to=") != std::string::npos;
     if (isTokenRead) {
@@ -156,24 +158,24 @@
     return answer;
 }
 
-std::optional<Script> StoreModel::answerBudgetOwners(const std::string &request)
+std::optional<Script> StoreModel::answerTable(const std::string &request, const std::string &name, ConditionalTable &table)
 {
-    const auto rowsOf = [this](const auto &wanted) {
+    const auto rowsOf = [&table](const auto &wanted) {
         Json list = Json::array();
-        for (const auto &[key, row] : budgetOwners) {
+        for (const auto &[key, row] : table) {
             if (wanted(key)) {
                 list.push_back({{"key", key}, {"value", row.first}, {"ver", row.second}});
             }
         }
         return list;
     };
-    if (request.find("GET /api/rows-get?table=budget_owners") == 0) {
+    if (request.find("GET /api/rows-get?table=" + name) == 0) {
         const auto all = rowsOf([](const auto &) {
             return true;
         });
         return Script{json({{"rows", all}, {"hasMore", false}, {"ver", version}, {"nowMs", nowMs}})};
     }
-    if (request.find("\"table\":\"budget_owners\"") == std::string::npos) {
+    if (request.find("\"table\":\"" + name + "\"") == std::string::npos) {
         return std::nullopt;
     }
     if (refusesWrites) {
@@ -181,8 +183,8 @@
     }
     const Json body = Json::parse(request.substr(request.find("\r\n\r\n") + 4));
     for (const auto &it : body["expect"]) {
-        const auto row = budgetOwners.find(it["key"]);
-        if ((row == budgetOwners.end() ? 0 : row->second.second) != it["ver"]) {
+        const auto row = table.find(it["key"]);
+        if ((row == table.end() ? 0 : row->second.second) != it["ver"]) {
             const auto current = rowsOf([&body](const auto &key) {
                 return std::any_of(body["expect"].begin(), body["expect"].end(), [&key](const auto &expected) {
                     return expected["key"] == key;
@@ -193,7 +195,7 @@
     }
     version++;
     for (const auto &it : body["writes"]) {
-        budgetOwners[it["key"]] = {it["value"], version};
+        table[it["key"]] = {it["value"], version};
     }
     return Script{json({{"ver", version}, {"nowMs", nowMs}})};
 }
--- a/tests/proxy/store_model.h
+++ b/tests/proxy/store_model.h
@@ -54,7 +54,10 @@
     std::size_t fullReads = 0;         ///< Full reads of the server list so far.
     std::size_t watches = 0;           ///< Watch calls for the server list so far.
 
-    std::map<std::string, std::pair<std::string, int>> budgetOwners; ///< Rows of the owners of budgets: base64 value and version.
+    using ConditionalTable = std::map<std::string, std::pair<std::string, int>>; ///< Rows by key: base64 value and version.
+
+    ConditionalTable budgetOwners;   ///< Rows of the owners of budgets.
+    ConditionalTable streamVersions; ///< Row of the versions at which streams may have begun.
 
     /** @return Reply to a call. */
     Script answer(const std::string &request);
@@ -78,8 +81,8 @@
     std::optional<Script> answerTurns(const std::string &request);
     Script readTurns(const std::string &request);
     Script writeTurns(const std::string &body);
-    /** @return Reply to a call about the owners of budgets, or nothing for other calls. */
-    std::optional<Script> answerBudgetOwners(const std::string &request);
+    /** @return Reply to a call about a table whose rows are written on conditions, or nothing for other calls. */
+    std::optional<Script> answerTable(const std::string &request, const std::string &name, ConditionalTable &table);
 
     Table m_config;
     Table m_servers;
