Versions of streams that a lost owner has granted are learnt from its row and the other proxies

Callers saw: with servers of two versions, resumed streams were refused after 1.2 s while their programs had no owner yet, or after it was lost. Cause: only the owner's answer counted. Nobody asked what proves that there was no grant: that there has never been an owner, what the row of the last one names, and what the proxies that obtained grants since then know. Change: if the owner doesn't answer, owners and proxies are read from the store after the request has arrived; without an owner's row there was no grant, a row that was given up names them all, and for a lost owner the proxies are asked as for an inquiry. One read answers all that wait.

--- a/packages/proxy/src/outage_control.cpp
+++ b/packages/proxy/src/outage_control.cpp
@@ -12,9 +12,8 @@
 
 namespace {
 
-constexpr Duration OwnerCallTimeout = std::chrono::milliseconds(300); ///< An owner answers from memory; leaves time for another attempt.
-constexpr Duration OwnerReadInterval = std::chrono::seconds(10);      ///< 64 rows have about 12 KB, so reads take 1.2 KB per second.
-constexpr Duration FirstReadInterval = std::chrono::seconds(1);       ///< The same while partitions have no owner.
+constexpr Duration OwnerReadInterval = std::chrono::seconds(10); ///< 64 rows have about 12 KB, so reads take 1.2 KB per second.
+constexpr Duration FirstReadInterval = std::chrono::seconds(1);  ///< The same while partitions have no owner.
 constexpr Duration EarlyReadInterval
     = std::chrono::seconds(3); ///< The same in the early time, while partitions are handed over to proxies that start.
 constexpr Duration EarlyTime = std::chrono::seconds(40);      ///< Time after the start in which that is likely.
@@ -598,38 +597,6 @@
     }
 }
 
-std::optional<std::vector<SoftwareVersion>> OutageControl::ownVersions(const std::string &program)
-{
-    return m_share.streamVersions(program, m_owners.right(budgetPartition(program), now()));
-}
-
-void OutageControl::findVersions(const std::string &program, const VersionsHandler &handler)
-{
-    const auto owner = m_owners.owner(budgetPartition(program));
-    const auto done
-        = [proxy = &m_proxy, program, owner, handler](const std::optional<std::vector<SoftwareVersion>> &versions, const std::string &why) {
-              proxy->log(
-                  LogLevel::Info,
-                  EventNumber::OutageTokens,
-                  "program=" + proxy->clientId(program) + " owner=" + owner + " outcome="
-                      + (versions ? "versions_known versions=" + std::to_string(versions->size()) : "versions_unknown why=\"" + why + '"'));
-              handler(versions);
-          };
-    if (owner == m_proxy.settings.name) {
-        done(ownVersions(program), "grants of a former owner aren't known");
-        return;
-    }
-    const auto answered = [weak = m_proxy.weak_from_this(), done](const auto &reply, const Error &reason) {
-        if (const auto proxy = weak.lock()) {
-            done(reply && reply->status == StatusOk ? Platform::decodeShareVersions(reply->body) : std::nullopt,
-                 reply ? "status " + std::to_string(reply->status) : reason.message);
-        }
-    };
-    if (!callOwner(owner, ShareVersionsPath, Platform::encodeShareQuery(program, m_proxy.settings.outageBudgetPercent), answered)) {
-        done(std::nullopt, owner.empty() ? "no owner" : "owner isn't listed");
-    }
-}
-
 bool OutageControl::answerPeer(const MessageRequest &request, const MessageServer::Reply &answer)
 {
     if (!isOn() || request.method != "POST") {
--- a/packages/proxy/src/outage_control.h
+++ b/packages/proxy/src/outage_control.h
@@ -29,6 +29,8 @@
 inline constexpr std::string_view GrantWitnessPath = "/budget/witness";  ///< Path at which a proxy is told what another granted itself.
 inline constexpr std::string_view GrantInquiryPath = "/budget/obtained"; ///< Path at which a proxy tells the grants that it knows.
 inline constexpr std::string_view OwnerHelloPath = "/budget/hello";      ///< Path at which an owner is told that a proxy has started.
+inline constexpr Duration OwnerCallTimeout
+    = std::chrono::milliseconds(300); ///< An owner answers from memory; leaves time for another attempt.
 
 /** Makes the calls for the second shares of token budgets. */
 class OutageControl
@@ -55,7 +57,10 @@
     void report(const std::string &owner, const OutageReport &report);
     /** Asks the owner of a program to close its second share. */
     void close(const std::string &program, CloseHandler handler);
-    /** Asks the owner of a program at which versions streams began with tokens that it granted. */
+    /**
+     * Finds out at which versions streams of a program began with tokens that an owner granted: from the owner, or, if it doesn't answer,
+     * from its row in the store and the proxies that have obtained the grants.
+     */
     void findVersions(const std::string &program, const VersionsHandler &handler);
     /** Answers a call of another proxy. @return False if the call isn't about second shares. */
     bool answerPeer(const MessageRequest &request, const MessageServer::Reply &answer);
@@ -88,6 +93,23 @@
         TimePoint endsAt{}; ///< From then on, former grants don't matter any more.
     };
 
+    /** Question for the versions of a program's streams that its owner hasn't answered. */
+    struct VersionSearch
+    {
+        std::string program;
+        std::string askedOwner; ///< Proxy that hasn't answered; empty if none was known.
+        VersionsHandler handler;
+    };
+
+    /** Searches whose owner is lost, and the proxies that are asked instead. */
+    struct VersionInquiry
+    {
+        GrantInquiry inquiry;
+        std::vector<VersionSearch> searches;
+        std::vector<OutageTurnRecord> turns; ///< Grants that are known so far.
+        std::size_t waiting = 0;             ///< Number of proxies that haven't replied.
+    };
+
     /** @return Rows; one that can't be decoded counts as that of an unknown owner, which may still grant. */
     std::vector<BudgetOwnerRow> decodeOwners(const std::vector<Platform::StoreRow> &rows);
     void readOwners();
@@ -115,7 +137,21 @@
     void sendReport(PendingReport &pending);
     void repeatReports();
     OutageAnswer grant(const OutageGrantRequest &request);
-    [[nodiscard]] std::optional<std::vector<SoftwareVersion>> ownVersions(const std::string &program);
+    [[nodiscard]] std::optional<std::vector<SoftwareVersion>> ownVersions(const std::string &program) const;
+    /** Asks an owner. @param handler Called with nothing if it doesn't answer. */
+    void askVersions(const std::string &owner, const std::string &program, const VersionsHandler &handler);
+    /** Ends a search. @param why Reason if the versions aren't known. */
+    void endSearch(const VersionSearch &search, const std::optional<std::vector<SoftwareVersion>> &versions, const std::string &why);
+    /** Reads the owners and the proxies from the store for all searches that wait for it. */
+    void continueSearches();
+    void
+    onOwnersSearched(std::vector<VersionSearch> searches, const std::vector<BudgetOwnerRow> &rows, const std::vector<ProxyMember> &members);
+    /** Asks the proxies that may have obtained grants of a lost owner. */
+    void inquireVersions(const std::string &owner,
+                         std::vector<VersionSearch> searches,
+                         std::vector<ClaimedPartition> partitions,
+                         const std::vector<ProxyMember> &members);
+    void onVersionTestimony(VersionInquiry &open, const std::string &member, const std::optional<GrantTestimony> &testimony);
     void logOwned();
 
     ProxyState &m_proxy; ///< The proxy; owns this object.
@@ -124,6 +160,7 @@
     ObtainedGrants m_obtained;
     std::vector<ClaimedPartition> m_lost; ///< Claimed partitions whose former owner was lost, before their inquiry.
     std::vector<std::shared_ptr<OpenInquiry>> m_inquiries;
+    std::vector<VersionSearch> m_searches;                    ///< Searches that wait for the next read of the store.
     std::unordered_map<std::string, PendingReport> m_reports; ///< Reports by turn.
     std::optional<TimePoint> m_startedAt;                     ///< Time of the first runPeriodicTasks().
     TimePoint m_readAt{};                                     ///< When the owners were last read.
@@ -139,6 +176,7 @@
     bool m_isGreeted = false; ///< True if a proxy has started since the last renewal for that reason.
     bool m_isReading = false;
     bool m_isReadingMembers = false;
+    bool m_isSearching = false;
     bool m_isStopping = false;
 };
 
