A resumed stream doesn't wait for a read of the record that began before it

Callers saw: nothing yet; found by reading. While the store takes 240 ms a call, a request that arrives during a read would wait for two of them and for the row, 720 of the 800 ms that it has. Change: up to four reads are under way; a request joins one that was requested after its arrival.

--- a/packages/proxy/src/exchange_origin.cpp
+++ b/packages/proxy/src/exchange_origin.cpp
@@ -93,7 +93,7 @@
     m_originStep = OriginStep::ReadingRecord;
     m_waitsForStore = true;
     setStoreTimer(storeWaitLeft());
-    m_proxy.versions.confirm(shared_from_this());
+    m_proxy.versions.confirm(shared_from_this(), m_request.arrived);
 }
 
 void Exchange::onOriginUpdate()
--- a/packages/proxy/src/stream_version_control.cpp
+++ b/packages/proxy/src/stream_version_control.cpp
@@ -12,6 +12,12 @@
 
 namespace Vanillahall::Forward {
 
+namespace {
+
+constexpr unsigned MaxParallelReads = 4; ///< A request that waits for an earlier read first would wait twice as long.
+
+} // namespace
+
 StreamVersionControl::StreamVersionControl(ProxyState &proxy)
     : m_proxy(proxy)
 {
@@ -19,7 +25,7 @@
 
 void StreamVersionControl::runPeriodicTasks()
 {
-    if (m_proxy.isStoreReachable() && now() >= m_nextReadAt) {
+    if (m_proxy.isStoreReachable() && now() >= m_nextReadAt && m_reading == 0) {
         read();
     }
     write();
@@ -46,20 +52,22 @@
     runPeriodicTasks();
 }
 
-void StreamVersionControl::confirm(const std::shared_ptr<Exchange> &waiter)
+void StreamVersionControl::confirm(const std::shared_ptr<Exchange> &waiter, TimePoint since)
 {
     m_waiters.push_back(waiter);
-    read();
+    const bool isRequested = m_reading != 0 && m_readAt >= since;
+    if (!isRequested && m_reading < MaxParallelReads) {
+        read();
+    }
 }
 
 void StreamVersionControl::read()
 {
-    if (std::exchange(m_isReading, true)) {
-        return;
-    }
-    m_nextReadAt = now() + StreamVersionReadInterval;
-    m_proxy.readAll(Platform::readStreamVersionsCall, false, [this, requestedAt = now()](const auto &rows) {
-        m_isReading = false;
+    m_reading++;
+    m_readAt = now();
+    m_nextReadAt = m_readAt + StreamVersionReadInterval;
+    m_proxy.readAll(Platform::readStreamVersionsCall, false, [this, requestedAt = m_readAt](const auto &rows) {
+        m_reading--;
         Error ec;
         const auto row = rows ? Platform::decodeStreamVersions(rows->rows, ec) : std::nullopt;
         if (row) {
--- a/packages/proxy/src/stream_version_control.h
+++ b/packages/proxy/src/stream_version_control.h
@@ -1,7 +1,7 @@
 /**
  * Keeps the record of the software versions at which streams may have begun, in the store.
  * Load pattern: many clients resume streams at the same time after a loss, and each needs the record as of its request; one read answers
- * all requests that arrived before it.
+ * all requests that arrived before it. While the store is slow, several reads are under way.
  */
 #pragma once
 
@@ -30,8 +30,11 @@
     void runPeriodicTasks();
     /** Handles the current list of servers. */
     void onServerList(const std::vector<Server> &servers);
-    /** Reads the record anew, and notifies a request when that has ended; a read that is under way may be notified first. */
-    void confirm(const std::shared_ptr<Exchange> &waiter);
+    /**
+     * Makes sure that the record is read, and notifies a request when a read has ended, which may be an earlier one.
+     * @param since The read has to be requested at this time or later.
+     */
+    void confirm(const std::shared_ptr<Exchange> &waiter, TimePoint since);
 
     // Queries.
 
@@ -51,7 +54,8 @@
     StreamVersions m_versions;
     std::vector<std::weak_ptr<Exchange>> m_waiters; ///< Requests that wait for the next read.
     TimePoint m_nextReadAt{};
-    bool m_isReading = false;
+    TimePoint m_readAt{};   ///< When the last read was requested.
+    unsigned m_reading = 0; ///< Number of reads under way.
 };
 
 } // namespace Vanillahall::Forward
--- a/tests/taken_up/taken_up_test.py
+++ b/tests/taken_up/taken_up_test.py
@@ -37,6 +37,7 @@
 LONG_PATIENCE_S = 9.0 # The same where times don't count, since the machine may be busy.
 UNLISTED_S = 1.5      # Time until the row of a server that has ended is removed.
 LATE_S = 1.0          # A refusal has to come sooner.
+SLOW_S = 0.24         # Time for a call to a slow store.
 LATER_VERSION = 5     # With two versions, servers from this number on have the second one.
 
 
@@ -240,6 +241,11 @@
     await play.kill_proxies(1)
 
 
+async def slow_store_and_servers(play):
+    play.deployment.store.delay_s = SLOW_S
+    await play.end_servers(4)
+
+
 async def servers_again_and_again(play):
     for _ in range(3):
         await play.end_servers(2)
@@ -273,6 +279,7 @@
     "proxies_are_killed_in_turn": Case(proxies_in_turn),
     "store_silent_servers_end": Case(silent_store_and_servers, may_fail=True, in_ci=True),
     "store_silent_a_proxy_is_killed": Case(silent_store_and_proxy, may_fail=True),
+    "store_slow_servers_end": Case(slow_store_and_servers),
     "servers_end_without_budget": Case(four_servers, budget=False, in_ci=True),
     "a_proxy_is_killed_without_budget": Case(one_proxy, budget=False),
     "all_proxies_are_killed_without_budget": Case(all_proxies, budget=False),
