Failed reads and writes of the record of versions are repeated after a delay

While the store refuses calls, each resumed stream read the record again at once, four reads at a time, until the store counted as unavailable; a record that can't be read would have been written again and again. The row of a stream without a budget had no customer's prefix, on which log lines rely. A stream whose version is known waited for its row, although it needs none. Change: retry delays as for token rows; 0.5 s between writes; the prefix; no row for a known version.

--- a/packages/proxy/src/exchange.cpp
+++ b/packages/proxy/src/exchange.cpp
@@ -188,7 +188,7 @@
     if (!findOrigin()) {
         return;
     }
-    if (!hasTokenBudget() && !hasStreamRow()) {
+    if (!hasTokenBudget() && (!hasStreamRow() || m_origin)) {
         selectServer();
         return;
     }
--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -41,8 +41,8 @@
     void onStoreUpdate(bool hasFailed);
     /** Called after a store call about the rate limit that this request waits for. */
     void onPermitUpdate();
-    /** Called after a read of the record of versions. */
-    void onOriginUpdate();
+    /** Called after a read of the record of versions. @param hasFailed True if it wasn't read. */
+    void onOriginUpdate(bool hasFailed);
     /** Called when the client has closed its connection. */
     void onClientDisconnected();
     /** Called when the request is still in progress at the limit of a planned stop. */
--- a/packages/proxy/src/exchange_origin.cpp
+++ b/packages/proxy/src/exchange_origin.cpp
@@ -48,7 +48,7 @@
 
 std::string Exchange::versionRowKey() const
 {
-    return hasTokenBudget() ? m_programKey : "stream/" + std::to_string(content());
+    return hasTokenBudget() ? m_programKey : keyOf("stream/" + std::to_string(content()));
 }
 
 StreamOrigin Exchange::streamOrigin() const
@@ -114,13 +114,17 @@
     m_proxy.versions.confirm(shared_from_this(), m_request.arrived);
 }
 
-void Exchange::onOriginUpdate()
+void Exchange::onOriginUpdate(bool hasFailed)
 {
     if (m_isEnded || m_originStep != OriginStep::ReadingRecord) {
         return;
     }
     m_originStep = OriginStep::None;
-    queryStore();
+    if (hasFailed) {
+        setStoreTimer(nextStoreRetryDelay());
+    } else {
+        queryStore();
+    }
 }
 
 void Exchange::findOutageVersions()
--- a/packages/proxy/src/stream_version_control.cpp
+++ b/packages/proxy/src/stream_version_control.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr Duration WriteRetryDelay = std::chrono::milliseconds(500); ///< Delay after a failed write.
 constexpr unsigned MaxParallelReads = 4; ///< A request that waits for an earlier read first would wait twice as long.
 
 } // namespace
@@ -80,7 +81,7 @@
         write();
         for (const auto &it : std::exchange(m_waiters, {})) {
             if (const auto exchange = it.lock()) {
-                exchange->onOriginUpdate();
+                exchange->onOriginUpdate(!row);
             }
         }
     });
@@ -88,7 +89,7 @@
 
 void StreamVersionControl::write()
 {
-    if (!m_proxy.isStoreReachable()) {
+    if (!m_proxy.isStoreReachable() || now() < m_nextWriteAt) {
         return;
     }
     const auto row = m_versions.beginWrite(std::chrono::milliseconds(m_proxy.storeNowMs()), m_proxy.members.rank(now()) == 0, now());
@@ -110,6 +111,7 @@
     Error ec = reason;
     const auto answer = reply ? Platform::decodeTransaction(reply->status, reply->body, ec) : std::nullopt;
     if (!answer) {
+        m_nextWriteAt = now() + WriteRetryDelay;
         m_versions.onWriteFailed();
         m_proxy.onStoreFailure(ec.message);
         m_proxy.log(LogLevel::Warning, EventNumber::DependencyLost, "peer=store call=write_versions why=\"" + ec.message + '"');
@@ -120,11 +122,12 @@
         return;
     }
     const auto row = Platform::decodeStreamVersions(std::get<Platform::TransactionRefused>(*answer).rows, ec);
-    if (row) {
-        m_versions.onConflict(*row);
-    } else {
+    if (!row) {
+        m_nextWriteAt = now() + WriteRetryDelay;
         m_versions.onWriteFailed();
+        return;
     }
+    m_versions.onConflict(*row);
     write();
 }
 
--- a/packages/proxy/src/stream_version_control.h
+++ b/packages/proxy/src/stream_version_control.h
@@ -58,6 +58,7 @@
     StreamVersions m_versions;
     std::vector<std::weak_ptr<Exchange>> m_waiters; ///< Requests that wait for the next read.
     TimePoint m_nextReadAt{};
+    TimePoint m_nextWriteAt{};
     TimePoint m_readAt{};   ///< When the last read was requested.
     unsigned m_reading = 0; ///< Number of reads under way.
 };
--- a/tests/taken_up/taken_up_test.py
+++ b/tests/taken_up/taken_up_test.py
@@ -236,6 +236,11 @@
     await play.end_servers(4)
 
 
+async def refusing_store_and_servers(play):
+    play.deployment.store.away = "busy"
+    await play.end_servers(4)
+
+
 async def silent_store_and_proxy(play):
     play.deployment.store.away = "silent"
     await play.kill_proxies(1)
@@ -278,6 +283,7 @@
     "all_proxies_are_killed": Case(all_proxies, in_ci=True),
     "proxies_are_killed_in_turn": Case(proxies_in_turn),
     "store_silent_servers_end": Case(silent_store_and_servers, may_fail=True, in_ci=True),
+    "store_refuses_servers_end": Case(refusing_store_and_servers, may_fail=True),
     "store_silent_a_proxy_is_killed": Case(silent_store_and_proxy, may_fail=True),
     "store_slow_servers_end": Case(slow_store_and_servers),
     "servers_end_without_budget": Case(four_servers, budget=False, in_ci=True),
@@ -315,7 +321,7 @@
         lost = [it for it in play.clients if not it.is_whole]
         refusals = [it for client in play.clients for it in client.refusals if it[0] == 503]
         late = [it for it in refusals if it[1] > LATE_S]
-        print(f"{name}: broken={len(broken)} lost={len(lost)} refusals={len(refusals)} late={len(late)} "
+        print(f"{name}: calls={deployment.store.calls} broken={len(broken)} lost={len(lost)} refusals={len(refusals)} late={len(late)} "
               f"others={sum(1 for c in play.clients for it in c.refusals if it[0] not in (0, 503))}", end=" ", file=sys.stderr)
         self.assertEqual([it.received for it in play.clients if it.is_joined], [])
         if TIMED:
