--- a/tests/taken_up/taken_up_test.py
+++ b/tests/taken_up/taken_up_test.py
@@ -166,7 +166,8 @@
         for it in killed:
             it.send(signal.SIGKILL)
         for it in killed:
-            it.process.wait()
+            # The clients go on while the processes end.
+            await asyncio.to_thread(it.process.wait)
         if back_after_s is not None:
             await asyncio.sleep(back_after_s)
             for it in killed:
