--- a/packages/proxy/src/exchange.h
+++ b/packages/proxy/src/exchange.h
@@ -9,7 +9,6 @@
 
 #include "vanillahall/core/budget/outage_share_base.h"
 #include "vanillahall/core/crash/crash_evidence_type.h"
-#include "vanillahall/core/crash/surviving_requests_func.h"
 #include "vanillahall/core/customer/customer_directory_base.h"
 #include "vanillahall/core/customer/programs_in_progress_base.h"
 #include "vanillahall/core/customer/quota_ledger_base.h"
@@ -62,8 +61,6 @@
 
     /** @return True if the request waits and was never sent to a server, so that it can be refused as not run. */
     [[nodiscard]] bool canBeRefused() const;
-    /** @return The current attempt if its server has sent events of its stream. */
-    [[nodiscard]] std::optional<SurvivingAttempt> survivingAttempt() const;
 
     // Events of the server connection.
 
--- a/packages/proxy/src/exchange_end.cpp
+++ b/packages/proxy/src/exchange_end.cpp
@@ -191,14 +191,6 @@
     return {m_features, XXH3_64bits(server.data(), server.size()), m_attemptStartedAt};
 }
 
-std::optional<SurvivingAttempt> Exchange::survivingAttempt() const
-{
-    if (!m_connection || !m_hadFirstEvent) {
-        return std::nullopt;
-    }
-    return SurvivingAttempt{&m_features, crashedAttempt().server, m_attemptStartedAt};
-}
-
 void Exchange::recordAbandoned(std::string_view why)
 {
     m_proxy.recordAbandonedAttempt(m_choice.server, crashedAttempt(), m_limitAt);
--- a/packages/proxy/src/proxy_rows.cpp
+++ b/packages/proxy/src/proxy_rows.cpp
@@ -2,7 +2,6 @@
 #include "proxy_clock.h"
 #include "proxy_state.h"
 
-#include "vanillahall/core/crash/surviving_requests_func.h"
 #include "vanillahall/platform/wire_quota_func.h"
 
 #include <algorithm>
@@ -286,15 +285,8 @@
     }
 }
 
-void ProxyState::recordCrash(CrashedAttempt attempt)
+void ProxyState::recordCrash(const CrashedAttempt &attempt)
 {
-    std::vector<SurvivingAttempt> running;
-    for (const auto &[session, exchange] : m_exchanges) {
-        if (const auto it = exchange->survivingAttempt()) {
-            running.push_back(*it);
-        }
-    }
-    attempt.features = suspectFeatures(attempt, running, now());
     logQuarantine(crashes.recordCrash(attempt, now()));
     shareCrashes();
 }
--- a/packages/proxy/src/proxy_state.h
+++ b/packages/proxy/src/proxy_state.h
@@ -98,7 +98,7 @@
     /** Counts and logs a request that was refused because of its customer's rate limit. */
     void recordQuotaRefusal(const std::string &customer, Duration retryAfter);
     /** Records an attempt whose server has ended, and shares the record with the other proxies. */
-    void recordCrash(CrashedAttempt attempt);
+    void recordCrash(const CrashedAttempt &attempt);
     /**
      * Records an attempt that succeeded, with a response whose end is framed.
      * @param sentAt When the attempt was sent.
